--- /dev/null
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators program of gentianmill."""
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/__init__.py
@@ -0,0 +1,1 @@
+"""The gentianmill node: one process beside each upstream VM."""
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/table_client.py
@@ -0,0 +1,54 @@
+"""Access to the platform's transactional table service."""
+
+import abc
+import dataclasses
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableRow:
+    """A row as read; the revision changes with each write of the row."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableWrite:
+    """A conditional write of one row.
+
+    ``expected_revision`` 0 means that the row must not exist; None means that
+    there is no condition. A value of None deletes the row.
+    """
+
+    key: str
+    value: bytes | None
+    expected_revision: int | None
+
+
+class TableStore(abc.ABC):
+    """The table service; each method raises ``store_unavailable`` on an outage."""
+
+    @abc.abstractmethod
+    async def read(self, key: str) -> TableRow | None:
+        """Read one row, or None if it does not exist."""
+
+    @abc.abstractmethod
+    async def scan(self, prefix: str) -> list[TableRow]:
+        """Read all rows whose key starts with a prefix."""
+
+    @abc.abstractmethod
+    async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
+        """Apply all writes, or none of them.
+
+        Args:
+            writes: Conditional writes of different rows.
+
+        Returns:
+            The keys whose condition failed; empty if all writes were applied.
+
+        Raises:
+            GentianmillError: With code ``store_unavailable`` if it is not known
+                whether the writes were applied.
+        """
