--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -0,0 +1,193 @@
+"""Put the parts of a node together."""
+
+import dataclasses
+
+from gentianmill.clock import Clock, MonotonicClock
+from gentianmill.hedge import HedgePolicy
+from gentianmill.limit import AdaptiveLimit
+from gentianmill.member import Member
+from gentianmill.settings_models import NodeSettingsModel
+from gentianmill.sheet_version import SheetTracker
+
+from gentianmill_node.admission_gate import AdmissionGate
+from gentianmill_node.bulk import BulkEntry, BulkEntryParts
+from gentianmill_node.bulk_peer import BulkGuard, PeerBulkClient
+from gentianmill_node.call_builder import CallBuilder
+from gentianmill_node.call_report import CallReport
+from gentianmill_node.caller_listener import ListenerParts
+from gentianmill_node.claim_store import ClaimStore
+from gentianmill_node.commit_pace import CommitPace
+from gentianmill_node.dispatch import Dispatcher, DispatchParts
+from gentianmill_node.guard import Guard, GuardParts
+from gentianmill_node.http_table import HttpTableStore
+from gentianmill_node.keys import read_key
+from gentianmill_node.member_loop import MemberLoop
+from gentianmill_node.members import MemberEffects, own_member
+from gentianmill_node.metrics import NodeMetrics
+from gentianmill_node.peer_client import PeerPool
+from gentianmill_node.policy import Policy
+from gentianmill_node.retry_gate import RetryGate
+from gentianmill_node.running_calls import RunningCalls
+from gentianmill_node.sheet_loop import SheetLoop
+from gentianmill_node.sheet_source import SheetSource
+from gentianmill_node.strikes import StrikeSender
+from gentianmill_node.suspect_gate import SuspectGate
+from gentianmill_node.tls import client_context
+from gentianmill_node.upstream_client import UpstreamClient
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Control:
+    """Parts that know the other members and the planning sheet."""
+
+    clock: Clock
+    own: Member
+    policy: Policy
+    table: HttpTableStore
+    tracker: SheetTracker
+    sheets: SheetSource
+    sheet_loop: SheetLoop
+    members: MemberLoop
+    peers: PeerPool
+    metrics: NodeMetrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataPath:
+    """Parts that carry calls."""
+
+    running: RunningCalls
+    upstream: UpstreamClient
+    suspects: SuspectGate
+    claims: ClaimStore
+    guard: Guard
+    gate: AdmissionGate
+    bulk_guard: BulkGuard
+    retries: RetryGate
+    listeners: ListenerParts
+
+
+def assemble_control(settings: NodeSettingsModel) -> Control:
+    """Create the control parts of a node.
+
+    Args:
+        settings: Settings of the node; key files are read here.
+
+    Raises:
+        GentianmillError: If a key file cannot be used.
+    """
+    clock = MonotonicClock()
+    own = own_member(settings)
+    policy = Policy(settings, own.node_id)
+    table = HttpTableStore(settings.table)
+    tracker = SheetTracker()
+    sheet_loop = SheetLoop(settings, clock, table, tracker, policy.apply)
+    effects = MemberEffects(policy, settings.node.region, clock)
+    members = MemberLoop(settings, clock, table, own, effects.apply, sheet_loop)
+    effects.apply(own)
+    peer_key = read_key(settings.keys.peer_key_file)
+    return Control(
+        clock=clock,
+        own=own,
+        policy=policy,
+        table=table,
+        tracker=tracker,
+        sheets=SheetSource(tracker),
+        sheet_loop=sheet_loop,
+        members=members,
+        peers=PeerPool(clock, peer_key, client_context(settings.listeners)),
+        metrics=NodeMetrics(),
+    )
+
+
+def assemble_data_path(settings: NodeSettingsModel, control: Control) -> DataPath:
+    """Create the parts that carry calls.
+
+    Args:
+        settings: Settings of the node.
+        control: The control parts.
+    """
+    running = RunningCalls()
+    upstream = UpstreamClient(settings.upstream, settings.listeners.max_body_bytes)
+    strikes = StrikeSender(control.members.table, control.peers)
+    suspects = SuspectGate(control.policy.suspects, control.clock, strikes.send)
+    pace = CommitPace(control.members.table, control.sheets, control.policy)
+    claims = ClaimStore(
+        control.table, control.clock, control.own.node_id, pace.pause_ms
+    )
+    gate = AdmissionGate(control.policy, _limit(settings), control.clock)
+    guard = Guard(
+        GuardParts(
+            service=control.own.service,
+            clock=control.clock,
+            sheets=control.sheets,
+            upstream=upstream,
+            gate=gate,
+            policy=control.policy,
+            suspects=suspects,
+            claims=claims,
+            running=running,
+        )
+    )
+    retries = RetryGate(
+        control.policy, control.members.table, control.peers, control.clock
+    )
+    bulk_guard = BulkGuard(guard, upstream, control.clock)
+    return DataPath(
+        running=running,
+        upstream=upstream,
+        suspects=suspects,
+        claims=claims,
+        guard=guard,
+        gate=gate,
+        bulk_guard=bulk_guard,
+        retries=retries,
+        listeners=_listener_parts(settings, control, guard, bulk_guard, retries),
+    )
+
+
+def _listener_parts(
+    settings: NodeSettingsModel,
+    control: Control,
+    guard: Guard,
+    bulk_guard: BulkGuard,
+    retries: RetryGate,
+) -> ListenerParts:
+    dispatcher = Dispatcher(
+        DispatchParts(
+            own_id=control.own.node_id,
+            clock=control.clock,
+            policy=control.policy,
+            guard=guard,
+            peers=control.peers,
+            retries=retries,
+            hedges=HedgePolicy(),
+        )
+    )
+    report = CallReport(control.metrics)
+    bulk = BulkEntry(
+        BulkEntryParts(
+            own=control.own,
+            dispatcher=dispatcher,
+            guard=bulk_guard,
+            peers=PeerBulkClient(control.peers, control.clock),
+            retries=retries,
+            policy=control.policy,
+            report=report,
+            clock=control.clock,
+        )
+    )
+    return ListenerParts(
+        builder=CallBuilder(
+            settings.node.region, control.clock, control.sheets, control.policy
+        ),
+        dispatcher=dispatcher,
+        bulk=bulk,
+        report=report,
+        clock=control.clock,
+    )
+
+
+def _limit(settings: NodeSettingsModel) -> AdaptiveLimit:
+    upstream = settings.upstream
+    return AdaptiveLimit(upstream.slots, 1, upstream.connections)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
@@ -0,0 +1,121 @@
+"""The listeners for callers and for the calls of the own upstream."""
+
+import abc
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+
+from gentianmill_node.bulk import BulkEntry
+from gentianmill_node.call import Answer, Call
+from gentianmill_node.call_builder import CallBuilder
+from gentianmill_node.call_report import CallReport
+from gentianmill_node.dispatch import Dispatcher
+from gentianmill_node.headers import CALL_CONTEXT, REQUEST_ID
+from gentianmill_node.responses import error_response, to_response
+from gentianmill_node.running_calls import RunningCalls
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerParts:
+    """What the listeners work with."""
+
+    builder: CallBuilder
+    dispatcher: Dispatcher
+    bulk: BulkEntry
+    report: CallReport
+    clock: Clock
+
+
+class CallListener(abc.ABC):
+    """Take HTTP calls and answer them."""
+
+    def __init__(self, parts: ListenerParts) -> None:
+        """Create a listener.
+
+        Args:
+            parts: The objects that it works with.
+        """
+        self._parts = parts
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """Return the number of calls that were not answered yet."""
+        return self._active
+
+    def app(self, max_body_bytes: int) -> web.Application:
+        """Return the web application of the listener.
+
+        Args:
+            max_body_bytes: Longest body of a request.
+        """
+        app = web.Application(client_max_size=max_body_bytes)
+        app.router.add_route('*', '/{path:.*}', self._handle)
+        return app
+
+    @abc.abstractmethod
+    async def build(self, request: web.Request) -> Call:
+        """Return the call that a request asks for."""
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        self._active += 1
+        try:
+            return await self._handle_call(request)
+        except GentianmillError as error:
+            self._parts.report.refused(error)
+            return error_response(error, request.headers.get(REQUEST_ID, ''))
+        except web.HTTPRequestEntityTooLarge as error:
+            refusal = GentianmillError(
+                ErrorCode.body_too_large, 'request', '', error.text or 'body too large'
+            )
+            self._parts.report.refused(refusal)
+            return error_response(refusal, request.headers.get(REQUEST_ID, ''))
+        finally:
+            self._active -= 1
+
+    async def _handle_call(self, request: web.Request) -> web.StreamResponse:
+        start_ms = self._parts.clock.now_ms()
+        call = await self.build(request)
+        if call.operation.is_bulk:
+            return await self._parts.bulk.serve(request, call)
+        answer = await self._parts.dispatcher.dispatch(call)
+        self._done(call, answer, start_ms)
+        return to_response(answer, call.request_id)
+
+    def _done(self, call: Call, answer: Answer, start_ms: float) -> None:
+        self._parts.report.done(call, answer, self._parts.clock.now_ms() - start_ms)
+
+
+class CallerListener(CallListener):
+    """Take the calls of callers; each starts a new request."""
+
+    async def build(self, request: web.Request) -> Call:
+        """Return the first call of a new request."""
+        return await self._parts.builder.new_request(request)
+
+
+class EgressListener(CallListener):
+    """Take the calls that the own upstream makes to other services."""
+
+    def __init__(self, parts: ListenerParts, running: RunningCalls) -> None:
+        """Create a listener.
+
+        Args:
+            parts: The objects that it works with.
+            running: Calls that now run on the upstream.
+        """
+        super().__init__(parts)
+        self._running = running
+
+    async def build(self, request: web.Request) -> Call:
+        """Return a call with the context of the call that it serves."""
+        token = request.headers.get(CALL_CONTEXT, '')
+        parent = self._running.find(token)
+        if parent is None:
+            return await self._parts.builder.orphan_call(request)
+        return await self._parts.builder.sub_call(request, parent)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/cli.py
@@ -0,0 +1,55 @@
+"""The command line of the node."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+# Set before the event loop is made: uvloop would use io_uring otherwise.
+os.environ['UV_USE_IO_URING'] = '0'
+
+import defopt  # noqa: E402
+from aiomisc import entrypoint  # noqa: E402
+from gentianmill.errors import GentianmillError  # noqa: E402
+from gentianmill.settings_file import load_settings  # noqa: E402
+
+from gentianmill_node.logs import configure_logs  # noqa: E402
+from gentianmill_node.service import NodeService  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+EXIT_START_FAILED = 3
+
+
+def run(settings_file: Path) -> None:
+    """Run the node beside one upstream until SIGTERM.
+
+    The first SIGTERM drains: new calls are refused, running calls are finished.
+    A second SIGTERM ends the process at once.
+
+    Args:
+        settings_file: YAML file with the settings of this node.
+    """
+    try:
+        settings = load_settings(
+            settings_file.read_text(encoding='utf-8'), str(settings_file)
+        )
+    except (GentianmillError, OSError) as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    configure_logs()
+    service = NodeService(settings=settings)
+    try:
+        with entrypoint(
+            service, log_config=False, pool_size=1, catch_signals=()
+        ) as loop:
+            loop.run_until_complete(service.finished())
+    except (GentianmillError, OSError) as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_START_FAILED)
+    except asyncio.CancelledError:
+        return
+
+
+def main() -> None:
+    """Parse the command line and run the node."""
+    defopt.run(run)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -0,0 +1,223 @@
+"""Send calls to a member of their service, with retries and hedges."""
+
+import asyncio
+import dataclasses
+
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.hedge import HedgePolicy
+from gentianmill.member import Member
+from gentianmill.outcome import Outcome
+
+from gentianmill_node.call import STATUS_UNAVAILABLE, Answer, Call
+from gentianmill_node.guard import Guard
+from gentianmill_node.peer_client import PeerPool
+from gentianmill_node.policy import Policy
+from gentianmill_node.retry_gate import RetryGate
+
+STEP = 'route'
+MS_PER_S = 1000
+RETRY_AFTER_MS = 1000
+MAX_REDIRECTS = 2
+"""A refused call that certainly did not run is redirected without a grant.
+
+It has no sub-calls, so redirects do not multiply along a chain.
+"""
+
+_REDIRECTED = frozenset(
+    (ErrorCode.draining, ErrorCode.connection_lost, ErrorCode.upstream_unreachable)
+)
+_REPEATED = _REDIRECTED | {ErrorCode.overloaded, ErrorCode.upstream_refused}
+_UNREACHABLE = frozenset((ErrorCode.connection_lost, ErrorCode.upstream_unreachable))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchParts:
+    """What the dispatcher works with."""
+
+    own_id: str
+    clock: Clock
+    policy: Policy
+    guard: Guard
+    peers: PeerPool
+    retries: RetryGate
+    hedges: HedgePolicy
+
+
+class Dispatcher:
+    """Find a member for each call and bring back its answer."""
+
+    def __init__(self, parts: DispatchParts) -> None:
+        """Create a dispatcher.
+
+        Args:
+            parts: The objects that it works with.
+        """
+        self._parts = parts
+
+    async def dispatch(self, call: Call) -> Answer:
+        """Run a call on some member of its service; errors become answers."""
+        self._parts.retries.on_call()
+        now_ms = self._parts.clock.now_ms()
+        if call.depth == 0 and not self._parts.policy.levels.admits(
+            call.service, call.rank, now_ms
+        ):
+            return Answer.from_error(_overloaded())
+        try:
+            return await self._dispatch(call)
+        except GentianmillError as error:
+            return Answer.from_error(error)
+
+    def choose(self, call: Call, excluded: frozenset[str]) -> Member:
+        """Return the member that gets a call next.
+
+        Args:
+            call: The call to send.
+            excluded: Node ids that were already tried.
+
+        Raises:
+            GentianmillError: With code ``no_member`` if there is none left.
+        """
+        affinity = call.idempotency_key if call.at_most_once else None
+        member = self._parts.policy.router.choose(
+            call.service, self._parts.clock.now_ms(), excluded, affinity
+        )
+        if member is None:
+            raise GentianmillError(
+                ErrorCode.no_member,
+                STEP,
+                '',
+                f'no member of service {call.service!r} takes calls',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return member
+
+    async def _dispatch(self, call: Call) -> Answer:
+        tried: set[str] = set()
+        redirects = 0
+        answer = await self._attempt(call, tried)
+        while _may_repeat(call, answer):
+            free = redirects < MAX_REDIRECTS and _is_redirected(answer)
+            redirects += free
+            if not free and not await self._parts.retries.grant(call):
+                break
+            if self._parts.clock.now_ms() >= call.deadline_ms:
+                break
+            try:
+                answer = await self._attempt(call, tried)
+            except GentianmillError:
+                # No other member is left, so the last answer stands.
+                break
+        return answer
+
+    async def _attempt(self, call: Call, tried: set[str]) -> Answer:
+        member = self.choose(call, frozenset(tried))
+        tried.add(member.node_id)
+        delay_ms = self._hedge_delay(call)
+        if delay_ms is None:
+            return await self._send(call, member)
+        first = asyncio.ensure_future(self._send(call, member))
+        try:
+            await asyncio.wait((first,), timeout=delay_ms / MS_PER_S)
+            if first.done():
+                return first.result()
+            return await self._hedge(call, tried, first)
+        finally:
+            first.cancel()
+
+    def _hedge_delay(self, call: Call) -> float | None:
+        if not call.identity or not call.operation.is_repeatable_read:
+            return None
+        return self._parts.hedges.delay_ms(_operation_key(call))
+
+    async def _hedge(
+        self, call: Call, tried: set[str], first: asyncio.Task[Answer]
+    ) -> Answer:
+        try:
+            member = self.choose(call, frozenset(tried))
+        except GentianmillError:
+            return await first
+        if not await self._parts.retries.grant(call):
+            return await first
+        tried.add(member.node_id)
+        second = asyncio.ensure_future(self._send(call, member))
+        try:
+            return await _first_answered(first, second)
+        finally:
+            second.cancel()
+
+    async def _send(self, call: Call, member: Member) -> Answer:
+        parts = self._parts
+        start_ms = parts.clock.now_ms()
+        parts.policy.router.on_start(member.node_id, start_ms)
+        ok = False
+        try:
+            answer = await self._run_on(call, member)
+            ok = answer.outcome is Outcome.answered
+        except asyncio.CancelledError:
+            # A cancelled hedge says nothing bad about the member but its latency.
+            ok = True
+            raise
+        finally:
+            end_ms = parts.clock.now_ms()
+            parts.policy.router.on_done(member.node_id, end_ms, end_ms - start_ms, ok)
+        self._learn(call, member, answer, end_ms - start_ms)
+        return answer
+
+    async def _run_on(self, call: Call, member: Member) -> Answer:
+        if member.node_id == self._parts.own_id:
+            return await self._parts.guard.run(call)
+        return await self._parts.peers.call(member, call)
+
+    def _learn(
+        self, call: Call, member: Member, answer: Answer, latency_ms: float
+    ) -> None:
+        parts = self._parts
+        now_ms = parts.clock.now_ms()
+        if answer.outcome is Outcome.answered:
+            parts.hedges.observe(_operation_key(call), latency_ms)
+        if answer.load:
+            parts.policy.router.on_load(member.node_id, answer.load, now_ms)
+            parts.policy.levels.update(call.service, member.node_id, answer.load, now_ms)
+        if answer.error_code in _UNREACHABLE:
+            parts.policy.router.on_unreachable(member.node_id, now_ms)
+
+
+async def _first_answered(
+    first: asyncio.Task[Answer], second: asyncio.Task[Answer]
+) -> Answer:
+    done, pending = await asyncio.wait(
+        (first, second), return_when=asyncio.FIRST_COMPLETED
+    )
+    answer = next(iter(done)).result()
+    if answer.outcome is Outcome.answered or not pending:
+        return answer
+    return await next(iter(pending))
+
+
+def _may_repeat(call: Call, answer: Answer) -> bool:
+    """Return whether another member may be tried, by grant or redirect."""
+    if answer.outcome is Outcome.answered:
+        busy = answer.status == STATUS_UNAVAILABLE
+        return busy and call.operation.is_repeatable_read
+    if answer.outcome is Outcome.unknown:
+        return not call.at_most_once
+    return answer.error_code in _REPEATED
+
+
+def _is_redirected(answer: Answer) -> bool:
+    return answer.outcome is Outcome.not_run and answer.error_code in _REDIRECTED
+
+
+def _operation_key(call: Call) -> str:
+    return f'{call.service}/{call.operation.name}'
+
+
+def _overloaded() -> GentianmillError:
+    return GentianmillError(
+        ErrorCode.overloaded,
+        STEP,
+        '',
+        'the service or one that it calls is overloaded for calls of this rank',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/drain.py
@@ -0,0 +1,48 @@
+"""Graceful shutdown: no running call is interrupted."""
+
+import asyncio
+from collections.abc import Callable
+
+from gentianmill.settings_models import DrainModel
+
+from gentianmill_node.logs import component
+
+MS_PER_S = 1000
+POLL_S = 0.05
+
+log = component('drain')
+
+
+async def wait_until_idle(active: Callable[[], int], limit_s: float) -> bool:
+    """Wait until nothing is active.
+
+    Args:
+        active: Returns the number of active calls.
+        limit_s: Longest wait in seconds.
+
+    Returns:
+        Whether nothing was active in the end.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + limit_s
+    while active() and loop.time() < end:
+        await asyncio.sleep(POLL_S)
+    return not active()
+
+
+async def drain(settings: DrainModel, active: Callable[[], int]) -> None:
+    """Wait for the notice period, then until running calls have ended.
+
+    The notice gives the other nodes time to learn of the drain while this node
+    still serves its callers from other upstreams.
+
+    Args:
+        settings: Notice and longest wait.
+        active: Returns the number of active calls.
+    """
+    await asyncio.sleep(settings.notice_ms / MS_PER_S)
+    limit_s = settings.limit_ms / MS_PER_S
+    if await wait_until_idle(active, limit_s):
+        log.info('No call is running.')
+        return
+    log.warning('Calls are still running after the limit.', count=active())
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -0,0 +1,272 @@
+"""The guard: the last check before the own upstream."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from gentianmill.admission import Ticket
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.messages import CallFrame, LoadReport
+from gentianmill.outcome import Outcome
+
+from gentianmill_node.admission_gate import AdmissionGate
+from gentianmill_node.call import Answer, Call
+from gentianmill_node.claim_store import Claim, ClaimRequest, ClaimStore, StoredResponse
+from gentianmill_node.policy import Policy
+from gentianmill_node.running_calls import RunningCalls
+from gentianmill_node.sheet_source import SheetSource
+from gentianmill_node.suspect_gate import SuspectGate
+from gentianmill_node.upstream_client import UpstreamClient
+
+STEP = 'guard'
+RETRY_AFTER_MS = 1000
+POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuardParts:
+    """What the guard works with."""
+
+    service: str
+    clock: Clock
+    sheets: SheetSource
+    upstream: UpstreamClient
+    gate: AdmissionGate
+    policy: Policy
+    suspects: SuspectGate
+    claims: ClaimStore
+    running: RunningCalls
+
+
+class Guard:
+    """Admit calls to the own upstream and run them."""
+
+    def __init__(self, parts: GuardParts) -> None:
+        """Create a guard.
+
+        Args:
+            parts: The objects that it works with.
+        """
+        self._parts = parts
+        self._draining = False
+        self._tasks: set[asyncio.Task[Answer]] = set()
+        self._streams = 0
+
+    @property
+    def draining(self) -> bool:
+        """Return whether new calls are refused."""
+        return self._draining
+
+    @property
+    def active(self) -> int:
+        """Return the number of calls in the queue or on the upstream."""
+        return len(self._tasks) + self._streams
+
+    def start_drain(self) -> None:
+        """Refuse new calls from now on; calls already accepted are finished."""
+        self._draining = True
+
+    def end_drain(self) -> None:
+        """Accept calls again."""
+        self._draining = False
+
+    def load(self) -> LoadReport:
+        """Return the load that responses carry."""
+        queue = self._parts.gate.queue
+        return LoadReport(
+            in_flight=queue.in_flight + queue.queued,
+            limit=self._parts.gate.limit,
+            queue_delay_ms=queue.queue_delay_ms,
+            level=self._parts.policy.level.level,
+            draining=self._draining,
+            levels_below=self._parts.policy.levels.levels(self._parts.clock.now_ms()),
+        )
+
+    def call_from(self, frame: CallFrame) -> Call:
+        """Return the call that a frame of another node asks for.
+
+        Raises:
+            GentianmillError: If this node does not serve it.
+        """
+        if frame.service != self._parts.service:
+            raise GentianmillError(
+                ErrorCode.unknown_service,
+                STEP,
+                '',
+                f'this node serves {self._parts.service!r}, not {frame.service!r}',
+            )
+        operation = self._parts.sheets.required().find_operation(
+            frame.service, frame.method, frame.path
+        )
+        if operation is None:
+            raise GentianmillError(
+                ErrorCode.unknown_operation,
+                STEP,
+                '',
+                f'the sheet has no operation {frame.method} {frame.path!r}',
+            )
+        return Call.from_frame(frame, operation, self._parts.clock.now_ms())
+
+    async def run_frame(self, frame: CallFrame) -> Answer:
+        """Run a call of another node; errors become answers."""
+        try:
+            call = self.call_from(frame)
+        except GentianmillError as error:
+            return Answer.from_error(error)
+        return await self.run(call)
+
+    async def run(self, call: Call) -> Answer:
+        """Run a call; errors become answers.
+
+        A call that runs at most once is finished and recorded even if nobody
+        waits for it any more.
+        """
+        task = asyncio.ensure_future(self._run_checked(call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            answer = await (asyncio.shield(task) if call.at_most_once else task)
+        except GentianmillError as error:
+            answer = Answer.from_error(error)
+        answer.load = self.load()
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def admitted(self, call: Call) -> AsyncIterator[str]:
+        """Hold a slot of the upstream for a call.
+
+        Args:
+            call: The call to admit.
+
+        Returns:
+            A context manager that gives the context token.
+
+        Raises:
+            GentianmillError: If the call is refused; it did not run then.
+        """
+        self._check(call)
+        ticket = self._ticket(call)
+        await self._parts.gate.enter(ticket)
+        self._streams += 1
+        ok = False
+        try:
+            async with self._unsuspected(call) as token:
+                yield token
+            ok = True
+        finally:
+            self._streams -= 1
+            self._parts.gate.leave(ticket, ok)
+
+    async def finish_all(self) -> None:
+        """Wait until no call is in the queue or on the upstream."""
+        while self.active:
+            await asyncio.sleep(POLL_S)
+
+    async def _run_checked(self, call: Call) -> Answer:
+        self._check(call)
+        if not call.at_most_once:
+            return await self._run_admitted(call)
+        claim = await self._parts.claims.claim(_claim_request(call))
+        if isinstance(claim, StoredResponse):
+            return _recorded(claim)
+        return await self._run_claimed(call, claim)
+
+    def _check(self, call: Call) -> None:
+        if self._draining:
+            raise GentianmillError(
+                ErrorCode.draining, STEP, '', 'the upstream is leaving'
+            )
+        if not self._parts.policy.level.admits(call.rank):
+            raise GentianmillError(
+                ErrorCode.overloaded,
+                STEP,
+                '',
+                'the call ranks below the admission level',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
+    async def _run_claimed(self, call: Call, claim: Claim) -> Answer:
+        try:
+            answer = await self._run_admitted(call)
+        except GentianmillError as error:
+            if error.outcome.surely_not_run:
+                await self._parts.claims.release(claim)
+            raise
+        response = StoredResponse(answer.status, answer.headers, answer.body)
+        await self._parts.claims.record(claim, response)
+        return answer
+
+    async def _run_admitted(self, call: Call) -> Answer:
+        ticket = self._ticket(call)
+        await self._parts.gate.enter(ticket)
+        ok = False
+        try:
+            async with self._unsuspected(call) as token:
+                answer = await self._run_upstream(call, token)
+            ok = True
+        finally:
+            self._parts.gate.leave(ticket, ok)
+        return answer
+
+    @contextlib.asynccontextmanager
+    async def _unsuspected(self, call: Call) -> AsyncIterator[str]:
+        await self._parts.suspects.enter(call.digest, call.deadline_ms)
+        token = self._parts.running.add(call)
+        completed = False
+        try:
+            yield token
+            completed = True
+        finally:
+            self._parts.running.remove(token)
+            self._parts.suspects.leave(call.digest, completed)
+
+    async def _run_upstream(self, call: Call, token: str) -> Answer:
+        left_ms = call.deadline_ms - self._parts.clock.now_ms()
+        if left_ms <= 0:
+            message = 'the deadline passed before the call could start'
+            raise GentianmillError(
+                ErrorCode.deadline, STEP, '', message, Outcome.expired
+            )
+        try:
+            return await self._parts.upstream.run(call, token, left_ms)
+        except GentianmillError as error:
+            if error.code is ErrorCode.connection_lost:
+                await self._note_crash()
+            raise
+
+    async def _note_crash(self) -> None:
+        if not await self._parts.upstream.reachable():
+            self._parts.suspects.crash()
+
+    def _ticket(self, call: Call) -> Ticket:
+        sheet = self._parts.sheets.required()
+        return Ticket(
+            work_class=sheet.class_at(call.rank),
+            tenant=call.tenant,
+            share=sheet.tenant_share(call.tenant),
+            size=call.operation.size,
+            rank=call.rank,
+            deadline_ms=call.deadline_ms,
+            operation=call.operation.name,
+        )
+
+
+def _claim_request(call: Call) -> ClaimRequest:
+    return ClaimRequest(
+        service=call.service,
+        tenant=call.tenant,
+        key=call.idempotency_key,
+        digest=call.digest,
+        deadline_ms=call.deadline_ms,
+    )
+
+
+def _recorded(response: StoredResponse) -> Answer:
+    return Answer(
+        outcome=Outcome.answered,
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+    )
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/health_watch.py
@@ -0,0 +1,92 @@
+"""Follow the health that the own upstream reports."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from gentianmill.settings_models import UpstreamModel
+
+from gentianmill_node.logs import component
+from gentianmill_node.upstream_client import UpstreamClient
+
+MS_PER_S = 1000
+FAILURES_BEFORE_DOWN = 2
+"""One lost poll is noise; two in a row take the upstream out of service."""
+
+log = component('health')
+
+
+class UpstreamState(enum.StrEnum):
+    """State of the own upstream as far as the node knows it."""
+
+    starting = 'starting'
+    ready = 'ready'
+    draining = 'draining'
+    unreachable = 'unreachable'
+
+
+class HealthWatch:
+    """Poll the health endpoint of the upstream and report changes."""
+
+    def __init__(
+        self,
+        settings: UpstreamModel,
+        upstream: UpstreamClient,
+        on_change: Callable[[UpstreamState], None],
+    ) -> None:
+        """Create a watch.
+
+        Args:
+            settings: Poll interval.
+            upstream: The own upstream.
+            on_change: Called with each new state.
+        """
+        self._interval_s = settings.poll_ms / MS_PER_S
+        self._upstream = upstream
+        self._on_change = on_change
+        self._state = UpstreamState.starting
+        self._failures = 0
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def state(self) -> UpstreamState:
+        """Return the state seen last."""
+        return self._state
+
+    async def start(self) -> None:
+        """Poll once, then in the background."""
+        self._take(await self._upstream.health())
+        self._task = asyncio.ensure_future(self._poll())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._task:
+            self._task.cancel()
+
+    def take_crash(self) -> None:
+        """Take the upstream out of service at once; polls bring it back."""
+        self._failures = FAILURES_BEFORE_DOWN
+        self._set(UpstreamState.unreachable)
+
+    async def _poll(self) -> None:
+        while True:
+            await asyncio.sleep(self._interval_s)
+            self._take(await self._upstream.health())
+
+    def _take(self, reported: str) -> None:
+        known = reported in set(UpstreamState)
+        state = UpstreamState(reported) if known else UpstreamState.unreachable
+        if state is not UpstreamState.unreachable:
+            self._failures = 0
+            self._set(state)
+            return
+        self._failures += 1
+        if self._failures >= FAILURES_BEFORE_DOWN:
+            self._set(state)
+
+    def _set(self, state: UpstreamState) -> None:
+        if state is self._state:
+            return
+        log.info('Upstream changed state.', before=self._state.value, now=state.value)
+        self._state = state
+        self._on_change(state)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_client.py
@@ -0,0 +1,287 @@
+"""Connections to other nodes that carry calls."""
+
+import asyncio
+import itertools
+import ssl
+
+import aiohttp
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.member import Member
+from gentianmill.messages import (
+    AnswerFrame,
+    CancelFrame,
+    GrantFrame,
+    SpendFrame,
+    StrikeFrame,
+)
+from gentianmill.outcome import Outcome
+
+from gentianmill_node.call import Answer, Call
+from gentianmill_node.frames import AnyFrame, decode, encode
+
+CONNECT_TIMEOUT_S = 1.0
+SPEND_TIMEOUT_S = 0.5
+IDLE_LIMIT_S = 120
+MS_PER_S = 1000
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+STEP = 'peer'
+
+Reply = AnswerFrame | GrantFrame
+
+
+class PeerConnection:
+    """One WebSocket to a node, shared by all calls to it."""
+
+    def __init__(
+        self, node_id: str, socket: aiohttp.ClientWebSocketResponse, clock: Clock
+    ) -> None:
+        """Start to read replies.
+
+        Args:
+            node_id: The node at the other end.
+            socket: The open WebSocket.
+            clock: Clock of the node.
+        """
+        self._node_id = node_id
+        self._socket = socket
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[Reply]] = {}
+        self._last_used_ms = clock.now_ms()
+        self._reader = asyncio.ensure_future(self._read())
+
+    @property
+    def usable(self) -> bool:
+        """Return whether calls can still be sent."""
+        return not self._socket.closed and not self._reader.done()
+
+    @property
+    def idle_since_ms(self) -> float | None:
+        """Return the time of last use, or None while calls are pending."""
+        return None if self._pending else self._last_used_ms
+
+    async def call(self, call: Call) -> Answer:
+        """Send a call and wait for its answer.
+
+        Raises:
+            GentianmillError: With outcome ``not_run`` if the call was not sent,
+                ``unknown`` if the connection broke or the deadline passed after
+                it was sent.
+        """
+        call_id = next(self._numbers)
+        now_ms = self._clock.now_ms()
+        timeout_s = (call.deadline_ms - now_ms) / MS_PER_S
+        reply = await self._exchange(call_id, call.to_frame(call_id, now_ms), timeout_s)
+        if not isinstance(reply, AnswerFrame):
+            raise self._lost('the reply is not an answer')
+        return Answer.from_frame(reply, self._node_id)
+
+    async def spend(self, identity: str) -> bool:
+        """Ask the home node of a request for one retry."""
+        call_id = next(self._numbers)
+        frame = SpendFrame(call_id=call_id, identity=identity)
+        reply = await self._exchange(call_id, frame, SPEND_TIMEOUT_S)
+        return isinstance(reply, GrantFrame) and reply.granted
+
+    async def send(self, frame: AnyFrame) -> None:
+        """Send a frame that has no reply."""
+        self._last_used_ms = self._clock.now_ms()
+        await self._socket.send_bytes(encode(frame))
+
+    async def close(self) -> None:
+        """Close the WebSocket; pending calls end as unknown."""
+        await self._socket.close()
+        self._reader.cancel()
+        self._fail_pending()
+
+    async def _exchange(self, call_id: int, frame: AnyFrame, timeout_s: float) -> Reply:
+        reply: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._pending[call_id] = reply
+        timer = asyncio.get_running_loop().call_later(timeout_s, self._expire, reply)
+        try:
+            await self._send_first(frame)
+            return await reply
+        except asyncio.CancelledError:
+            await self._cancel(call_id)
+            raise
+        finally:
+            timer.cancel()
+            self._pending.pop(call_id, None)
+
+    async def _send_first(self, frame: AnyFrame) -> None:
+        try:
+            await self.send(frame)
+        except (ConnectionError, aiohttp.ClientError, RuntimeError) as error:
+            # A part of the frame may have left, but a frame cut short is never run.
+            raise GentianmillError(
+                ErrorCode.connection_lost,
+                STEP,
+                self._node_id,
+                f'the call could not be sent: {error!r}',
+            ) from error
+
+    async def _cancel(self, call_id: int) -> None:
+        if self.usable:
+            await asyncio.shield(self.send(CancelFrame(call_id=call_id)))
+
+    def _expire(self, reply: asyncio.Future[Reply]) -> None:
+        if not reply.done():
+            reply.set_exception(
+                GentianmillError(
+                    ErrorCode.deadline,
+                    STEP,
+                    self._node_id,
+                    'no response arrived before the deadline',
+                    Outcome.unknown,
+                )
+            )
+
+    async def _read(self) -> None:
+        try:
+            async for message in self._socket:
+                if message.type is not aiohttp.WSMsgType.BINARY:
+                    break
+                self._take(decode(message.data, self._node_id))
+        except GentianmillError:
+            await self._socket.close()
+        finally:
+            self._fail_pending()
+
+    def _take(self, frame: AnyFrame) -> None:
+        if not isinstance(frame, AnswerFrame | GrantFrame):
+            return
+        # A reply whose call has ended is late or a duplicate and is dropped.
+        reply = self._pending.get(frame.call_id)
+        if reply and not reply.done():
+            reply.set_result(frame)
+
+    def _fail_pending(self) -> None:
+        for reply in self._pending.values():
+            if not reply.done():
+                reply.set_exception(self._lost('the connection to the node was lost'))
+
+    def _lost(self, message: str) -> GentianmillError:
+        return GentianmillError(
+            ErrorCode.connection_lost, STEP, self._node_id, message, Outcome.unknown
+        )
+
+
+class PeerPool:
+    """Open connections to other nodes when they are needed."""
+
+    def __init__(self, clock: Clock, key: str, tls: ssl.SSLContext | None) -> None:
+        """Create an empty pool; call ``start`` before use.
+
+        Args:
+            clock: Clock of the node.
+            key: Peer key, sent in the handshake.
+            tls: TLS context, or None without TLS.
+        """
+        self._clock = clock
+        self._key = key
+        self._tls = tls
+        self._session: aiohttp.ClientSession | None = None
+        self._connections: dict[str, PeerConnection] = {}
+        self._opening: dict[str, asyncio.Task[PeerConnection]] = {}
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the HTTP session to other nodes."""
+        if self._session is None:
+            raise RuntimeError('the peer pool is not started')
+        return self._session
+
+    @property
+    def tls(self) -> ssl.SSLContext | None:
+        """Return the TLS context, or None without TLS."""
+        return self._tls
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            headers={'Authorization': f'Bearer {self._key}'},
+            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in tuple(self._opening.values()):
+            task.cancel()
+        for connection in tuple(self._connections.values()):
+            await connection.close()
+        if self._session:
+            await self._session.close()
+
+    def base_url(self, member: Member) -> str:
+        """Return the start of the URLs of a node's peer listener."""
+        scheme = 'https' if self._tls else 'http'
+        return f'{scheme}://{member.host}:{member.peer_port}'
+
+    async def call(self, member: Member, call: Call) -> Answer:
+        """Run a call on another node; errors become answers."""
+        try:
+            connection = await self._connection(member)
+            return await connection.call(call)
+        except GentianmillError as error:
+            return Answer.from_error(error)
+
+    async def spend(self, member: Member, identity: str) -> bool:
+        """Ask a home node for one retry; False if it cannot be reached."""
+        try:
+            connection = await self._connection(member)
+            return await connection.spend(identity)
+        except GentianmillError:
+            return False
+
+    async def send_strike(self, member: Member, strike: StrikeFrame) -> None:
+        """Tell a guard about a crash suspect; lost if it cannot be reached."""
+        try:
+            connection = await self._connection(member)
+            await connection.send(strike)
+        except (GentianmillError, ConnectionError, aiohttp.ClientError):
+            return
+
+    async def close_idle(self) -> None:
+        """Close connections that were not used for a while."""
+        oldest_ms = self._clock.now_ms() - IDLE_LIMIT_S * MS_PER_S
+        for node_id, connection in tuple(self._connections.items()):
+            idle_since_ms = connection.idle_since_ms
+            if idle_since_ms is not None and idle_since_ms < oldest_ms:
+                self._connections.pop(node_id)
+                await connection.close()
+
+    async def _connection(self, member: Member) -> PeerConnection:
+        connection = self._connections.get(member.node_id)
+        if connection and connection.usable:
+            return connection
+        task = self._opening.get(member.node_id)
+        if task is None:
+            task = asyncio.ensure_future(self._open(member))
+            self._opening[member.node_id] = task
+            task.add_done_callback(lambda _: self._opening.pop(member.node_id, None))
+        return await asyncio.shield(task)
+
+    async def _open(self, member: Member) -> PeerConnection:
+        try:
+            socket = await asyncio.wait_for(
+                self.session.ws_connect(
+                    f'{self.base_url(member)}/calls',
+                    ssl=self._tls or True,
+                    max_msg_size=MAX_MESSAGE_BYTES,
+                    compress=0,
+                ),
+                CONNECT_TIMEOUT_S,
+            )
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+            raise GentianmillError(
+                ErrorCode.connection_lost,
+                'connect',
+                member.node_id,
+                f'no connection to the node: {error!r}',
+            ) from error
+        connection = PeerConnection(member.node_id, socket, self._clock)
+        self._connections[member.node_id] = connection
+        return connection
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/policy.py
@@ -0,0 +1,79 @@
+"""The decision objects that follow the planning sheet in force."""
+
+import random
+
+from gentianmill.home import HomePicker
+from gentianmill.level import AdmissionLevel
+from gentianmill.level_table import LevelTable
+from gentianmill.link_budget import LinkBudget
+from gentianmill.retry import RetryLedger, RetryThrottle
+from gentianmill.routing import Router
+from gentianmill.settings_models import NodeSettingsModel
+from gentianmill.sheet import RANKS_PER_CLASS, Sheet
+from gentianmill.sheet_models import LimitsModel, RetryModel
+from gentianmill.suspects import SuspectList
+
+MS_PER_S = 1000
+
+
+class Policy:
+    """Hold the decision objects and apply a new sheet to them.
+
+    State that does not depend on the sheet, such as latencies and retry counts,
+    survives a new sheet.
+    """
+
+    def __init__(self, settings: NodeSettingsModel, node_id: str) -> None:
+        """Create the objects with the defaults of the schema.
+
+        Args:
+            settings: Settings of the node.
+            node_id: Node id of this node.
+        """
+        self._limits = LimitsModel()
+        retry = RetryModel()
+        rng = random.Random(node_id)
+        region = settings.node.region
+        self.level = AdmissionLevel(1, 0)
+        self.levels = LevelTable(RANKS_PER_CLASS - 1)
+        self.router = Router(region, settings.node.zone, self._limits, rng, node_id)
+        self.link = LinkBudget(self._limits)
+        self.ledger = RetryLedger(0, retry.window_s * MS_PER_S)
+        self.throttle = RetryThrottle(retry.ratio)
+        self.homes = HomePicker(retry.window_s * MS_PER_S)
+        self.suspects = SuspectList(self._limits.suspect_window_s * MS_PER_S)
+        self._classes: tuple[tuple[str, bool], ...] = ()
+
+    @property
+    def limits(self) -> LimitsModel:
+        """Return the limits in force; one object whose fields change in place."""
+        return self._limits
+
+    def apply(self, sheet: Sheet) -> None:
+        """Put a sheet in force.
+
+        Args:
+            sheet: The accepted sheet.
+        """
+        for name in LimitsModel.model_fields:
+            setattr(self._limits, name, getattr(sheet.limits, name))
+        window_ms = sheet.retry.window_s * MS_PER_S
+        self.ledger.configure(sheet.retries_per_region, window_ms)
+        self.throttle.configure(sheet.retry.ratio)
+        self.homes.configure(window_ms)
+        self.suspects.configure(self._limits.suspect_window_s * MS_PER_S)
+        self._apply_classes(sheet)
+
+    def _apply_classes(self, sheet: Sheet) -> None:
+        classes = tuple(
+            (entry.name, entry.protected) for entry in sheet.classes.values()
+        )
+        if classes == self._classes:
+            return
+        # Ranks have another meaning now, so levels start open.
+        self._classes = classes
+        protected = sum(is_protected for _, is_protected in classes)
+        self.level = AdmissionLevel(
+            len(classes), protected, self._limits.queue_delay_ms
+        )
+        self.levels = LevelTable(len(classes) * RANKS_PER_CLASS - 1)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -0,0 +1,80 @@
+"""HTTP responses for answers and errors."""
+
+import math
+
+from aiohttp import web
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.outcome import Outcome
+
+from gentianmill_node.call import Answer
+from gentianmill_node.headers import (
+    ERROR_CODE,
+    ERROR_PEER,
+    ERROR_STEP,
+    OUTCOME,
+    REQUEST_ID,
+    RETRY_AFTER,
+)
+
+MS_PER_S = 1000
+
+_STATUS = {
+    ErrorCode.bad_request: 400,
+    ErrorCode.key_missing: 400,
+    ErrorCode.unauthorised: 401,
+    ErrorCode.unknown_service: 404,
+    ErrorCode.unknown_operation: 404,
+    ErrorCode.body_too_large: 413,
+    ErrorCode.key_reused: 422,
+    ErrorCode.key_expired: 422,
+    ErrorCode.crash_suspect: 422,
+    ErrorCode.deadline: 504,
+    ErrorCode.in_progress: 504,
+}
+_STATUS_NOT_RUN = 503
+_STATUS_UNKNOWN = 502
+
+
+def to_response(answer: Answer, request_id: str) -> web.Response:
+    """Return the HTTP response for an answer.
+
+    Args:
+        answer: How the call ended.
+        request_id: Id of the request, returned to the caller.
+    """
+    if answer.error:
+        return error_response(answer.error, request_id)
+    headers = dict(answer.headers)
+    headers[OUTCOME] = answer.outcome.value
+    headers[REQUEST_ID] = request_id
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+def error_response(error: GentianmillError, request_id: str) -> web.Response:
+    """Return the HTTP response for an error.
+
+    Args:
+        error: What failed, with the outcome of the call.
+        request_id: Id of the request; empty if none was given.
+    """
+    unsure = error.outcome is Outcome.unknown
+    outcome = Outcome.unknown if unsure else Outcome.not_run
+    fallback = _STATUS_UNKNOWN if unsure else _STATUS_NOT_RUN
+    headers = {
+        OUTCOME: outcome.value,
+        REQUEST_ID: request_id,
+        ERROR_CODE: error.code.value,
+        ERROR_STEP: error.step,
+        ERROR_PEER: error.peer,
+    }
+    if error.retry_after_ms:
+        headers[RETRY_AFTER] = str(math.ceil(error.retry_after_ms / MS_PER_S))
+    body = {
+        'code': error.code.value,
+        'step': error.step,
+        'peer': error.peer,
+        'message': error.message,
+    }
+    return web.json_response(
+        body, status=_STATUS.get(error.code, fallback), headers=headers
+    )
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/retry_gate.py
@@ -0,0 +1,56 @@
+"""Ask for permission before a retry or a hedge."""
+
+from gentianmill.clock import Clock
+from gentianmill.membership import MemberTable
+
+from gentianmill_node.call import Call
+from gentianmill_node.peer_client import PeerPool
+from gentianmill_node.policy import Policy
+
+
+class RetryGate:
+    """Spend retries at the home node of a request."""
+
+    def __init__(
+        self,
+        policy: Policy,
+        members: MemberTable,
+        peers: PeerPool,
+        clock: Clock,
+    ) -> None:
+        """Create a gate.
+
+        Args:
+            policy: Holds the retry counts and the retry ratio.
+            members: Known members.
+            peers: Connections to other nodes.
+            clock: Clock of the node.
+        """
+        self._policy = policy
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+
+    def on_call(self) -> None:
+        """Count a call, which allows a fraction of a retry."""
+        self._policy.throttle.on_call(self._clock.now_ms())
+
+    def spend(self, identity: str) -> bool:
+        """Spend one retry of a request whose home is this node."""
+        return self._policy.ledger.spend(identity, self._clock.now_ms())
+
+    async def grant(self, call: Call) -> bool:
+        """Return whether the call may be sent once more.
+
+        A call without identity or whose home cannot be reached gets no retry.
+        """
+        if not call.identity or not call.home:
+            return False
+        if not self._policy.throttle.try_retry(self._clock.now_ms()):
+            return False
+        if call.home == self._members.own.node_id:
+            return self.spend(call.identity)
+        home = self._members.find(call.home)
+        if home is None or home.is_gone:
+            return False
+        return await self._peers.spend(home, call.identity)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/service.py
@@ -0,0 +1,52 @@
+"""The node as an aiomisc service with its signals."""
+
+import asyncio
+import os
+import signal
+from typing import Any
+
+from aiomisc import Service
+from gentianmill.settings_models import NodeSettingsModel
+
+from gentianmill_node.logs import component
+from gentianmill_node.node import Node
+
+EXIT_SECOND_SIGNAL = 143
+"""128 + SIGTERM, as a shell reports a process that ended by the signal."""
+
+log = component('node')
+
+
+class NodeService(Service):
+    """Start the node, drain it on a signal and stop it."""
+
+    settings: NodeSettingsModel
+
+    async def start(self) -> None:
+        """Start all parts and take signals."""
+        self._finished = asyncio.Event()
+        self._draining: asyncio.Task[None] | None = None
+        self._node = Node(self.settings, on_drained=self._finished.set)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._take_signal)
+        await self._node.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Stop all parts."""
+        await self._node.close()
+
+    async def finished(self) -> None:
+        """Wait until a drain has ended."""
+        await self._finished.wait()
+
+    def _take_signal(self) -> None:
+        if self._draining:
+            log.warning('Second signal, ending at once.')
+            os._exit(EXIT_SECOND_SIGNAL)
+        log.info('Signal received, draining.')
+        self._draining = asyncio.ensure_future(self._drain())
+
+    async def _drain(self) -> None:
+        await self._node.drain()
+        self._finished.set()
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
@@ -0,0 +1,97 @@
+"""Hold crash suspects back so that at most one runs on the upstream."""
+
+import asyncio
+from collections.abc import Callable
+
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.outcome import Outcome
+from gentianmill.suspects import Strike, SuspectList, SuspectVerdict
+
+MS_PER_S = 1000
+STEP = 'suspect'
+
+
+class SuspectGate:
+    """Let calls wait while another crash suspect runs."""
+
+    def __init__(
+        self, suspects: SuspectList, clock: Clock, publish: Callable[[Strike], None]
+    ) -> None:
+        """Create a gate.
+
+        Args:
+            suspects: Decides which digests may run.
+            clock: Clock of the node.
+            publish: Sends a strike to the other guards of the service.
+        """
+        self._suspects = suspects
+        self._clock = clock
+        self._publish = publish
+        self._changed = asyncio.Event()
+
+    async def enter(self, digest: bytes, deadline_ms: float) -> None:
+        """Wait until a call may run and register it as running.
+
+        Args:
+            digest: Content digest of the call.
+            deadline_ms: Latest time at which the call may start.
+
+        Raises:
+            GentianmillError: With code ``crash_suspect`` if the call is confirmed
+                as the cause of crashes, ``deadline`` if it waited too long.
+        """
+        while True:
+            verdict = self._suspects.check(digest, self._clock.now_ms())
+            if verdict is SuspectVerdict.run:
+                self._suspects.start(digest)
+                return
+            if verdict is SuspectVerdict.refuse:
+                raise _refused()
+            await self._wait(deadline_ms)
+
+    def leave(self, digest: bytes, completed: bool) -> None:
+        """Report that a call ended without a crash.
+
+        Args:
+            digest: Content digest of the call.
+            completed: Whether the upstream gave a complete response, which clears
+                a suspect.
+        """
+        strike = self._suspects.finish(digest, self._clock.now_ms(), completed)
+        self._wake()
+        if strike:
+            self._publish(strike)
+
+    def crash(self) -> None:
+        """Report that the upstream crashed with all running calls."""
+        for strike in self._suspects.crash(self._clock.now_ms()):
+            self._publish(strike)
+        self._wake()
+
+    def merge(self, strike: Strike) -> None:
+        """Take over a strike of another guard."""
+        self._suspects.merge(strike, self._clock.now_ms())
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _wait(self, deadline_ms: float) -> None:
+        left_s = (deadline_ms - self._clock.now_ms()) / MS_PER_S
+        try:
+            await asyncio.wait_for(self._changed.wait(), max(left_s, 0))
+        except asyncio.TimeoutError as error:
+            raise GentianmillError(
+                ErrorCode.deadline,
+                STEP,
+                '',
+                'the deadline passed while another crash suspect ran',
+                Outcome.expired,
+            ) from error
+
+
+def _refused() -> GentianmillError:
+    message = 'this content crashed upstreams and is refused'
+    return GentianmillError(ErrorCode.crash_suspect, STEP, '', message)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -0,0 +1,192 @@
+"""Calls to the upstream on the same VM."""
+
+import asyncio
+
+import aiohttp
+import yarl
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.outcome import Outcome
+from gentianmill.settings_models import UpstreamModel
+
+from gentianmill_node.call import Answer, Call
+from gentianmill_node.headers import (
+    CALL_CONTEXT,
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    OUTCOME,
+    REQUEST_ID,
+    TENANT,
+    end_to_end,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+MS_PER_S = 1000
+STEP = 'run'
+
+
+def new_session(connections: int) -> aiohttp.ClientSession:
+    """Create a session that never repeats a request by itself.
+
+    aiohttp resends idempotent methods when a kept-alive connection closes. Such
+    a resend would be a retry outside the retry bound, so it is switched off.
+
+    Args:
+        connections: Most connections open at once.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=connections, use_dns_cache=False),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
+    )
+    session._retry_connection = False  # noqa: SLF001
+    return session
+
+
+class UpstreamClient:
+    """Run calls on the own upstream."""
+
+    def __init__(self, settings: UpstreamModel, max_body_bytes: int) -> None:
+        """Create a client; call ``start`` before use.
+
+        Args:
+            settings: Address and limits of the upstream.
+            max_body_bytes: Longest response body that is not a bulk body.
+        """
+        self._settings = settings
+        self._max_body_bytes = max_body_bytes
+        self._base = f'http://{settings.host}:{settings.port}'
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the upstream's address, for errors and logs."""
+        return f'{self._settings.host}:{self._settings.port}'
+
+    async def start(self) -> None:
+        """Open the session."""
+        self._session = new_session(self._settings.connections)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session:
+            await self._session.close()
+
+    def request(
+        self, call: Call, token: str, time_left_ms: float, extra: dict[str, str]
+    ) -> aiohttp.client._RequestContextManager:
+        """Start a request to the upstream.
+
+        Args:
+            call: The call to run.
+            token: Opaque context, valid while the call runs.
+            time_left_ms: Time until the deadline in ms; ends the request.
+            extra: Further headers, such as ``Range``.
+
+        Returns:
+            A context manager that gives the response.
+        """
+        if self._session is None:
+            raise RuntimeError('the upstream client is not started')
+        headers = end_to_end(call.headers)
+        headers[CALL_CONTEXT] = token
+        headers[DEADLINE_MS] = str(int(time_left_ms))
+        headers[REQUEST_ID] = call.request_id
+        headers[TENANT] = call.tenant
+        if call.idempotency_key:
+            headers[IDEMPOTENCY_KEY] = call.idempotency_key
+        headers.update(extra)
+        return self._session.request(
+            call.method,
+            yarl.URL(self._base + call.path, encoded=True),
+            data=call.body or None,
+            headers=headers,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=time_left_ms / MS_PER_S, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+
+    async def run(self, call: Call, token: str, time_left_ms: float) -> Answer:
+        """Run a call and read the whole response.
+
+        Args:
+            call: The call to run.
+            token: Opaque context, valid while the call runs.
+            time_left_ms: Time until the deadline in ms.
+
+        Returns:
+            The upstream's answer.
+
+        Raises:
+            GentianmillError: With outcome ``not_run`` if no connection could be
+                made, ``unknown`` if it broke after the request was sent.
+        """
+        try:
+            return await self._run(call, token, time_left_ms)
+        except aiohttp.ClientConnectorError as error:
+            raise self._error(
+                ErrorCode.upstream_unreachable, error, Outcome.not_run
+            ) from error
+        except asyncio.TimeoutError as error:
+            raise self._error(ErrorCode.deadline, error, Outcome.unknown) from error
+        except (aiohttp.ClientPayloadError, ValueError) as error:
+            raise self._error(ErrorCode.short_answer, error, Outcome.unknown) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise self._error(
+                ErrorCode.connection_lost, error, Outcome.unknown
+            ) from error
+
+    async def reachable(self) -> bool:
+        """Return whether the upstream accepts a new connection."""
+        address = (str(self._settings.host), self._settings.port)
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(*address), CONNECT_TIMEOUT_S
+            )
+        except (OSError, asyncio.TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    async def health(self) -> str:
+        """Return the state that the upstream reports, or ``unreachable``."""
+        if self._session is None:
+            return 'unreachable'
+        url = self._base + self._settings.health_path
+        timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                report = await response.json()
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
+            return 'unreachable'
+        state = report.get('state') if isinstance(report, dict) else None
+        return state if isinstance(state, str) else 'unreachable'
+
+    async def _run(self, call: Call, token: str, time_left_ms: float) -> Answer:
+        async with self.request(call, token, time_left_ms, {}) as response:
+            if (response.content_length or 0) > self._max_body_bytes:
+                raise ValueError('the response body is larger than the limit')
+            body = await response.read()
+            if len(body) > self._max_body_bytes:
+                raise ValueError('the response body is larger than the limit')
+            if response.headers.get(OUTCOME) == Outcome.not_run.value:
+                raise GentianmillError(
+                    ErrorCode.upstream_refused,
+                    STEP,
+                    self.name,
+                    'the upstream refused the call before it ran',
+                )
+            return Answer(
+                outcome=Outcome.answered,
+                status=response.status,
+                headers=end_to_end(response.headers),
+                body=body,
+            )
+
+    def _error(
+        self, code: ErrorCode, cause: BaseException, outcome: Outcome
+    ) -> GentianmillError:
+        message = f'the upstream gave no complete response: {cause!r}'
+        return GentianmillError(code, STEP, self.name, message, outcome)
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/web_server.py
@@ -0,0 +1,64 @@
+"""Start and stop the HTTP listeners."""
+
+import ssl
+
+from aiohttp import web
+
+SHUTDOWN_TIMEOUT_S = 5.0
+
+
+class WebServer:
+    """Serve web applications on their addresses."""
+
+    def __init__(self, tls: ssl.SSLContext | None) -> None:
+        """Create a server without listeners.
+
+        Args:
+            tls: TLS context of the listeners, or None without TLS.
+        """
+        self._tls = tls
+        self._runners: dict[str, web.AppRunner] = {}
+
+    async def start(
+        self, name: str, app: web.Application, host: str, port: int, tls: bool = True
+    ) -> None:
+        """Start a listener.
+
+        Args:
+            name: Name of the listener, used to stop it.
+            app: What it serves.
+            host: Address to listen on.
+            port: TCP port.
+            tls: Whether the listener uses TLS if the settings give certificates.
+        """
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await runner.setup()
+        context = self._tls if tls else None
+        site = web.TCPSite(
+            runner, host, port, ssl_context=context, reuse_address=True, backlog=1024
+        )
+        await site.start()
+        self._runners[name] = runner
+
+    async def stop(self, name: str) -> None:
+        """Stop a listener; requests that run are finished within the timeout."""
+        runner = self._runners.pop(name, None)
+        if runner:
+            await runner.cleanup()
+
+    async def stop_accepting(self, name: str) -> None:
+        """Close the listening socket; open connections stay."""
+        runner = self._runners.get(name)
+        if runner:
+            for site in tuple(runner.sites):
+                await site.stop()
+
+    async def close(self) -> None:
+        """Stop all listeners."""
+        for name in tuple(self._runners):
+            await self.stop(name)
--- a/packages/gentianmill/src/gentianmill/messages.py
+++ b/packages/gentianmill/src/gentianmill/messages.py
@@ -51,7 +51,6 @@
     method: str
     path: Annotated[str, Meta(description='Path with query string.')]
     tenant: str
-    work_class: str
     request_id: Annotated[str, Meta(description='Id of the whole request, for logs.')]
     identity: Annotated[
         str,
@@ -70,7 +69,18 @@
         ),
     ]
     home: Annotated[str, Meta(description="Node id of the retry ledger's home.")]
-    depth: int
+    depth: Annotated[
+        int,
+        Meta(
+            description='Calls between the caller and this one; 0 for the first call.'
+        ),
+    ]
+    at_most_once: Annotated[
+        bool,
+        Meta(
+            description="Whether the sender's sheet says that the call runs at most once."
+        ),
+    ]
     body: bytes
     idempotency_key: str | UnsetType = ''
     headers: dict[str, str] | UnsetType = field(default_factory=dict)
@@ -85,11 +95,13 @@
     outcome: Annotated[str, Meta(description='answered, not_run, unknown or expired.')]
     status: int
     body: bytes
-    digest: bytes
+    digest: Annotated[bytes, Meta(description='Digest of the body.')]
+    length: Annotated[int, Meta(description='Length of the body in bytes.')]
     headers: dict[str, str] | UnsetType = field(default_factory=dict)
     error_code: str | UnsetType = ''
     error_step: str | UnsetType = ''
     error_peer: str | UnsetType = ''
+    error_message: str | UnsetType = ''
     retry_after_ms: int | UnsetType = 0
     load: LoadReport | None | UnsetType = UNSET
 
--- a/packages/gentianmill/src/gentianmill/sheet.py
+++ b/packages/gentianmill/src/gentianmill/sheet.py
@@ -93,6 +93,15 @@
         """Return the classes of work by name."""
         return self._classes
 
+    def class_at(self, rank: int) -> WorkClass:
+        """Return the class of an admission rank.
+
+        Args:
+            rank: Admission rank; ranks beyond the last class belong to it.
+        """
+        last = len(self._classes) - 1
+        return tuple(self._classes.values())[min(rank // RANKS_PER_CLASS, last)]
+
     @property
     def services(self) -> tuple[str, ...]:
         """Return the names of the services."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated outside systems, each a process of its own."""
--- /dev/null
+++ b/tests/standins/processes.py
@@ -0,0 +1,301 @@
+"""Start a deployment as separate processes: platform, upstreams and nodes."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from pathlib import Path
+
+import yaml
+
+TESTS = Path(__file__).parent.parent
+HOST = '127.0.0.1'
+START_LIMIT_S = 60
+LISTENERS = ('caller', 'egress', 'peer', 'control', 'operator')
+PEER_KEY = 'peer-key-for-tests-0123456789'
+OPERATOR_KEY = 'operator-key-for-tests-0123456789'
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports of the loopback address that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+@dataclasses.dataclass
+class Place:
+    """Where an upstream and its node run and what the upstream serves."""
+
+    service: str
+    endpoint: str
+    region: str
+    zone: str
+    slots: int = 32
+    latency_ms: float = 2.0
+    files: str = '/files'
+    calls: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Pair:
+    """A running upstream and the node beside it."""
+
+    place: Place
+    ports: dict[str, int]
+    upstream_port: int
+    settings_file: Path
+    upstream: subprocess.Popen | None = None
+    node: subprocess.Popen | None = None
+
+    @property
+    def caller_url(self) -> str:
+        """Return the URL of the caller listener."""
+        return f'http://{HOST}:{self.ports["caller"]}'
+
+    @property
+    def operator_url(self) -> str:
+        """Return the URL of the operator listener."""
+        return f'http://{HOST}:{self.ports["operator"]}'
+
+    @property
+    def upstream_url(self) -> str:
+        """Return the URL of the upstream."""
+        return f'http://{HOST}:{self.upstream_port}'
+
+
+class Deployment:
+    """A deployment in a scratch folder; ends the processes that it started."""
+
+    def __init__(self, folder: Path, sheet_file: Path, places: list[Place]) -> None:
+        """Prepare a deployment.
+
+        Args:
+            folder: Scratch folder for settings and logs.
+            sheet_file: The planning sheet to submit.
+            places: The upstreams to start.
+        """
+        self.folder = folder
+        self.execution_log = folder / 'executions.jsonl'
+        self.execution_log.touch()
+        self.platform_port = free_ports(1)[0]
+        self.platform: subprocess.Popen | None = None
+        self._sheet_file = sheet_file
+        (folder / 'peer.key').write_text(PEER_KEY)
+        (folder / 'operator.key').write_text(OPERATOR_KEY)
+        self.pairs = [self._prepare(place) for place in places]
+
+    @property
+    def platform_url(self) -> str:
+        """Return the URL of the simulated platform."""
+        return f'http://{HOST}:{self.platform_port}'
+
+    def start(self) -> None:
+        """Start everything and wait until all nodes are ready."""
+        self.start_platform()
+        for pair in self.pairs:
+            self.start_upstream(pair)
+        self.submit_sheet(self._sheet_file, 0)
+        for pair in self.pairs:
+            self.start_node(pair)
+        for pair in self.pairs:
+            wait_for(lambda pair=pair: self._knows_all(pair), self._reason(pair))
+
+    def close(self) -> None:
+        """End all processes."""
+        processes = [process for pair in self.pairs for process in _processes(pair)]
+        processes += [self.platform] if self.platform else []
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait()
+
+    def start_platform(self) -> None:
+        """Start the platform's table service and object store."""
+        self.platform = self._popen(
+            'standins.platform', '--host', HOST, '--port', str(self.platform_port)
+        )
+        wait_for(lambda: _is_open(self.platform_port), 'the platform')
+
+    def start_upstream(self, pair: Pair) -> None:
+        """Start the upstream of a pair."""
+        place = pair.place
+        pair.upstream = self._popen(
+            'standins.upstream',
+            f'--port={pair.upstream_port}',
+            f'--service={place.service}',
+            f'--slots={place.slots}',
+            f'--latency-ms={place.latency_ms}',
+            f'--egress=http://{HOST}:{pair.ports["egress"]}',
+            f'--calls={json.dumps(place.calls)}',
+            f'--files={place.files}',
+            f'--log={self.execution_log}',
+        )
+        wait_for(lambda: _is_open(pair.upstream_port), 'the upstream')
+
+    def start_node(self, pair: Pair) -> None:
+        """Start the node of a pair."""
+        pair.node = self._popen(
+            'gentianmill_node', str(pair.settings_file), log=_node_log(pair)
+        )
+
+    def submit_sheet(self, sheet_file: Path, expected: int) -> None:
+        """Submit a sheet with the operators' program."""
+        subprocess.run(
+            [
+                Path(sys.executable).parent / 'gentianmillctl',
+                'submit',
+                sheet_file,
+                '--table',
+                self.platform_url,
+                '--expect',
+                str(expected),
+                '--by',
+                'demo',
+            ],
+            check=True,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def executions(self) -> list[dict]:
+        """Return what the upstreams ran, in the order of their log."""
+        lines = self.execution_log.read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def behave(self, pair: Pair, **changes: object) -> None:
+        """Switch the behaviour of an upstream."""
+        http('POST', f'{pair.upstream_url}/_control/behaviour', changes)
+
+    def set_faults(self, **faults: object) -> None:
+        """Switch the faults of the platform."""
+        http('POST', f'{self.platform_url}/faults', faults)
+
+    def _prepare(self, place: Place) -> Pair:
+        ports = free_ports(len(LISTENERS) + 1)
+        names = dict(zip(LISTENERS, ports, strict=False))
+        settings = {
+            'node': {'region': place.region, 'zone': place.zone},
+            'upstream': {
+                'service': place.service,
+                'endpoint': place.endpoint,
+                'host': HOST,
+                'port': ports[-1],
+                'slots': place.slots,
+                'connections': place.slots * 8,
+                'poll_ms': 200,
+            },
+            'listeners': {
+                'host': HOST,
+                **{f'{name}_port': port for name, port in names.items()},
+            },
+            'keys': {
+                'peer_key_file': str(self.folder / 'peer.key'),
+                'operator_key_file': str(self.folder / 'operator.key'),
+            },
+            'table': {'url': self.platform_url},
+            'membership': {
+                'probe_interval_ms': 300,
+                'probe_timeout_ms': 150,
+                'suspicion_ms': 1500,
+                'sheet_poll_ms': 500,
+            },
+            'drain': {'notice_ms': 700, 'limit_ms': 20000},
+        }
+        path = self.folder / f'{place.endpoint}.yaml'
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        return Pair(place, names, ports[-1], path)
+
+    def _knows_all(self, pair: Pair) -> bool:
+        try:
+            status, _ = http('GET', f'{pair.operator_url}/health')
+            _, answer = http('GET', f'{pair.operator_url}/v1/members', key=OPERATOR_KEY)
+        except OSError:
+            return False
+        return status == 200 and _alive(answer) == len(self.pairs)
+
+    def _reason(self, pair: Pair) -> str:
+        return f'the node of {pair.place.endpoint}, see {_node_log(pair, self.folder)}'
+
+    def _popen(
+        self, module: str, *arguments: str, log: str = 'standins.log'
+    ) -> subprocess.Popen:
+        with (self.folder / log).open('ab') as output:
+            return subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, 'PYTHONPATH': str(TESTS)},
+            )
+
+
+def http(
+    method: str, url: str, body: object = None, key: str = ''
+) -> tuple[int, object]:
+    """Send a JSON request and return the status and the decoded JSON body."""
+    request = urllib.request.Request(url, method=method)
+    if key:
+        request.add_header('Authorization', f'Bearer {key}')
+    data = None
+    if body is not None:
+        data = json.dumps(body).encode()
+        request.add_header('Content-Type', 'application/json')
+    try:
+        with urllib.request.urlopen(request, data, timeout=5) as response:
+            return response.status, json.loads(response.read() or b'null')
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read() or b'null')
+
+
+def wait_for(condition, what: str) -> None:
+    """Wait until a condition holds; the limit only ends a run that hangs."""
+    end = time.monotonic() + START_LIMIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f'no success within {START_LIMIT_S} s: {what}')
+        time.sleep(0.05)
+
+
+@contextlib.contextmanager
+def running(
+    folder: Path, sheet_file: Path, places: list[Place]
+) -> Iterator[Deployment]:
+    """Run a deployment while the context is open."""
+    deployment = Deployment(folder, sheet_file, places)
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def _is_open(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex((HOST, port)) == 0
+
+
+def _alive(answer: object) -> int:
+    members = answer['members'] if isinstance(answer, dict) else answer
+    return sum(member['status'] == 'alive' for member in members)
+
+
+def _processes(pair: Pair) -> list[subprocess.Popen]:
+    return [process for process in (pair.node, pair.upstream) if process]
+
+
+def _node_log(pair: Pair, folder: Path | None = None) -> str:
+    name = f'{pair.place.endpoint}.log'
+    return str(folder / name) if folder else name
