Add crash suspects of one guard

Cause: one request may crash each upstream that runs it. Change: suspects, confirmation after a crash as the only suspect, clearing, and strikes from other guards, with bounded memory. Conclusion: first working form; several guards with delays are not tested yet.

--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/suspects.py
@@ -0,0 +1,125 @@
+"""Crash suspects: calls that were running when an upstream crashed."""
+
+import dataclasses
+import enum
+from collections import Counter, OrderedDict
+
+MAX_SUSPECTS = 16_384
+
+
+class SuspectVerdict(enum.StrEnum):
+    """What the guard does with a call."""
+
+    run = 'run'
+    wait = 'wait'
+    refuse = 'refuse'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strike:
+    """News about a suspect, sent to the other guards of the service."""
+
+    digest: bytes
+    convicted: bool
+    cleared: bool
+
+
+class SuspectList:
+    """Isolate the calls that may have crashed an upstream.
+
+    The list holds the suspects known to one guard and the calls that run on its
+    upstream.
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        """Create a list.
+
+        Args:
+            window_ms: Time for which a suspect is remembered.
+        """
+        self._window_ms = window_ms
+        self._convicted: OrderedDict[bytes, float] = OrderedDict()
+        self._suspects: OrderedDict[bytes, float] = OrderedDict()
+        self._running: Counter[bytes] = Counter()
+
+    def check(self, digest: bytes, now_ms: float) -> SuspectVerdict:
+        """Return whether a call may start now, must wait or is refused."""
+        self._forget(now_ms)
+        if digest in self._convicted:
+            return SuspectVerdict.refuse
+        if digest not in self._suspects:
+            return SuspectVerdict.run
+        busy = any(running in self._suspects for running in self._running)
+        return SuspectVerdict.wait if busy else SuspectVerdict.run
+
+    def start(self, digest: bytes) -> None:
+        """Take note of a call that starts on the upstream."""
+        self._running[digest] += 1
+
+    def finish(self, digest: bytes, now_ms: float) -> Strike | None:
+        """Take note of a call that ended without a crash.
+
+        Args:
+            digest: Digest of the call.
+            now_ms: Current time.
+
+        Returns:
+            A strike that clears a suspect, or None if the call was not suspected.
+        """
+        self._stop(digest)
+        if self._suspects.pop(digest, None) is None:
+            return None
+        return Strike(digest, convicted=False, cleared=True)
+
+    def crash(self, now_ms: float) -> list[Strike]:
+        """Record a crash of the upstream against all calls that were running.
+
+        Args:
+            now_ms: Current time.
+
+        Returns:
+            The strikes to send to the other guards.
+        """
+        running = list(self._running)
+        self._running.clear()
+        suspected = [digest for digest in running if digest in self._suspects]
+        if len(suspected) == 1:
+            return [self._convict(suspected[0], now_ms)]
+        return [self._suspect(digest, now_ms) for digest in running]
+
+    def merge(self, strike: Strike, now_ms: float) -> None:
+        """Take over a strike of another guard."""
+        if strike.convicted:
+            self._convict(strike.digest, now_ms)
+        elif strike.cleared:
+            self._suspects.pop(strike.digest, None)
+        else:
+            self._suspect(strike.digest, now_ms)
+
+    def _stop(self, digest: bytes) -> None:
+        self._running[digest] -= 1
+        if self._running[digest] <= 0:
+            del self._running[digest]
+
+    def _suspect(self, digest: bytes, now_ms: float) -> Strike:
+        if digest in self._convicted:
+            return Strike(digest, convicted=True, cleared=False)
+        self._suspects[digest] = now_ms
+        self._suspects.move_to_end(digest)
+        if len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return Strike(digest, convicted=False, cleared=False)
+
+    def _convict(self, digest: bytes, now_ms: float) -> Strike:
+        self._suspects.pop(digest, None)
+        self._convicted[digest] = now_ms
+        self._convicted.move_to_end(digest)
+        if len(self._convicted) > MAX_SUSPECTS:
+            self._convicted.popitem(last=False)
+        return Strike(digest, convicted=True, cleared=False)
+
+    def _forget(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._window_ms
+        for known in (self._suspects, self._convicted):
+            while known and next(iter(known.values())) < oldest_ms:
+                known.popitem(last=False)
