Let retry ledger, throttle, home picker and suspects take values of a new sheet

Cause: a sheet that comes into force changes bounds and windows while counts must be kept. Change: a configure method on each; a suspect whose call did not complete is not cleared.

--- a/packages/gentianmill/src/gentianmill/home.py
+++ b/packages/gentianmill/src/gentianmill/home.py
@@ -27,6 +27,14 @@
         self._window_ms = window_ms
         self._entries: dict[str, _Entry] = {}
 
+    def configure(self, window_ms: float) -> None:
+        """Apply the window of a new sheet.
+
+        Args:
+            window_ms: Time for which a home keeps a retry count.
+        """
+        self._window_ms = window_ms
+
     def member_up(self, node_id: str, region: str, now_ms: float) -> None:
         """Take note of a member that is up."""
         entry = self._entries.get(node_id)
--- a/packages/gentianmill/src/gentianmill/retry.py
+++ b/packages/gentianmill/src/gentianmill/retry.py
@@ -36,6 +36,16 @@
         """Return the number of identities that have a count."""
         return len(self._counts)
 
+    def configure(self, allowance: int, window_ms: float) -> None:
+        """Apply the values of a new sheet; counts are kept.
+
+        Args:
+            allowance: Retries that this home may grant to one identity.
+            window_ms: Time after the last request for a retry that a count is kept.
+        """
+        self._allowance = allowance
+        self._window_ms = window_ms
+
     def spend(self, identity: str, now_ms: float) -> bool:
         """Spend one retry of a request.
 
@@ -79,6 +89,14 @@
         self._calls = 0
         self._retries = 0
 
+    def configure(self, ratio: float) -> None:
+        """Apply the ratio of a new sheet.
+
+        Args:
+            ratio: Retries per call.
+        """
+        self._ratio = ratio
+
     def on_call(self, now_ms: float) -> None:
         """Count one call that is not a retry."""
         self._slot(now_ms)[1] += 1
--- a/packages/gentianmill/src/gentianmill/suspects.py
+++ b/packages/gentianmill/src/gentianmill/suspects.py
@@ -42,6 +42,14 @@
         self._suspects: OrderedDict[bytes, float] = OrderedDict()
         self._running: Counter[bytes] = Counter()
 
+    def configure(self, window_ms: float) -> None:
+        """Apply the window of a new sheet.
+
+        Args:
+            window_ms: Time for which a suspect is remembered.
+        """
+        self._window_ms = window_ms
+
     def check(self, digest: bytes, now_ms: float) -> SuspectVerdict:
         """Return whether a call may start now, must wait or is refused."""
         self._forget(now_ms)
@@ -56,17 +64,23 @@
         """Take note of a call that starts on the upstream."""
         self._running[digest] += 1
 
-    def finish(self, digest: bytes, now_ms: float) -> Strike | None:
+    def finish(
+        self, digest: bytes, now_ms: float, completed: bool = True
+    ) -> Strike | None:
         """Take note of a call that ended without a crash.
 
         Args:
             digest: Digest of the call.
             now_ms: Current time.
+            completed: Whether the upstream gave a complete response; a suspect
+                whose call timed out is not cleared.
 
         Returns:
             A strike that clears a suspect, or None if the call was not suspected.
         """
         self._stop(digest)
+        if not completed:
+            return None
         if self._suspects.pop(digest, None) is None:
             return None
         return Strike(digest, convicted=False, cleared=True)
