Add SWIM with suspicion as a state machine

Ruled out: reading a clock or sending inside the state machine (not reproducible); telling a region about suspicions and deaths of its own members that another region found (after a link cut both sides would take their own members for dead); one waiting time for all holders of a suspicion (a node that only heard of it would declare a death before the refutation arrives). Change: tick returns probes, on_timeout returns indirect probes through members of different regions first. Dead members are probed now and then, so that members beyond a cut link are found again. A process that was paused restarts its suspicions. Conclusion: the node package only moves messages and time.

--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/swim.py
@@ -0,0 +1,198 @@
+"""SWIM with suspicion as a state machine: time and events in, probes out.
+
+Sources: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", 2002; the handling of pauses
+of the own process follows Dadgar, Phillips and Currey, "Lifeguard", 2018.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from gentianmill.dissemination import Dissemination
+from gentianmill.member import Member, MemberStatus
+from gentianmill.membership import MemberTable
+from gentianmill.probe_order import ProbeOrder
+from gentianmill.relay_rounds import RelayRounds
+from gentianmill.settings_models import MembershipModel
+from gentianmill.suspicion import SuspicionTable
+
+PAUSE_INTERVALS = 3
+"""Probe intervals without a tick after which the process counts as paused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """A probe to send; ``relay`` is the member asked to send it, if any."""
+
+    attempt: int
+    target: Member
+    relay: Member | None
+    sent_ms: float
+    timeout_ms: float
+
+
+class Swim:
+    """Decide whom to probe, whom to suspect and what to tell."""
+
+    def __init__(
+        self, settings: MembershipModel, table: MemberTable, rng: random.Random
+    ) -> None:
+        """Create the state machine.
+
+        Args:
+            settings: Intervals and timeouts in ms.
+            table: The member table of this node; it must hold no other member.
+            rng: Source of randomness.
+        """
+        self._settings = settings
+        self._table = table
+        self._order = ProbeOrder(rng)
+        self._news = Dissemination(table)
+        self._suspicions = SuspicionTable(settings.suspicion_ms)
+        self._relays = RelayRounds(rng)
+        self._attempts = 0
+        self._next_tick_ms = float()
+        self._last_tick_ms: float | None = None
+        table.subscribe(self._on_change)
+
+    @property
+    def next_tick_ms(self) -> float:
+        """Return when ``tick`` chooses probes again, in ms."""
+        return self._next_tick_ms
+
+    def tick(self, now_ms: float) -> list[Probe]:
+        """Declare deaths that are due and choose the next probes.
+
+        Args:
+            now_ms: The current time in ms.
+
+        Returns:
+            The probes to send now; none before ``next_tick_ms``.
+        """
+        self._check_pause(now_ms)
+        for expired in self._suspicions.take_expired(now_ms):
+            self._declare(expired, MemberStatus.dead, now_ms)
+        self._table.forget_gone(now_ms)
+        if now_ms < self._next_tick_ms:
+            return []
+        self._next_tick_ms = now_ms + self._settings.probe_interval_ms
+        for suspected in self._suspicions.own_ids:
+            self._order.urge(suspected)
+        targets = [self._table.find(target) for target in self._order.next_targets()]
+        return [self._direct(target, now_ms) for target in targets if target]
+
+    def on_ack(self, probe: Probe, now_ms: float) -> None:
+        """Take note that the target of a probe answered.
+
+        A suspicion that others have heard of ends only when the target raises
+        its incarnation, which it does as soon as it hears of it.
+        """
+        self._relays.end(probe.attempt)
+        target = self._table.find(probe.target.node_id)
+        if target is not None and target.status is not MemberStatus.suspect:
+            self._suspicions.clear(target.node_id)
+
+    def on_timeout(self, probe: Probe, now_ms: float) -> list[Probe]:
+        """Take note that a probe failed.
+
+        Args:
+            probe: The probe without an answer.
+            now_ms: The current time in ms.
+
+        Returns:
+            Probes through other members, which are to be sent now.
+        """
+        if now_ms - probe.sent_ms > PAUSE_INTERVALS * probe.timeout_ms:
+            # This process was paused; the answer may have come meanwhile.
+            return []
+        target = self._table.find(probe.target.node_id)
+        if target is None or target.is_gone:
+            return []
+        if probe.relay is not None:
+            if self._relays.fail_one(probe.attempt):
+                self._suspect(target, now_ms)
+            return []
+        if self._suspicions.is_own(target.node_id):
+            return []
+        return self._ask_relays(target, probe.attempt, now_ms)
+
+    def on_updates(
+        self, updates: Iterable[Member], sender_id: str, now_ms: float
+    ) -> None:
+        """Merge updates that came with a message and pass the new ones on.
+
+        Args:
+            updates: Updates of the message.
+            sender_id: Node id of the sender.
+            now_ms: The current time in ms.
+        """
+        if self._news.receive(updates, now_ms):
+            self._order.urge(sender_id)
+
+    def on_table(self, members: Iterable[Member], now_ms: float) -> None:
+        """Merge members of a full exchange or of the platform's table."""
+        self._news.receive_table(members, now_ms)
+
+    def set_own_status(self, status: MemberStatus, now_ms: float) -> None:
+        """Change the status of the own member and pass it on."""
+        self._table.set_own_status(status, now_ms)
+        self._news.spread_own()
+
+    def updates_for(self, node_id: str) -> list[Member]:
+        """Return the updates that ride on a message to a member.
+
+        The own member and whatever the receiver must refute always ride along.
+
+        Args:
+            node_id: Node id of the receiver; it may be unknown.
+
+        Returns:
+            News about different members, bounded in number.
+        """
+        return self._news.updates_for(node_id)
+
+    def table_for(self, node_id: str) -> list[Member]:
+        """Return the news for a full exchange with a member."""
+        return self._news.table_for(node_id)
+
+    def _on_change(self, member: Member, now_ms: float) -> None:
+        if member.node_id == self._table.own.node_id:
+            return
+        self._order.update(member)
+        if member.status is MemberStatus.suspect:
+            self._suspicions.start_heard(member, now_ms)
+        else:
+            self._suspicions.clear(member.node_id)
+
+    def _check_pause(self, now_ms: float) -> None:
+        last_ms = self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if last_ms is None:
+            return
+        if now_ms - last_ms > PAUSE_INTERVALS * self._settings.probe_interval_ms:
+            self._suspicions.restart(now_ms)
+            self._relays.clear()
+
+    def _direct(self, target: Member, now_ms: float) -> Probe:
+        self._attempts += 1
+        timeout_ms = self._settings.probe_timeout_ms
+        return Probe(self._attempts, target, None, now_ms, timeout_ms)
+
+    def _ask_relays(self, target: Member, attempt: int, now_ms: float) -> list[Probe]:
+        found = [self._table.find(node_id) for node_id in self._order.live_ids()]
+        others = [member for member in found if member and member != target]
+        relays = self._relays.start(attempt, others)
+        if not relays:
+            self._suspect(target, now_ms)
+        timeout_ms = 2 * self._settings.probe_timeout_ms
+        return [Probe(attempt, target, relay, now_ms, timeout_ms) for relay in relays]
+
+    def _suspect(self, member: Member, now_ms: float) -> None:
+        self._suspicions.start_own(member, now_ms)
+        self._declare(member.node_id, MemberStatus.suspect, now_ms)
+
+    def _declare(self, node_id: str, status: MemberStatus, now_ms: float) -> None:
+        news = self._table.news(node_id)
+        if news is not None:
+            self._news.spread(dataclasses.replace(news, status=status), now_ms)
