Add the sheet tracker and the sheet row

Ruled out: replacing the sheet in force by one that cannot be read. Change: SheetTracker accepts a higher version only and reports why there is no sheet. Conclusion: versions at one node only increase.

--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/sheet_record.py
@@ -0,0 +1,28 @@
+"""The accepted planning sheet as a row of the platform's table."""
+
+import msgspec
+
+SHEET_KEY = 'sheet/current'
+
+
+class SheetRecord(msgspec.Struct, frozen=True):
+    """An accepted sheet; the version here is the version of the sheet."""
+
+    version: int
+    text: str
+    accepted_by: str
+    accepted_unix_ms: int
+
+
+def encode_record(record: SheetRecord) -> bytes:
+    """Return the msgpack form of an accepted sheet."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_record(value: bytes) -> SheetRecord:
+    """Read an accepted sheet.
+
+    Raises:
+        msgspec.DecodeError: If the value is not the msgpack form of a record.
+    """
+    return msgspec.msgpack.decode(value, type=SheetRecord)
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/sheet_version.py
@@ -0,0 +1,104 @@
+"""The planning sheet in force at one node; its version only increases."""
+
+import yaml
+
+from gentianmill.sheet import Sheet
+from gentianmill.sheet_models import SheetModel
+from gentianmill.sheet_record import SheetRecord
+
+
+class SheetTracker:
+    """Keep the sheet with the highest version that was offered."""
+
+    def __init__(self) -> None:
+        """Start without a sheet."""
+        self._sheet: Sheet | None = None
+        self._record = SheetRecord(0, '', '', 0)
+        self._rejected_version = 0
+        self._failures: dict[str, str] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or 0 if there is none."""
+        return self._record.version
+
+    @property
+    def sheet(self) -> Sheet | None:
+        """Return the sheet in force, or None."""
+        return self._sheet
+
+    @property
+    def record(self) -> SheetRecord:
+        """Return the text in force and who accepted it; version 0 if none."""
+        return self._record
+
+    @property
+    def rejected_version(self) -> int:
+        """Return the highest version whose text could not be read, or 0."""
+        return self._rejected_version
+
+    @property
+    def not_ready_reason(self) -> str | None:
+        """Return why there is no sheet, or None if there is one."""
+        if self._sheet is not None:
+            return None
+        if not self._failures:
+            return 'no planning sheet: none has been received yet'
+        causes = '; '.join(
+            f'{source}: {cause}' for source, cause in sorted(self._failures.items())
+        )
+        return f'no planning sheet: {causes}'
+
+    def offer(
+        self, version: int, text: str, accepted_by: str, accepted_unix_ms: int
+    ) -> bool:
+        """Put a sheet in force if its version is higher than the present one.
+
+        Args:
+            version: Version under which the sheet was accepted.
+            text: The sheet file.
+            accepted_by: Who submitted it.
+            accepted_unix_ms: When it was accepted, in Unix milliseconds.
+
+        Returns:
+            Whether the sheet is now in force. A sheet that cannot be read is
+            not; the present one stays.
+        """
+        if version <= self.version:
+            return False
+        try:
+            sheet = Sheet(parse_sheet(text, f'sheet version {version}'), version)
+        except (ValueError, KeyError, yaml.YAMLError) as error:
+            self._rejected_version = max(self._rejected_version, version)
+            self.note_failure(f'sheet version {version}', f'cannot be read: {error}')
+            return False
+        self._sheet = sheet
+        self._record = SheetRecord(version, text, accepted_by, accepted_unix_ms)
+        self._failures.clear()
+        return True
+
+    def note_failure(self, source: str, cause: str) -> None:
+        """Remember why a source gave no sheet, for ``not_ready_reason``.
+
+        Args:
+            source: Where the sheet was looked for, such as ``table``.
+            cause: What went wrong there, in a few words.
+        """
+        self._failures[source] = cause
+
+
+def parse_sheet(text: str, file_name: str) -> SheetModel:
+    """Read the text of a sheet.
+
+    Args:
+        text: YAML text.
+        file_name: Name for error messages.
+
+    Raises:
+        ValueError: If the text does not describe a sheet.
+        yaml.YAMLError: If the text is not YAML.
+    """
+    loaded = yaml.safe_load(text)
+    if not isinstance(loaded, dict):
+        raise ValueError(f'{file_name} is not a YAML mapping')
+    return SheetModel.model_validate(loaded)
