--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/channel_pool.py
@@ -0,0 +1,100 @@
+"""A bounded number of gRPC channels to other nodes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import ssl
+from collections.abc import AsyncIterator
+
+from grpclib.client import Channel
+
+from gentianmill.clock import Clock
+
+MAX_CHANNELS = 32
+"""Open channels of one node; enough to keep all of them at 24 members."""
+
+IDLE_MS = 120_000
+"""Time without a call after which a channel is closed, in ms."""
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    channel: Channel
+    used_ms: float
+    users: int = 0
+
+
+class ChannelPool:
+    """Lend channels and close those used least recently."""
+
+    def __init__(self, clock: Clock, tls: ssl.SSLContext | None = None) -> None:
+        """Create an empty pool.
+
+        Args:
+            clock: Clock for the idle time.
+            tls: Context for TLS; None for plain TCP.
+        """
+        self._clock = clock
+        self._tls = tls
+        self._entries: dict[Address, _Entry] = {}
+        self._slots = asyncio.Semaphore(MAX_CHANNELS)
+
+    def __len__(self) -> int:
+        """Return the number of open channels."""
+        return len(self._entries)
+
+    @contextlib.asynccontextmanager
+    async def lend(self, address: Address) -> AsyncIterator[Channel]:
+        """Lend a channel; it is closed if the block raises.
+
+        Waits while ``MAX_CHANNELS`` calls are running.
+
+        Args:
+            address: Host and control port of the peer.
+        """
+        async with self._slots:
+            entry = self._take(address)
+            entry.users += 1
+            try:
+                yield entry.channel
+            except BaseException:
+                self._discard(address, entry)
+                raise
+            finally:
+                entry.users -= 1
+
+    def close_idle(self) -> None:
+        """Close the channels that were not used for ``IDLE_MS``."""
+        limit_ms = self._clock.now_ms() - IDLE_MS
+        for address, entry in list(self._entries.items()):
+            if not entry.users and entry.used_ms <= limit_ms:
+                self._discard(address, entry)
+
+    def close(self) -> None:
+        """Close all channels."""
+        for address, entry in list(self._entries.items()):
+            self._discard(address, entry)
+
+    def _take(self, address: Address) -> _Entry:
+        # Re-inserting keeps the entries in the order of their last use.
+        entry = self._entries.pop(address, None)
+        if entry is None:
+            self._make_room()
+            host, port = address
+            entry = _Entry(Channel(host, port, ssl=self._tls), used_ms=0)
+        entry.used_ms = self._clock.now_ms()
+        self._entries[address] = entry
+        return entry
+
+    def _make_room(self) -> None:
+        idle = [address for address, entry in self._entries.items() if not entry.users]
+        excess = len(self._entries) + 1 - MAX_CHANNELS
+        for address in idle[: max(excess, 0)]:
+            self._discard(address, self._entries[address])
+
+    def _discard(self, address: Address, entry: _Entry) -> None:
+        if self._entries.get(address) is entry:
+            self._entries.pop(address)
+        entry.channel.close()
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/member_loop.py
@@ -0,0 +1,231 @@
+"""Membership of this node: listener, probes, announcement and full exchanges."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import structlog
+from grpclib.server import Server
+
+from gentianmill.clock import Clock
+from gentianmill.errors import GentianmillError
+from gentianmill.member import Member, MemberStatus
+from gentianmill.membership import MemberTable
+from gentianmill.settings_models import NodeSettingsModel
+from gentianmill.swim import Probe, Swim
+from gentianmill_node.announcer import Announcer
+from gentianmill_node.channel_pool import Address
+from gentianmill_node.control_auth import client_context, read_key, server_context
+from gentianmill_node.control_client import ControlClient
+from gentianmill_node.control_service import ControlService
+from gentianmill_node.member_exchange import MemberExchange
+from gentianmill_node.sheet_gossip import NoSheets, SheetGossip
+from gentianmill_node.table_client import TableStore
+
+MS_PER_S = 1000
+RETRY_MS = 5000
+"""Wait after a failed refresh of the own row, and while no member is known, in ms."""
+
+SCAN_EVERY = 5
+"""Refreshes of the own row for each scan of all rows."""
+
+JITTER = 0.1
+"""Part of an interval by which it varies, so that nodes spread out."""
+
+FAREWELLS = 5
+"""Members that are told directly when this node leaves."""
+
+CLOSE_MS = 1000
+"""Longest wait for the listener and the table when closing, in ms."""
+
+_log = structlog.get_logger()
+
+
+class MemberLoop:
+    """Run the membership of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettingsModel,
+        clock: Clock,
+        table_store: TableStore,
+        own: Member,
+        on_change: Callable[[Member], None],
+        sheets: SheetGossip | None = None,
+    ) -> None:
+        """Create a loop that does not run yet.
+
+        Args:
+            settings: Settings of the node; the peer key file is read here.
+            clock: Clock of the node.
+            table_store: The platform's table service.
+            own: The member of this node. Its first incarnation should rise from
+                start to start, for example the time in Unix ms.
+            on_change: Called with each member that is new or changed.
+            sheets: The planning sheet at this node, whose versions are gossiped.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._table = MemberTable(own)
+        self._table.subscribe(lambda member, now_ms: on_change(member))
+        self._rng = random.Random(own.node_id)
+        self._swim = Swim(settings.membership, self._table, self._rng)
+        self._announcer = Announcer(clock, table_store, self._table)
+        peer_key = read_key(settings.keys.peer_key_file)
+        self._client = ControlClient(
+            clock, peer_key, client_context(settings.listeners)
+        )
+        self._exchange = MemberExchange(
+            clock,
+            self._client,
+            self._table,
+            self._swim,
+            sheets or NoSheets(),
+            settings.membership.probe_timeout_ms,
+        )
+        self._server = Server([ControlService(peer_key, self._exchange)])
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def table(self) -> MemberTable:
+        """Return the member table."""
+        return self._table
+
+    async def start(self) -> None:
+        """Listen for other nodes and start to announce and to probe.
+
+        Raises:
+            OSError: If the control port cannot be bound.
+        """
+        listeners = self._settings.listeners
+        await self._server.start(
+            str(listeners.host),
+            listeners.control_port,
+            ssl=server_context(listeners),
+        )
+        membership = self._settings.membership
+        self._spawn(self._probe_forever())
+        self._spawn(self._repeat(self._announce, membership.announce_interval_ms))
+        self._spawn(self._repeat(self._sync, membership.sync_interval_ms))
+
+    async def close(self) -> None:
+        """Leave: tell some members, delete the own row and stop."""
+        for task in self._tasks:
+            task.cancel()
+        self.set_status(MemberStatus.left)
+        await asyncio.gather(
+            *[self._exchange.send_probe(probe) for probe in self._farewells()]
+        )
+        await _within_close_limit(self._announcer.withdraw())
+        self._client.close()
+        self._server.close()
+        await _within_close_limit(self._server.wait_closed())
+
+    def set_status(self, status: MemberStatus) -> None:
+        """Change the status of the own member and tell the others."""
+        self._swim.set_own_status(status, self._clock.now_ms())
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe_forever(self) -> None:
+        while True:
+            for probe in self._swim.tick(self._clock.now_ms()):
+                self._spawn(self._probe(probe))
+            self._client.close_idle()
+            wait_ms = self._swim.next_tick_ms - self._clock.now_ms()
+            await asyncio.sleep(max(wait_ms, 1) / MS_PER_S)
+
+    async def _probe(self, probe: Probe) -> None:
+        reached = await self._exchange.send_probe(probe)
+        now_ms = self._clock.now_ms()
+        if reached:
+            self._swim.on_ack(probe, now_ms)
+            return
+        for indirect in self._swim.on_timeout(probe, now_ms):
+            self._spawn(self._probe(indirect))
+
+    async def _repeat(
+        self, step: Callable[[int], Awaitable[bool]], interval_ms: float
+    ) -> None:
+        """Repeat a step for ever; sooner if it returns that it failed."""
+        count = 0
+        while True:
+            wait_ms = interval_ms
+            if not await _succeeds(step, count):
+                wait_ms = min(interval_ms, RETRY_MS)
+            count += 1
+            factor = 1 + self._rng.uniform(-JITTER, JITTER)
+            await asyncio.sleep(wait_ms * factor / MS_PER_S)
+
+    async def _announce(self, count: int) -> bool:
+        succeeded = True
+        try:
+            await self._use_table(count)
+        except GentianmillError as error:
+            _log.warning('membership: table unavailable', cause=str(error))
+            succeeded = False
+        if not self._peers():
+            await self._join_seeds()
+        elif count == 0:
+            await self._sync(count)
+        return succeeded and bool(self._peers())
+
+    async def _use_table(self, count: int) -> None:
+        if count % SCAN_EVERY == 0 or not self._peers():
+            members = await self._announcer.scan()
+            self._swim.on_table(members, self._clock.now_ms())
+        await self._announcer.refresh()
+
+    async def _join_seeds(self) -> None:
+        seeds = set(map(_seed_address, self._settings.membership.seeds))
+        seeds.discard((self._table.own.host, self._table.own.control_port))
+        await asyncio.gather(*[self._exchange.send_sync(seed) for seed in seeds])
+
+    async def _sync(self, count: int) -> bool:
+        peers = self._peers()
+        if not peers:
+            return False
+        return await self._exchange.send_sync(self._rng.choice(peers))
+
+    def _peers(self) -> list[Address]:
+        return [
+            (member.host, member.control_port)
+            for member in self._table.members
+            if not member.is_gone and member.node_id != self._table.own.node_id
+        ]
+
+    def _farewells(self) -> list[Probe]:
+        others = [
+            member
+            for member in self._table.members
+            if member.status is MemberStatus.alive
+        ]
+        chosen = self._rng.sample(others, min(FAREWELLS, len(others)))
+        timeout_ms = self._settings.membership.probe_timeout_ms
+        now_ms = self._clock.now_ms()
+        return [Probe(0, member, None, now_ms, timeout_ms) for member in chosen]
+
+
+async def _succeeds(step: Callable[[int], Awaitable[bool]], count: int) -> bool:
+    try:
+        return await step(count)
+    except Exception:
+        # A fault in one step must not end the loop.
+        _log.exception('membership: step failed')
+        return False
+
+
+def _seed_address(seed: str) -> Address:
+    host, _, port = seed.rpartition(':')
+    return (host, int(port))
+
+
+async def _within_close_limit(work: Awaitable[None]) -> None:
+    try:
+        async with asyncio.timeout(CLOSE_MS / MS_PER_S):
+            await work
+    except (TimeoutError, GentianmillError) as error:
+        _log.warning('membership: close was not complete', cause=str(error))
--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/sheet_loop.py
@@ -0,0 +1,124 @@
+"""Keep the planning sheet up to date from the table and from peers."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from gentianmill.clock import Clock
+from gentianmill.errors import GentianmillError
+from gentianmill.settings_models import NodeSettingsModel
+from gentianmill.sheet import Sheet
+from gentianmill.sheet_record import SHEET_KEY, SheetRecord, decode_record
+from gentianmill.sheet_version import SheetTracker
+from gentianmill_node.sheet_gossip import SheetFetch, SheetGossip
+from gentianmill_node.table_client import TableStore
+
+MS_PER_S = 1000
+JITTER = 0.1
+"""Part of the poll interval by which polls vary, so that nodes spread out."""
+
+_log = structlog.get_logger()
+
+
+class SheetLoop(SheetGossip):
+    """Poll the table, and fetch from peers that report a higher version."""
+
+    def __init__(
+        self,
+        settings: NodeSettingsModel,
+        clock: Clock,
+        table_store: TableStore,
+        tracker: SheetTracker,
+        on_change: Callable[[Sheet], None],
+    ) -> None:
+        """Create a loop that does not run yet.
+
+        Args:
+            settings: Settings of the node.
+            clock: Clock of the node.
+            table_store: The platform's table service.
+            tracker: Receives each sheet that is found.
+            on_change: Called with each sheet that comes into force.
+        """
+        self._interval_ms = settings.membership.sheet_poll_ms
+        self._clock = clock
+        self._table_store = table_store
+        self._tracker = tracker
+        self._on_change = on_change
+        self._rng = random.Random(settings.node.id)
+        self._poll_task: asyncio.Task[None] | None = None
+        self._fetch_task: asyncio.Task[None] | None = None
+
+    @property
+    def record(self) -> SheetRecord:
+        """Return the sheet in force; version 0 if there is none."""
+        return self._tracker.record
+
+    async def start(self) -> None:
+        """Start to poll; the first poll is made at once."""
+        self._poll_task = asyncio.create_task(self._poll_forever())
+
+    async def close(self) -> None:
+        """Stop polling and fetching."""
+        tasks = [task for task in (self._poll_task, self._fetch_task) if task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def poll(self) -> None:
+        """Read the sheet of the table once."""
+        try:
+            row = await self._table_store.read(SHEET_KEY)
+        except GentianmillError as error:
+            self._tracker.note_failure('table', str(error))
+            return
+        if row is None:
+            self._tracker.note_failure('table', 'no sheet has been accepted yet')
+            return
+        try:
+            self._offer(decode_record(row.value), 'table')
+        except msgspec.DecodeError as error:
+            self._tracker.note_failure('table', f'row {SHEET_KEY}: {error}')
+
+    def learn(self, version: int, fetch: SheetFetch) -> None:
+        """Fetch the sheet of a peer that has a higher version.
+
+        Args:
+            version: Version that the peer reported.
+            fetch: Fetches the sheet from that peer.
+        """
+        if version <= max(self._tracker.version, self._tracker.rejected_version):
+            return
+        if self._fetch_task is None or self._fetch_task.done():
+            self._fetch_task = asyncio.create_task(self._fetch(fetch))
+
+    async def _poll_forever(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await self.poll()
+            factor = 1 + self._rng.uniform(-JITTER, JITTER)
+            await asyncio.sleep(self._interval_ms * factor / MS_PER_S)
+
+    async def _fetch(self, fetch: SheetFetch) -> None:
+        try:
+            reply = await fetch(self._tracker.version)
+        except GentianmillError as error:
+            self._tracker.note_failure('peers', str(error))
+            return
+        record = SheetRecord(
+            reply.version, reply.text, reply.accepted_by, reply.accepted_unix_ms
+        )
+        self._offer(record, 'peer')
+
+    def _offer(self, record: SheetRecord, source: str) -> None:
+        accepted = self._tracker.offer(
+            record.version, record.text, record.accepted_by, record.accepted_unix_ms
+        )
+        sheet = self._tracker.sheet
+        if accepted and sheet is not None:
+            _log.info('sheet: in force', version=sheet.version, source=source)
+            self._on_change(sheet)
