--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/operation_profile.py
@@ -0,0 +1,121 @@
+"""Latencies learned per operation."""
+
+import math
+
+from gentianmill.ticket import Lane, Ticket
+
+MIN_STEP = 0.05
+"""Smallest relative step of an estimate."""
+
+MIN_SAMPLES = 8
+"""Calls of an operation before it may be learned as long."""
+
+LONG_RATIO = 8.0
+"""An operation is long if its median is this many times the typical one."""
+
+SHORT_RATIO = 4.0
+"""A learned long operation is short again below this ratio."""
+
+MAX_OPERATIONS = 4096
+"""Bound on memory if operation keys are not taken from a sheet."""
+
+
+class RunningMedian:
+    """Estimate a median by steps up or down; robust to stragglers.
+
+    The steps are relative and shrink from a factor of e to 5%.
+    """
+
+    __slots__ = ('_count', '_median')
+
+    def __init__(self) -> None:
+        """Create an estimate without samples."""
+        self._count = 0
+        self._median: float = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of samples."""
+        return self._count
+
+    @property
+    def median(self) -> float:
+        """Return the estimate; 0 before the first sample."""
+        return self._median
+
+    def add(self, sample: float) -> None:
+        """Take a positive sample into account."""
+        self._count += 1
+        if self._count == 1:
+            self._median = sample
+            return
+        step = math.exp(max(MIN_STEP, 1 / self._count))
+        if sample > self._median:
+            self._median = min(sample, self._median * step)
+        elif sample < self._median:
+            self._median = max(sample, self._median / step)
+
+
+class OperationProfiles:
+    """Learn which operations run long and how each compares to the others.
+
+    The slowdown that all operations share (load, a slow upstream) is
+    separated from the typical latency of each, so that a change of the mix
+    of operations is not mistaken for a change of load.
+    """
+
+    def __init__(self) -> None:
+        """Create profiles without samples."""
+        self._typical = RunningMedian()
+        self._slowdown = RunningMedian()
+        self._operations: dict[str, RunningMedian] = {}
+        self._long: set[str] = set()
+
+    def lane_of(self, ticket: Ticket) -> Lane:
+        """Return the lane of a call: that of its size unless learned as long."""
+        lane = Lane[ticket.size]
+        if lane is Lane.short and ticket.operation in self._long:
+            return Lane.long
+        return lane
+
+    def typical_ms(self, operation: str) -> float:
+        """Return the typical latency of an operation; 0 if it is unknown."""
+        profile = self._operations.get(operation)
+        return 0 if profile is None else profile.median
+
+    def add(self, operation: str, latency_ms: float) -> float:
+        """Take the latency of a finished call into account.
+
+        Args:
+            operation: Key of the operation.
+            latency_ms: Time from start to end, in milliseconds.
+
+        Returns:
+            The latency that a call of typical size would have had, in ms.
+        """
+        profile = self._profile(operation)
+        slowdown = self._slowdown.median or 1
+        profile.add(latency_ms / slowdown)
+        factor = latency_ms / profile.median
+        self._slowdown.add(factor)
+        self._typical.add(profile.median)
+        self._classify(operation, profile)
+        return factor * self._typical.median
+
+    def _profile(self, operation: str) -> RunningMedian:
+        profile = self._operations.get(operation)
+        if profile is not None:
+            return profile
+        if len(self._operations) >= MAX_OPERATIONS:
+            self._operations.clear()
+            self._long.clear()
+        return self._operations.setdefault(operation, RunningMedian())
+
+    def _classify(self, operation: str, profile: RunningMedian) -> None:
+        if profile.count < MIN_SAMPLES:
+            return
+        ratio = profile.median / self._typical.median
+        if ratio > LONG_RATIO:
+            self._long.add(operation)
+        elif ratio < SHORT_RATIO:
+            self._long.discard(operation)
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/start_order.py
@@ -0,0 +1,37 @@
+"""Which waiting call takes a free slot."""
+
+from gentianmill.backlog import Backlog
+from gentianmill.delay_control import DelayControl
+from gentianmill.slots import Slots
+from gentianmill.ticket import Lane, Ticket, order_of
+
+
+class StartOrder:
+    """Order by class, then by tenant, within the parts that lanes may hold."""
+
+    def __init__(
+        self, backlog: Backlog, slots: Slots, delay_control: DelayControl
+    ) -> None:
+        """Create an order of a backlog.
+
+        Args:
+            backlog: Calls that wait.
+            slots: Calls that run.
+            delay_control: Tells whether protected calls wait too long.
+        """
+        self._backlog = backlog
+        self._slots = slots
+        self._delay_control = delay_control
+
+    def next(self, now_ms: float) -> Ticket | None:
+        """Return the call that starts now, or None if none may start."""
+        if not (len(self._backlog) and self._slots.has_free()):
+            return None
+        bulk = self._backlog.lane(Lane.bulk).first()
+        if bulk is not None and self._slots.guarantees_bulk():
+            # The guarantee gives way to protected work that waits too long.
+            if bulk.protected or not self._delay_control.protected_waits(now_ms):
+                return bulk
+        allowed = (lane for lane in Lane if self._slots.allows(lane))
+        found = [self._backlog.lane(lane).first() for lane in allowed]
+        return min(filter(None, found), key=order_of, default=None)
