--- a/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
@@ -20,9 +20,7 @@
 class AdmissionGate:
     """Let calls wait until the admission queue starts or refuses them."""
 
-    def __init__(
-        self, queue: AdmissionQueue, level: AdmissionLevel, clock: Clock
-    ) -> None:
+    def __init__(self, policy: Policy, limit: ConcurrencyLimit, clock: Clock) -> None:
         """Create a gate.
 
         Args:
--- a/packages/gentianmill-node/src/gentianmill_node/bulk.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk.py
@@ -121,7 +121,9 @@
     async def _pay(self, member: Member, size: int) -> None:
         if member.region == self._parts.own.region:
             return
-        wait_ms = self._parts.policy.link.spend(member.region, size, self._parts.clock.now_ms())
+        wait_ms = self._parts.policy.link.spend(
+            member.region, size, self._parts.clock.now_ms()
+        )
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / MS_PER_S)
 
--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -178,7 +178,9 @@
             parts.hedges.observe(_operation_key(call), latency_ms)
         if answer.load:
             parts.policy.router.on_load(member.node_id, answer.load, now_ms)
-            parts.policy.levels.update(call.service, member.node_id, answer.load, now_ms)
+            parts.policy.levels.update(
+                call.service, member.node_id, answer.load, now_ms
+            )
         if answer.error_code in _UNREACHABLE:
             parts.policy.router.on_unreachable(member.node_id, now_ms)
 
