--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import aiohttp
 from gentianmill.clock import Clock, MonotonicClock
 from gentianmill.hedge import HedgePolicy
 from gentianmill.limit import AdaptiveLimit
@@ -43,6 +44,7 @@
     clock: Clock
     own: Member
     policy: Policy
+    table_session: aiohttp.ClientSession
     table: HttpTableStore
     tracker: SheetTracker
     sheets: SheetSource
@@ -68,7 +70,7 @@
 
 
 def assemble_control(settings: NodeSettingsModel) -> Control:
-    """Create the control parts of a node.
+    """Create the control parts of a node; call it in the running loop.
 
     Args:
         settings: Settings of the node; key files are read here.
@@ -79,7 +81,8 @@
     clock = MonotonicClock()
     own = own_member(settings)
     policy = Policy(settings, own.node_id)
-    table = HttpTableStore(settings.table)
+    session = aiohttp.ClientSession()
+    table = HttpTableStore(settings.table, session)
     tracker = SheetTracker()
     sheet_loop = SheetLoop(settings, clock, table, tracker, policy.apply)
     effects = MemberEffects(policy, settings.node.region, clock)
@@ -90,6 +93,7 @@
         clock=clock,
         own=own,
         policy=policy,
+        table_session=session,
         table=table,
         tracker=tracker,
         sheets=SheetSource(tracker),
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -60,7 +60,6 @@
     async def start(self) -> None:
         """Open the listeners and join the other nodes."""
         await self._data.upstream.start()
-        await self._control.table.start()
         await self._control.peers.start()
         await self._data.claims.start()
         await self._control.sheet_loop.start()
@@ -98,7 +97,7 @@
         await self._server.close()
         await self._control.peers.close()
         await self._data.upstream.close()
-        await self._control.table.close()
+        await self._control.table_session.close()
         self._data.gate.close()
 
     def _active(self) -> int:
--- a/packages/gentianmill/src/gentianmill/sheet_record.py
+++ b/packages/gentianmill/src/gentianmill/sheet_record.py
@@ -15,14 +15,14 @@
 
 
 def encode_record(record: SheetRecord) -> bytes:
-    """Return the msgpack form of an accepted sheet."""
-    return msgspec.msgpack.encode(record)
+    """Return the JSON form of an accepted sheet."""
+    return msgspec.json.encode(record)
 
 
 def decode_record(value: bytes) -> SheetRecord:
     """Read an accepted sheet.
 
     Raises:
-        msgspec.DecodeError: If the value is not the msgpack form of a record.
+        msgspec.DecodeError: If the value is not the JSON form of a record.
     """
-    return msgspec.msgpack.decode(value, type=SheetRecord)
+    return msgspec.json.decode(value, type=SheetRecord)
