Count a send to another region as a quarter of a send

Ruled out: more sends in general. The news of a death is not told to the victim's region from outside, so only sends within the region count there. Change: UpdateQueue sums costs, 4 within the own region and 1 to another one; the limit is 4 times the former number of sends.

--- a/packages/gentianmill/src/gentianmill/dissemination.py
+++ b/packages/gentianmill/src/gentianmill/dissemination.py
@@ -13,50 +13,66 @@
 SENDS_PER_DOUBLING = 3
 """Sends of one update for each doubling of the number of members."""
 
+OWN_REGION_COST = 4
+"""Cost of a send within the own region."""
+
+OTHER_REGION_COST = 1
+"""Cost of a send to another region.
+
+Only a member's own region spreads the news of its death there. When all sends
+cost the same, half of them left the region, and in a simulation of 60 members
+one node missed a death for 20 s.
+"""
+
+NodeFilter = Callable[[str], bool]
+
 
 class UpdateQueue:
-    """The node ids whose news is to be passed on, least sent first."""
+    """The node ids whose news is to be passed on, least sent first.
+
+    Each send has a cost; an update is dropped when the costs reach its limit.
+    """
 
     def __init__(self) -> None:
         """Create an empty queue."""
-        self._sends: dict[str, int] = {}
+        self._spent: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of updates that are still to be sent."""
-        return len(self._sends)
+        return len(self._spent)
 
     def add(self, node_id: str) -> None:
         """Start to send the news about a member, from the first send again."""
-        self._sends[node_id] = 0
+        self._spent[node_id] = 0
 
-    def take(self, member_count: int, allowed: Callable[[str], bool]) -> list[str]:
+    def take(self, limit: int, cost: int, allowed: NodeFilter) -> list[str]:
         """Choose the updates for one message and count them as sent.
 
         Args:
-            member_count: Members in the table; the number of sends grows with
-                its logarithm.
+            limit: Sum of the costs after which an update is dropped.
+            cost: Cost of a send to this receiver.
             allowed: Whether the update about a node id may go to this receiver.
 
         Returns:
             At most ``MAX_UPDATES`` node ids.
         """
-        candidates = (
-            (sends, node_id)
-            for node_id, sends in self._sends.items()
-            if allowed(node_id)
+        allowed_ids = filter(allowed, self._spent)
+        chosen = heapq.nsmallest(
+            MAX_UPDATES,
+            allowed_ids,
+            key=lambda node_id: (self._spent[node_id], node_id),
         )
-        chosen = [node_id for _, node_id in heapq.nsmallest(MAX_UPDATES, candidates)]
-        limit = send_limit(member_count)
         for node_id in chosen:
-            self._sends[node_id] += 1
-            if self._sends[node_id] >= limit:
-                self._sends.pop(node_id)
+            self._spent[node_id] += cost
+            if self._spent[node_id] >= limit:
+                self._spent.pop(node_id)
         return chosen
 
 
-def send_limit(member_count: int) -> int:
-    """Return how often one node sends one update."""
-    return SENDS_PER_DOUBLING * math.ceil(math.log2(member_count + 1))
+def spend_limit(member_count: int) -> int:
+    """Return the cost that one node spends on one update."""
+    sends = SENDS_PER_DOUBLING * math.ceil(math.log2(member_count + 1))
+    return OWN_REGION_COST * sends
 
 
 class Dissemination:
@@ -116,7 +132,9 @@
         for member in self._table.corrections_for(node_id):
             chosen[member.node_id] = member
         queued = self._queue.take(
-            self._table.size, lambda other: self._may_tell(other, node_id)
+            spend_limit(self._table.size),
+            self._cost_to(node_id),
+            lambda other: self._may_tell(other, node_id),
         )
         for queued_id in queued:
             news = self._table.news(queued_id)
@@ -138,6 +156,12 @@
         self.spread_own()
         return True
 
+    def _cost_to(self, receiver_id: str) -> int:
+        receiver = self._table.find(receiver_id)
+        if receiver is None or receiver.region == self._table.own.region:
+            return OWN_REGION_COST
+        return OTHER_REGION_COST
+
     def _may_tell(self, node_id: str, receiver_id: str) -> bool:
         """Return whether news may go to a receiver.
 
