Compare members without copying their fields

Cause: dataclasses.astuple copies each field; a profile of 60 simulated nodes over 60 s spent 4.0 of 5.2 s in it. Ruled out: caching the order in the member (a further slot per member). Change: precedence uses operator.attrgetter.

--- a/packages/gentianmill/src/gentianmill/membership.py
+++ b/packages/gentianmill/src/gentianmill/membership.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import operator
 from collections.abc import Callable
 
 from gentianmill.address_claims import AddressClaims
@@ -18,6 +19,11 @@
 
 ChangeListener = Callable[[Member, float], None]
 
+# dataclasses.astuple copies each field and took 80% of the time of a merge.
+_all_fields = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(Member)),
+)
+
 
 class MemberTable:
     """All members that one node knows of, itself included.
@@ -184,4 +190,4 @@
     The incarnation decides, then the status. The other fields only make the
     order total.
     """
-    return (member.incarnation, member.status, dataclasses.astuple(member))
+    return (member.incarnation, member.status, _all_fields(member))
