--- a/packages/gentianmill-node/src/gentianmill_node/table_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/table_client.py
@@ -1,4 +1,4 @@
-"""Access to the platform's transactional table service."""
+"""The platform's transactional table service, as nodes see it."""
 
 import abc
 import dataclasses
