Read and check planning sheets and settings with line numbers

Cause: a planner or operator needs file, line, field, what was expected and what was found for every problem of a file at once; pydantic alone knows no lines, and PyYAML alone reads `on`, `012` and `1:30` as other values. Ruled out: reading with yaml.safe_load and searching the text for lines (wrong for flow style and repeated names); lax validation (takes the text "5" for the number 5). Change: one pass over the parser's events refuses aliases, tags, second documents and deep nesting before the recursive composer runs; plain scalars are accepted only if YAML 1.1 and 1.2 read them alike; validation is strict; the checks across fields work on the plain data, so they also report when the model is invalid. Conclusion: every refusal is a list of problems; the file size bounds the time.

--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/_yaml_file.py
@@ -0,0 +1,241 @@
+"""Read YAML into plain data, with the line of each field.
+
+Only what YAML 1.1 and YAML 1.2 read alike is accepted: PyYAML follows YAML 1.1,
+in which ``on`` is true, ``012`` is ten and ``1:30`` is ninety.
+"""
+
+import re
+from collections.abc import Iterator
+
+import yaml
+
+from gentianmill.file_problem import FileProblem
+
+Path = tuple[str | int, ...]
+Refusal = tuple[str, str] | None
+
+MAX_FILE_BYTES = 1024 * 1024
+MAX_DEPTH = 16
+# Python refuses to convert integers of more than 4300 digits; no field needs 18.
+MAX_DIGITS = 18
+MAX_SHOWN = 60
+
+_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+_TAG = 'tag:yaml.org,2002:'
+_INTEGER = re.compile(r'[-+]?(0|[1-9][0-9]*)')
+_NUMBER = re.compile(r'[-+]?([0-9]+\.[0-9]*|\.[0-9]+)([eE][-+]?[0-9]+)?')
+# Plain text that is a number in YAML 1.2, or a boolean in the YAML 1.1
+# specification, although PyYAML reads it as text.
+_AMBIGUOUS = re.compile(r'[yYnN]|0o[0-7]+|[-+]?[0-9]+(\.[0-9]*)?[eE][-+]?[0-9]+')
+_QUOTE_HINT = 'plain true, false or decimal number, or text in quotes'
+
+
+class YamlFile:
+    """The data of one YAML file, the line of each field, and its problems."""
+
+    def __init__(self, text: str, file_name: str) -> None:
+        """Read a file.
+
+        Args:
+            text: The whole text of the file.
+            file_name: Name to show in problems.
+        """
+        self._file_name = file_name
+        self._problems: dict[FileProblem, None] = {}
+        self._unreadable: set[Path] = set()
+        self._lines: dict[Path, int] = {(): 1}
+        self._data: object = None
+        if self._check_text(text):
+            self._read_text(text)
+
+    @property
+    def data(self) -> object:
+        """Return dicts, lists and scalars; None stands for what is unreadable."""
+        return self._data
+
+    @property
+    def problems(self) -> list[FileProblem]:
+        """Return the problems in the order of the lines."""
+        return sorted(self._problems, key=lambda problem: problem.line)
+
+    def add_problem(self, path: Path, expected: str, found: str) -> None:
+        """Add a problem; a field whose value is unreadable keeps its first one."""
+        if path not in self._unreadable:
+            self._add(self._line(path), path, expected, found)
+
+    def _add(self, line: int, path: Path, expected: str, found: str) -> None:
+        field = show_path(path)
+        problem = FileProblem(self._file_name, line, field, expected, found)
+        self._problems.setdefault(problem)
+
+    def _line(self, path: Path) -> int:
+        while path not in self._lines:
+            path = path[:-1]
+        return self._lines[path]
+
+    def _check_text(self, text: str) -> bool:
+        size = len(text.encode(errors='replace'))
+        if size > MAX_FILE_BYTES:
+            self.add_problem((), f'at most {MAX_FILE_BYTES} bytes', f'{size} bytes')
+        return size <= MAX_FILE_BYTES
+
+    def _read_text(self, text: str) -> None:
+        try:
+            self._check_events(text)
+        except (yaml.YAMLError, UnicodeError) as error:
+            self._add_syntax_problem(error)
+        if self._problems:
+            return
+        node = yaml.compose(text, Loader=_LOADER)
+        if not isinstance(node, yaml.MappingNode):
+            self.add_problem((), 'a mapping of fields', _kind(node))
+            return
+        self._data = self._read(node, ())
+
+    def _check_events(self, text: str) -> None:
+        """Check size and form before the nodes are built, which is recursive."""
+        depth = 0
+        documents = 0
+        for event in yaml.parse(text, Loader=_LOADER):
+            depth += isinstance(event, yaml.CollectionStartEvent)
+            depth -= isinstance(event, yaml.CollectionEndEvent)
+            documents += isinstance(event, yaml.DocumentStartEvent)
+            refusal = _refusal(event, depth, documents)
+            if refusal:
+                self._lines[()] = event.start_mark.line + 1
+                self.add_problem((), *refusal)
+                return
+
+    def _add_syntax_problem(self, error: Exception) -> None:
+        mark = getattr(error, 'problem_mark', None)
+        if mark is not None:
+            self._lines[()] = mark.line + 1
+        reason = getattr(error, 'problem', None) or getattr(error, 'reason', '')
+        self.add_problem((), 'valid YAML', f'a syntax error ({reason})')
+
+    def _read(self, node: yaml.Node, path: Path) -> object:
+        self._lines.setdefault(path, node.start_mark.line + 1)
+        if isinstance(node, yaml.MappingNode):
+            return dict(self._read_fields(node, path))
+        if isinstance(node, yaml.SequenceNode):
+            return [
+                self._read(entry, (*path, index))
+                for index, entry in enumerate(node.value)
+            ]
+        return self._read_scalar(node, path)
+
+    def _read_fields(
+        self, node: yaml.MappingNode, path: Path
+    ) -> Iterator[tuple[str, object]]:
+        seen: dict[str, int] = {}
+        for key_node, value_node in node.value:
+            name = self._read_key(key_node, path, seen)
+            if name is not None:
+                yield name, self._read(value_node, (*path, name))
+
+    def _read_key(
+        self, node: yaml.Node, path: Path, seen: dict[str, int]
+    ) -> str | None:
+        line = node.start_mark.line + 1
+        if not isinstance(node, yaml.ScalarNode):
+            self._add(line, path, 'a text as key', _kind(node))
+            return None
+        name = node.value
+        field = (*path, name)
+        first = seen.get(name)
+        if first is not None:
+            again = f'the key of line {first} again'
+            self._add(line, field, 'each key once', again)
+            return None
+        seen[name] = line
+        self._lines[field] = line
+        if not _is_text(node):
+            self._unreadable.add(field)
+            self._add(line, field, 'a text as key, in quotes', _show_plain(name))
+            return None
+        return name
+
+    def _read_scalar(self, node: yaml.ScalarNode, path: Path) -> object:
+        if _is_text(node):
+            return node.value
+        reading = _plain_value(node)
+        if reading is None:
+            expected = 'a value' if _is_null(node) else _QUOTE_HINT
+            self.add_problem(path, expected, _show_plain(node.value))
+            self._unreadable.add(path)
+        return reading
+
+
+def show_path(path: Path) -> str:
+    """Return a path as text, such as ``classes[0].name``."""
+    return ''.join(map(_show_part, path)).removeprefix('.')
+
+
+def _show_part(part: str | int) -> str:
+    return f'[{part}]' if isinstance(part, int) else f'.{part}'
+
+
+def show_value(found: object) -> str:
+    """Return a value as it may appear in a message, shortened."""
+    if found is None:
+        return 'nothing'
+    if isinstance(found, dict):
+        return 'a mapping'
+    if isinstance(found, list):
+        return 'a list'
+    if isinstance(found, bool):
+        return str(found).lower()
+    shown = repr(found)
+    return shown if len(shown) <= MAX_SHOWN else f'{shown[:MAX_SHOWN]}...'
+
+
+def _refusal(event: yaml.Event, depth: int, documents: int) -> Refusal:
+    if documents > 1:
+        return 'one document', 'a second document'
+    if depth > MAX_DEPTH:
+        return f'at most {MAX_DEPTH} levels of nesting', 'a deeper level'
+    if getattr(event, 'anchor', None):
+        return 'no anchors and aliases', 'an anchor or alias'
+    if getattr(event, 'tag', None):
+        return 'no tags', f'the tag {event.tag}'
+    return None
+
+
+def _kind(node: yaml.Node | None) -> str:
+    if isinstance(node, yaml.MappingNode):
+        return 'a mapping'
+    if isinstance(node, yaml.SequenceNode):
+        return 'a list'
+    return 'nothing' if node is None else _show_plain(node.value)
+
+
+def _is_null(node: yaml.ScalarNode) -> bool:
+    return node.tag == f'{_TAG}null'
+
+
+def _is_text(node: yaml.ScalarNode) -> bool:
+    # The C loader gives plain scalars an empty style, the Python loader None.
+    if node.style:
+        return True
+    return node.tag == f'{_TAG}str' and not _AMBIGUOUS.fullmatch(node.value)
+
+
+def _plain_value(node: yaml.ScalarNode) -> object:
+    """Return a boolean or number; None if the text is ambiguous or empty."""
+    text = node.value
+    if text in {'true', 'false'}:
+        return text == 'true'
+    if len(text) > MAX_DIGITS:
+        return None
+    if _INTEGER.fullmatch(text):
+        return int(text)
+    if _NUMBER.fullmatch(text):
+        return float(text)
+    return None
+
+
+def _show_plain(text: str) -> str:
+    if not text:
+        return 'nothing'
+    shown = text if len(text) <= MAX_SHOWN else f'{text[:MAX_SHOWN]}...'
+    return f'`{shown}`'
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/sheet_file.py
@@ -0,0 +1,86 @@
+"""Read and check a planning sheet."""
+
+import re
+from typing import Any
+
+from gentianmill._operation_checks import Fields, check_operations, entries, mappings
+from gentianmill._model_file import check_model
+from gentianmill._yaml_file import YamlFile, show_value
+from gentianmill.errors import ErrorCode
+from gentianmill.file_problem import FileError, FileProblem
+from gentianmill.sheet_models import SheetModel
+
+# A service is one segment of the callers' path and of the claims' row keys.
+_SERVICE_NAME = re.compile('[A-Za-z0-9._-]+')
+
+
+class SheetFileError(FileError):
+    """A planning sheet has problems; all of them are listed."""
+
+    def __init__(self, problems: list[FileProblem]) -> None:
+        """Create an error from at least one problem."""
+        super().__init__(ErrorCode.bad_sheet, problems)
+
+
+def load_sheet(text: str, file_name: str) -> SheetModel:
+    """Read and check a planning sheet.
+
+    Args:
+        text: The whole text of the file.
+        file_name: Name to show in problems.
+
+    Returns:
+        The validated sheet.
+
+    Raises:
+        SheetFileError: With every problem of the sheet.
+    """
+    file = YamlFile(text, file_name)
+    model = None
+    if isinstance(file.data, dict):
+        model = check_model(file, SheetModel)
+        _check_names(file, 'regions', entries(file.data, 'regions'))
+        _check_classes(file, file.data)
+        _check_services(file, file.data)
+    if model is None or file.problems:
+        raise SheetFileError(file.problems)
+    return model
+
+
+def _check_names(file: YamlFile, field: str, names: list[Any]) -> None:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if isinstance(name, str) and name in seen:
+            file.add_problem((field, index), 'each name once', show_value(name))
+        seen.add(str(name))
+
+
+def _check_classes(file: YamlFile, data: Fields) -> None:
+    classes = [entry for _, entry in mappings(data, 'classes')]
+    _check_names(file, 'classes', [entry.get('name') for entry in classes])
+    seen_unprotected = False
+    for index, entry in mappings(data, 'classes'):
+        protected = entry.get('protected') is True
+        if protected and seen_unprotected:
+            file.add_problem(
+                ('classes', index, 'protected'),
+                'protected classes before all others',
+                'a protected class after an unprotected one',
+            )
+        seen_unprotected = seen_unprotected or not protected
+
+
+def _check_services(file: YamlFile, data: Fields) -> None:
+    classes = mappings(data, 'classes')
+    known = {str(entry.get('name')) for _, entry in classes}
+    services = data.get('services')
+    if not isinstance(services, dict):
+        return
+    for name, service in services.items():
+        path = ('services', name)
+        if not _SERVICE_NAME.fullmatch(name):
+            file.add_problem(
+                path, 'a name of letters, digits, `.`, `_` and `-`', show_value(name)
+            )
+        if isinstance(service, dict):
+            check_operations(file, path, service, known)
