--- a/packages/gentianmill/src/gentianmill/_yaml_file.py
+++ b/packages/gentianmill/src/gentianmill/_yaml_file.py
@@ -168,10 +168,11 @@
 
 def show_path(path: Path) -> str:
     """Return a path as text, such as ``classes[0].name``."""
-    shown = ''
-    for part in path:
-        shown += f'[{part}]' if isinstance(part, int) else f'.{part}'
-    return shown.removeprefix('.')
+    return ''.join(map(_show_part, path)).removeprefix('.')
+
+
+def _show_part(part: str | int) -> str:
+    return f'[{part}]' if isinstance(part, int) else f'.{part}'
 
 
 def show_value(found: object) -> str:
--- a/packages/gentianmill/src/gentianmill/file_problem.py
+++ b/packages/gentianmill/src/gentianmill/file_problem.py
@@ -5,6 +5,8 @@
 
 from gentianmill.errors import ErrorCode, GentianmillError
 
+_MAX_LISTED = 20
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FileProblem:
@@ -23,7 +25,7 @@
 
 
 class FileError(GentianmillError):
-    """A file has problems; all of them are listed."""
+    """A file has problems; the message shows the first 20."""
 
     def __init__(self, code: ErrorCode, problems: Sequence[FileProblem]) -> None:
         """Create an error.
@@ -32,7 +34,7 @@
             code: ``bad_sheet`` or ``bad_settings``.
             problems: At least one problem, in the order of the lines.
         """
-        listed = '; '.join(str(problem) for problem in problems)
+        listed = '; '.join(str(problem) for problem in problems[:_MAX_LISTED])
         super().__init__(code, 'check', problems[0].file, listed)
         self._problems = tuple(problems)
 
