--- a/packages/gentianmill/src/gentianmill/operation_profile.py
+++ b/packages/gentianmill/src/gentianmill/operation_profile.py
@@ -4,8 +4,11 @@
 
 from gentianmill.ticket import Lane, Ticket
 
-MIN_STEP = 0.05
-"""Smallest relative step of an estimate."""
+MIN_STEP = 0.01
+"""Smallest relative step of the estimate for one operation."""
+
+MIN_SLOWDOWN_STEP = 0.05
+"""Smallest relative step of the slowdown, which changes within a second."""
 
 MIN_SAMPLES = 8
 """Calls of an operation before it may be learned as long."""
@@ -23,13 +26,18 @@
 class RunningMedian:
     """Estimate a median by steps up or down; robust to stragglers.
 
-    The steps are relative and shrink from a factor of e to 5%.
+    The steps are relative and shrink from a factor of e to a smallest step.
     """
 
-    __slots__ = ('_count', '_median')
+    __slots__ = ('_count', '_median', '_min_step')
 
-    def __init__(self) -> None:
-        """Create an estimate without samples."""
+    def __init__(self, min_step: float = MIN_STEP) -> None:
+        """Create an estimate without samples.
+
+        Args:
+            min_step: Smallest relative step.
+        """
+        self._min_step = min_step
         self._count = 0
         self._median: float = 0
 
@@ -49,7 +57,7 @@
         if self._count == 1:
             self._median = sample
             return
-        step = math.exp(max(MIN_STEP, 1 / self._count))
+        step = math.exp(max(self._min_step, 1 / self._count))
         if sample > self._median:
             self._median = min(sample, self._median * step)
         elif sample < self._median:
@@ -67,7 +75,7 @@
     def __init__(self) -> None:
         """Create profiles without samples."""
         self._typical = RunningMedian()
-        self._slowdown = RunningMedian()
+        self._slowdown = RunningMedian(MIN_SLOWDOWN_STEP)
         self._operations: dict[str, RunningMedian] = {}
         self._long: set[str] = set()
 
