--- a/packages/gentianmill-node/src/gentianmill_node/claim_store.py
+++ b/packages/gentianmill-node/src/gentianmill_node/claim_store.py
@@ -38,10 +38,10 @@
         self._table = table
 
     async def start(self):
-        return
+        """Do nothing."""
 
     async def close(self):
-        return
+        """Do nothing."""
 
     async def claim(self, request):
         claim = Claim(
--- a/packages/gentianmill-node/src/gentianmill_node/node_view.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node_view.py
@@ -7,7 +7,9 @@
     """Stopgap until the operator listener is merged."""
 
     def __init__(self, node, control, data):
-        self.node, self.control, self.data = node, control, data
+        self.node = node
+        self.control = control
+        self.data = data
 
     def members(self):
         return [
--- a/packages/gentianmill-node/src/gentianmill_node/responses.py
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -1,6 +1,8 @@
 """HTTP responses for answers and errors."""
 
 import math
+import types
+from collections.abc import Mapping
 
 from aiohttp import web
 from gentianmill.errors import ErrorCode, GentianmillError
@@ -18,19 +20,21 @@
 
 MS_PER_S = 1000
 
-_STATUS = {
-    ErrorCode.bad_request: 400,
-    ErrorCode.key_missing: 400,
-    ErrorCode.unauthorised: 401,
-    ErrorCode.unknown_service: 404,
-    ErrorCode.unknown_operation: 404,
-    ErrorCode.body_too_large: 413,
-    ErrorCode.key_reused: 422,
-    ErrorCode.key_expired: 422,
-    ErrorCode.crash_suspect: 422,
-    ErrorCode.deadline: 504,
-    ErrorCode.in_progress: 504,
-}
+_STATUS: Mapping[ErrorCode, int] = types.MappingProxyType(
+    {
+        ErrorCode.bad_request: 400,
+        ErrorCode.key_missing: 400,
+        ErrorCode.unauthorised: 401,
+        ErrorCode.unknown_service: 404,
+        ErrorCode.unknown_operation: 404,
+        ErrorCode.body_too_large: 413,
+        ErrorCode.key_reused: 422,
+        ErrorCode.key_expired: 422,
+        ErrorCode.crash_suspect: 422,
+        ErrorCode.deadline: 504,
+        ErrorCode.in_progress: 504,
+    }
+)
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -9,10 +9,10 @@
 import subprocess
 import sys
 import time
-import urllib.error
-import urllib.request
 from collections.abc import Iterator
 from pathlib import Path
+from urllib import error as url_error
+from urllib import request as url_request
 
 import yaml
 
@@ -111,7 +111,11 @@
         for pair in self.pairs:
             self.start_node(pair)
         for pair in self.pairs:
-            wait_for(lambda pair=pair: self._knows_all(pair), self._reason(pair))
+            self.wait_until_ready(pair)
+
+    def wait_until_ready(self, pair: Pair) -> None:
+        """Wait until a node is ready and knows all members."""
+        wait_for(lambda: self._knows_all(pair), self._reason(pair))
 
     def close(self) -> None:
         """End all processes."""
@@ -246,7 +250,7 @@
     method: str, url: str, body: object = None, key: str = ''
 ) -> tuple[int, object]:
     """Send a JSON request and return the status and the decoded JSON body."""
-    request = urllib.request.Request(url, method=method)
+    request = url_request.Request(url, method=method)
     if key:
         request.add_header('Authorization', f'Bearer {key}')
     data = None
@@ -254,9 +258,9 @@
         data = json.dumps(body).encode()
         request.add_header('Content-Type', 'application/json')
     try:
-        with urllib.request.urlopen(request, data, timeout=5) as response:
+        with url_request.urlopen(request, data, timeout=5) as response:
             return response.status, json.loads(response.read() or b'null')
-    except urllib.error.HTTPError as error:
+    except url_error.HTTPError as error:
         return error.code, json.loads(error.read() or b'null')
 
 
