Add a load model and the measurements goodput, recovery, crest, blocking

Change: bench/ drives the decision objects on a logical clock beside no_control and fixed_limit; scripts/measure NAME [--seeds N] runs one measurement from the registry in bench/measure.py. Assumptions on service times, growth beyond the slots and callers stand in workload.py and model.py.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements run by ``scripts/measure``."""
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,40 @@
+"""Run one measurement and print its result as one JSON line."""
+
+import importlib
+import json
+import types
+
+import defopt
+
+MEASUREMENTS = types.MappingProxyType(
+    {
+        'blocking': 'bench.blocking',
+        'crest': 'bench.crest',
+        'goodput': 'bench.goodput',
+        'recovery': 'bench.recovery',
+    }
+)
+"""Module of each measurement; it has ``run(seeds) -> dict``."""
+
+
+def measure(name: str, *, seeds: int = 2) -> None:
+    """Run a measurement.
+
+    Args:
+        name: One of the names in the registry of this module.
+        seeds: Number of seeds, from 1.
+
+    Raises:
+        ValueError: If there is no such measurement or no seed.
+    """
+    if name not in MEASUREMENTS:
+        known = ', '.join(MEASUREMENTS)
+        raise ValueError(f'no measurement is named {name!r}; there are {known}')
+    if seeds < 1:
+        raise ValueError(f'a measurement needs at least 1 seed, not {seeds}')
+    module = importlib.import_module(MEASUREMENTS[name])
+    print(json.dumps(module.run(seeds)))
+
+
+if __name__ == '__main__':
+    defopt.run(measure)
--- /dev/null
+++ b/bench/model.py
@@ -0,0 +1,385 @@
+"""A small model of callers, nodes and upstreams on a logical clock.
+
+It decides between two policies; it does not predict latencies of a real
+deployment. Assumptions: a call samples its service time when it starts
+(log-normal, sigma 0.5); beyond its slots an upstream slows by
+(in flight / slots) to the power 1.3; one hop between nodes takes 1 ms;
+a call chooses the less loaded of two random endpoints as its node sees them.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from bench.policies import Policy, level_table, work_classes
+from bench.workload import (
+    ENDPOINTS,
+    HOP_MS,
+    Deployment,
+    RequestType,
+    Service,
+    Step,
+)
+from gentianmill.level import rank_of
+from gentianmill.sheet import WorkClass
+
+SIGMA = 0.5
+GROWTH = 1.3
+STRAGGLER_FACTOR = 30
+TENANTS = 30
+NEIGHBOUR_FACTOR = 1.5
+NEIGHBOUR_MS = 300
+NEIGHBOUR_GAP_MS = 6000
+RESENDS = 3
+RESEND_PAUSE_MS = 200
+RETRY_BURST = 10
+RETRY_RATIO = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """Demand and disturbances as functions of the time.
+
+    ``rate`` gives requests per second, ``slowdown`` the factor on the service
+    times of a service, ``weight`` the factor on the weight of a class.
+    """
+
+    end_ms: float
+    rate: Callable[[float], float]
+    slowdown: Callable[[str, float], float] = lambda service, now_ms: 1
+    weight: Callable[[int, float], float] = lambda class_rank, now_ms: 1
+    straggler_share: float = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Request:
+    """A request of a caller, over all its attempts."""
+
+    kind: RequestType
+    work_class: WorkClass
+    rank: int
+    tenant: str
+    sent_ms: float
+    done_ms: float | None = None
+    straggled: bool = False
+    attempts: int = 0
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether the caller got the complete response in time."""
+        if self.done_ms is None:
+            return False
+        return self.done_ms - self.sent_ms <= self.kind.patience_ms
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One time that the caller sends a request."""
+
+    request: Request
+    deadline_ms: float
+    alive: bool = True
+    retries: int = 0
+    calls: set['Call'] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Call:
+    """One call of an attempt."""
+
+    attempt: Attempt
+    step: Step
+    node: 'Node'
+    done: Callable[[bool], None]
+    state: str = 'sent'
+    endpoint: 'Endpoint | None' = None
+    ticket: Any = None
+    tried: set['Endpoint'] = dataclasses.field(default_factory=set)
+
+
+class Node:
+    """What a node knows as entry and egress."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.outstanding: Counter[Endpoint] = Counter()
+        self.levels = level_table(deployment)
+        self.retry_tokens: float = RETRY_BURST
+
+
+class Endpoint:
+    """An upstream with its node and guard."""
+
+    def __init__(self, simulation: 'Simulation', name: str, service: Service) -> None:
+        self.name = name
+        self.service = service
+        self.node = Node(simulation.deployment)
+        self.in_flight = 0
+        self.unprotected = 0
+        self.slowdown: float = 1
+        self.guard = simulation.policy.guard(simulation, self)
+
+
+class Simulation:
+    """Run one policy under one load."""
+
+    def __init__(
+        self, deployment: Deployment, policy: Policy, load: Load, seed: int
+    ) -> None:
+        self.deployment = deployment
+        self.policy = policy
+        self.now_ms: float = 0
+        self.requests: list[Request] = []
+        self.protected_refusals = 0
+        self.protected_shed_early = 0
+        self._load = load
+        # The callers have a generator of their own, so that every policy gets
+        # the same demand.
+        self._caller_rng = random.Random(seed)
+        self._rng = random.Random(seed + 1)
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._serial = itertools.count()
+        self._classes = work_classes(deployment)
+        self._endpoints = {
+            name: [Endpoint(self, name, service) for _ in range(ENDPOINTS)]
+            for name, service in deployment.services.items()
+        }
+        self._all_endpoints = list(
+            itertools.chain.from_iterable(self._endpoints.values())
+        )
+
+    @property
+    def endpoints(self) -> dict[str, list[Endpoint]]:
+        return self._endpoints
+
+    def run(self) -> 'Simulation':
+        """Run until the end of the load and the end of all patience."""
+        self.after(0, self._arrive)
+        for endpoint in self._all_endpoints:
+            self.after(
+                self._rng.expovariate(1 / NEIGHBOUR_GAP_MS), self._slow, endpoint
+            )
+        with self.policy.applied():
+            while self._events:
+                at_ms, _, action, args = heapq.heappop(self._events)
+                self.now_ms = at_ms
+                if at_ms > self._load.end_ms:
+                    break
+                action(*args)
+        return self
+
+    def after(self, delay_ms: float, action: Callable[..., None], *args: Any) -> None:
+        """Call ``action`` later."""
+        event = (self.now_ms + delay_ms, next(self._serial), action, args)
+        heapq.heappush(self._events, event)
+
+    def begin(self, call: Call) -> None:
+        """Run a call on its upstream."""
+        endpoint = call.endpoint
+        call.state = 'running'
+        endpoint.in_flight += 1
+        endpoint.unprotected += not call.attempt.request.work_class.protected
+        crowding = max(1, endpoint.in_flight / endpoint.service.slots) ** GROWTH
+        slowdown = self._load.slowdown(endpoint.name, self.now_ms)
+        noise = self._rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
+        time_ms = call.step.mean_ms * crowding * slowdown * endpoint.slowdown * noise
+        if call.step.size == 'short' and self._straggles():
+            call.attempt.request.straggled = True
+            time_ms *= STRAGGLER_FACTOR
+        self.after(time_ms, self._worked, call, 0)
+
+    def refuse(self, call: Call) -> None:
+        """Answer that a call did not run."""
+        call.state = 'done'
+        self._count_refusal(call.attempt.request, [call.endpoint])
+        report = call.endpoint.guard.report()
+        self.after(HOP_MS, self._refused, call, report)
+
+    def _straggles(self) -> bool:
+        share = self._load.straggler_share
+        return share > 0 and self._rng.random() < share
+
+    def _count_refusal(self, request: Request, endpoints: list[Endpoint]) -> None:
+        if not request.work_class.protected:
+            return
+        self.protected_refusals += 1
+        if any(endpoint.unprotected for endpoint in endpoints):
+            self.protected_shed_early += 1
+
+    def _slow(self, endpoint: Endpoint) -> None:
+        is_slow = endpoint.slowdown > 1
+        endpoint.slowdown = 1 if is_slow else NEIGHBOUR_FACTOR
+        mean_ms = NEIGHBOUR_GAP_MS if is_slow else NEIGHBOUR_MS
+        self.after(self._rng.expovariate(1 / mean_ms), self._slow, endpoint)
+
+    # Callers.
+
+    def _arrive(self) -> None:
+        rng = self._caller_rng
+        rate = self._load.rate(self.now_ms)
+        self.after(1000 * rng.expovariate(rate), self._arrive)
+        kinds = self.deployment.requests
+        weights = [
+            kind.weight * self._load.weight(kind.class_rank, self.now_ms)
+            for kind in kinds
+        ]
+        kind = rng.choices(kinds, weights)[0]
+        work_class = self._classes[kind.class_rank]
+        request = Request(
+            kind=kind,
+            work_class=work_class,
+            rank=rank_of(work_class, str(len(self.requests))),
+            tenant=f't{int(TENANTS * rng.random() ** 2)}',
+            sent_ms=self.now_ms,
+        )
+        self.requests.append(request)
+        self._send(request, rng.randrange(len(self._all_endpoints)))
+
+    def _send(self, request: Request, entry: int) -> None:
+        request.attempts += 1
+        patience_ms = request.kind.patience_ms
+        attempt = Attempt(request, self.now_ms + patience_ms)
+        self.after(patience_ms, self._give_up, attempt)
+        node = self._all_endpoints[entry].node
+        call = Call(attempt, request.kind.tree, node, lambda ok: self._end(attempt, ok))
+        self._launch(call)
+
+    def _end(self, attempt: Attempt, ok: bool) -> None:
+        if not attempt.alive:
+            return
+        attempt.alive = False
+        if ok and attempt.request.done_ms is None:
+            attempt.request.done_ms = self.now_ms
+        if not ok:
+            self._resend(attempt.request)
+
+    def _give_up(self, attempt: Attempt) -> None:
+        if not attempt.alive:
+            return
+        attempt.alive = False
+        if self.policy.controls:
+            for call in tuple(attempt.calls):
+                self._cancel(call)
+        self._resend(attempt.request)
+
+    def _resend(self, request: Request) -> None:
+        if request.attempts > RESENDS:
+            return
+        pause_ms = RESEND_PAUSE_MS * 2 ** (request.attempts - 1)
+        pause_ms *= 0.5 + self._rng.random()
+        entry = self._rng.randrange(len(self._all_endpoints))
+        self.after(pause_ms, self._send, request, entry)
+
+    # Nodes.
+
+    def _launch(self, call: Call) -> None:
+        node = call.node
+        node.retry_tokens = min(RETRY_BURST, node.retry_tokens + RETRY_RATIO)
+        request = call.attempt.request
+        service = call.step.service
+        if self.policy.controls:
+            if not node.levels.admits(service, request.rank, self.now_ms):
+                self._count_refusal(request, self._closed_endpoints(call))
+                self.after(0, call.done, False)
+                return
+        self._dispatch(call)
+
+    def _closed_endpoints(self, call: Call) -> list[Endpoint]:
+        """Return the endpoints on the call's way whose level excludes it.
+
+        All endpoints of the service count if there is none, since then the
+        call is refused without need.
+        """
+        rank = call.attempt.request.rank
+        below = {step.service for step in call.step.steps()}
+        closed = [
+            endpoint
+            for service in below
+            for endpoint in self._endpoints[service]
+            if endpoint.guard.level < rank
+        ]
+        return closed or self._endpoints[call.step.service]
+
+    def _dispatch(self, call: Call) -> None:
+        every = self._endpoints[call.step.service]
+        left = [endpoint for endpoint in every if endpoint not in call.tried]
+        pair = self._rng.sample(left, min(2, len(left)))
+        outstanding = call.node.outstanding
+        call.endpoint = min(pair, key=lambda endpoint: outstanding[endpoint])
+        outstanding[call.endpoint] += 1
+        call.state = 'sent'
+        call.attempt.calls.add(call)
+        self.after(HOP_MS, self._offer, call)
+
+    def _offer(self, call: Call) -> None:
+        if call.state == 'sent':
+            call.state = 'queued'
+            call.endpoint.guard.offer(call)
+
+    def _worked(self, call: Call, child_index: int) -> None:
+        if call.state != 'running':
+            return
+        children = call.step.children
+        if child_index == len(children):
+            self._finish(call, ok=True)
+            return
+        child = Call(
+            call.attempt,
+            children[child_index],
+            call.endpoint.node,
+            lambda ok: self._child_done(call, child_index, ok),
+        )
+        self._launch(child)
+
+    def _child_done(self, call: Call, child_index: int, ok: bool) -> None:
+        if call.state != 'running':
+            return
+        if ok:
+            self._worked(call, child_index + 1)
+        else:
+            self._finish(call, ok=False)
+
+    def _finish(self, call: Call, ok: bool) -> None:
+        call.state = 'done'
+        self._leave(call)
+        call.endpoint.guard.finish(call, ok)
+        report = call.endpoint.guard.report()
+        self.after(HOP_MS, self._answered, call, ok, report)
+
+    def _leave(self, call: Call) -> None:
+        call.endpoint.in_flight -= 1
+        call.endpoint.unprotected -= not call.attempt.request.work_class.protected
+
+    def _cancel(self, call: Call) -> None:
+        state = call.state
+        call.state = 'done'
+        call.attempt.calls.discard(call)
+        call.node.outstanding[call.endpoint] -= 1
+        if state == 'running':
+            self._leave(call)
+        if state in {'queued', 'running'}:
+            call.endpoint.guard.cancel(call)
+
+    def _answered(self, call: Call, ok: bool, report: Any) -> None:
+        self._receive(call, report)
+        call.done(ok)
+
+    def _refused(self, call: Call, report: Any) -> None:
+        self._receive(call, report)
+        call.tried.add(call.endpoint)
+        if call.attempt.alive and self.policy.may_retry(call.node, call):
+            self._dispatch(call)
+        else:
+            call.done(False)
+
+    def _receive(self, call: Call, report: Any) -> None:
+        if call in call.attempt.calls:
+            call.attempt.calls.discard(call)
+            call.node.outstanding[call.endpoint] -= 1
+        if report is not None:
+            call.node.levels.update(
+                call.step.service, str(id(call.endpoint)), report, self.now_ms
+            )
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,77 @@
+"""Tests of the load model behind the measurements."""
+
+import importlib
+
+import pytest
+
+from bench.measure import MEASUREMENTS, measure
+from bench.model import Load, Simulation
+from bench.policies import CURRENT, FIXED_LIMIT, NO_CONTROL, Policy
+from bench.workload import CASCADIA, GUILD, chain
+from gentianmill import level
+
+
+def run(policy: Policy, factor: float, seed: int = 1) -> Simulation:
+    rate = factor * GUILD.capacity_per_s()
+    load = Load(end_ms=1500, rate=lambda now_ms: rate)
+    return Simulation(GUILD, policy, load, seed).run()
+
+
+def test_a_seed_gives_the_same_run():
+    """Guards against figures that cannot be repeated."""
+    first, second = run(CURRENT, 1.5), run(CURRENT, 1.5)
+    assert len(first.requests) > 100
+    assert [entry.done_ms for entry in first.requests] == [
+        entry.done_ms for entry in second.requests
+    ]
+
+
+def test_policies_get_the_same_demand():
+    """Guards against comparing policies under different loads."""
+    demands = [
+        [(entry.kind.name, entry.sent_ms, entry.tenant) for entry in found.requests]
+        for found in (run(policy, 0.5) for policy in (NO_CONTROL, CURRENT))
+    ]
+    assert demands[0] == demands[1]
+
+
+@pytest.mark.parametrize('policy', [NO_CONTROL, FIXED_LIMIT, CURRENT])
+def test_a_light_load_is_served_by_every_policy(policy):
+    """Guards against a model in which calls get lost."""
+    found = run(policy, 0.2)
+    early = [entry for entry in found.requests if entry.sent_ms < 500]
+    short = [entry for entry in early if entry.kind.tree.size == 'short']
+    assert short
+    assert all(entry.is_good for entry in short if entry.kind.name != 'deep_lookup')
+
+
+def test_overrides_hold_only_while_applied():
+    """Guards against an earlier policy that changes the current one."""
+    before = level.DELAY_MS
+    policy = Policy('earlier', 'gentianmill', (('level.DELAY_MS', before + 1),))
+    with policy.applied():
+        assert before + 1 == level.DELAY_MS
+    assert before == level.DELAY_MS
+
+
+def test_call_trees_are_up_to_17_deep():
+    """Guards against a model without deep call trees."""
+    depths = {
+        len(list(kind.tree.steps())) for kind in (*CASCADIA.requests, *GUILD.requests)
+    }
+    assert {1, 2, 17} <= depths
+    assert len(list(chain(('a', 'b'), 5, 10).steps())) == 5
+
+
+def test_each_measurement_has_a_run_function():
+    """Guards against a registry entry without a module."""
+    for path in MEASUREMENTS.values():
+        assert callable(importlib.import_module(path).run)
+
+
+def test_unknown_measurements_and_no_seeds_are_refused():
+    """Guards against a measurement that silently measures nothing."""
+    with pytest.raises(ValueError, match='no measurement'):
+        measure('nothing')
+    with pytest.raises(ValueError, match='at least 1 seed'):
+        measure('goodput', seeds=0)
