Hash over all known members when picking a retry home

Ruled out: asking two homes, since it doubles the messages. Change: the hash covers all known and recently lost members; the winner is the home only if it was up for the whole window or was among the first members of its region; ages are announced by members. Winners are cached per bucket.

--- a/packages/gentianmill/src/gentianmill/home.py
+++ b/packages/gentianmill/src/gentianmill/home.py
@@ -5,18 +5,102 @@
 
 from gentianmill import rendezvous
 
-BUCKETS = 4096
+BUCKETS = 2048
+LOG_LENGTH = 512
+FOUNDING_MS = 2000
+SETTLING_MS = 5000
+MARGIN_SHARE = 0.1
 
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
-    region: str
     up_ms: float
     gone_ms: float | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class _Winner:
+    node_id: str
+    score: int
+    log_position: int
+
+
+class _Region:
+    """Members of one region and the winner of each bucket among them.
+
+    A bucket is brought up to date when it is used: a member that was added costs
+    one score, and only the removal of its winner costs a search over all members.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, _Entry] = {}
+        self._hashes: dict[str, int] = {}
+        self._winners: dict[int, _Winner] = {}
+        self._log: list[str] = []
+
+    def add(self, node_id: str, entry: _Entry) -> None:
+        self.entries[node_id] = entry
+        self._hashes[node_id] = rendezvous.hash_text(node_id)
+        self._append(node_id)
+
+    def remove(self, node_id: str) -> None:
+        self.entries.pop(node_id)
+        self._hashes.pop(node_id)
+        self._append(node_id)
+
+    def winner(self, bucket: int) -> str | None:
+        found = self._winners.get(bucket)
+        if found is None:
+            return self._search(bucket)
+        changed = self._log[found.log_position :]
+        if found.node_id in changed:
+            return self._search(bucket)
+        for node_id in changed:
+            self._compare(found, node_id, bucket)
+        found.log_position = len(self._log)
+        return found.node_id
+
+    def _compare(self, found: _Winner, node_id: str, bucket: int) -> None:
+        score = rendezvous.mix(bucket, self._hashes.get(node_id, 0))
+        if score > found.score:
+            found.node_id = node_id
+            found.score = score
+
+    def _search(self, bucket: int) -> str | None:
+        self._winners.pop(bucket, None)
+        if not self._hashes:
+            return None
+        score, best = max(
+            (rendezvous.mix(bucket, node_hash), node_id)
+            for node_id, node_hash in self._hashes.items()
+        )
+        self._winners[bucket] = _Winner(best, score, len(self._log))
+        return best
+
+    def _append(self, node_id: str) -> None:
+        if len(self._log) >= LOG_LENGTH:
+            self._log.clear()
+            self._winners.clear()
+        self._log.append(node_id)
+
+
 class HomePicker:
-    """Pick the home of a request among the members of a region."""
+    """Pick the home of a request among the members of a region.
+
+    Rendezvous hashing covers all members that are known, and those that died or
+    left during the retry window. The chosen one is the home only if it is
+    *established*: up for the whole window, so that every count of another home has
+    lapsed, or among the first members of the region, so that no other home came
+    before it. Otherwise there is no home and no retry. Hashing over established
+    members only would hand a request from one home to the next at the moment at
+    which a member becomes established, and both would grant the full allowance.
+
+    The bound needs three things from the caller. A node grants only if its own
+    picker names it as the home, since the views of others may be out of date. Ages
+    are those that the members announce, since a node that starts can't tell a new
+    region from one that is new to it. A node that starts is also told the members
+    that were lost during the window, since one of them may have been a home.
+    """
 
     def __init__(self, window_ms: float) -> None:
         """Create a picker.
@@ -24,22 +108,52 @@
         Args:
             window_ms: Time for which a home keeps a retry count.
         """
-        self._window_ms = window_ms
-        self._entries: dict[str, _Entry] = {}
+        self._margin_ms = window_ms * MARGIN_SHARE
+        self._keep_ms = window_ms + self._margin_ms
+        self._founding_ms = min(FOUNDING_MS, window_ms * MARGIN_SHARE)
+        self._settling_ms = min(SETTLING_MS, window_ms * MARGIN_SHARE * 2)
+        self._regions: dict[str, _Region] = {}
+        self._gone: dict[str, str] = {}
+        self._known_in: dict[str, str] = {}
+        self._started_ms: float | None = None
+
+    def member_up(
+        self, node_id: str, region: str, now_ms: float, age_ms: float | None = None
+    ) -> None:
+        """Take note of a member that is up.
 
-    def member_up(self, node_id: str, region: str, now_ms: float) -> None:
-        """Take note of a member that is up."""
-        entry = self._entries.get(node_id)
+        Args:
+            node_id: Its node id.
+            region: Its region.
+            now_ms: Current time.
+            age_ms: How long it has been a member without interruption, as it says
+                itself. If it is None, the member counts as new, also if it is
+                this node that is new.
+        """
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        up_ms = now_ms - (age_ms or 0)
+        entry = self._entry(node_id)
         if entry is None:
-            self._entries[node_id] = _Entry(region, now_ms)
-        else:
-            entry.gone_ms = None
+            if now_ms - self._started_ms > self._keep_ms:
+                # A long-lived member that this node does not know was forgotten
+                # here, and another home has taken over since.
+                up_ms = now_ms
+            self._known_in[node_id] = region
+            self._regions.setdefault(region, _Region()).add(node_id, _Entry(up_ms))
+            return
+        entry.gone_ms = None
+        self._gone.pop(node_id, None)
+        if age_ms is not None and up_ms > entry.up_ms + self._margin_ms:
+            # It restarted under the same node id and lost its counts.
+            entry.up_ms = up_ms
 
     def member_gone(self, node_id: str, now_ms: float) -> None:
         """Take note of a member that died or left."""
-        entry = self._entries.get(node_id)
+        entry = self._entry(node_id)
         if entry is not None and entry.gone_ms is None:
             entry.gone_ms = now_ms
+            self._gone[node_id] = self._known_in[node_id]
 
     def home(self, identity: str, region: str, now_ms: float) -> str | None:
         """Return the home of a request.
@@ -53,34 +167,40 @@
             Its node id, or None if there is none, in which case no retry is made.
         """
         self._forget(now_ms)
-        covered = self._covered(region, now_ms)
-        chosen = rendezvous.pick(str(_bucket(identity)), covered)
-        if chosen is None or self._entries[chosen].gone_ms is not None:
+        members = self._regions.get(region)
+        if members is None:
+            return None
+        chosen = members.winner(_bucket(identity))
+        if chosen is None or not self._is_home(members, chosen, now_ms):
             return None
         return chosen
 
-    def _covered(self, region: str, now_ms: float) -> list[str]:
-        members = {
-            node_id: entry
-            for node_id, entry in self._entries.items()
-            if entry.region == region
-        }
-        oldest_ms = now_ms - self._window_ms
-        established = [
-            node_id for node_id, entry in members.items() if entry.up_ms <= oldest_ms
-        ]
-        return established or list(members)
+    def _is_home(self, members: _Region, node_id: str, now_ms: float) -> bool:
+        entry = members.entries[node_id]
+        if entry.gone_ms is not None:
+            return False
+        if now_ms - entry.up_ms >= self._keep_ms:
+            return True
+        first_ms = min(other.up_ms for other in members.entries.values())
+        founder = entry.up_ms <= first_ms + self._founding_ms
+        return founder and now_ms >= first_ms + self._settling_ms
+
+    def _entry(self, node_id: str) -> _Entry | None:
+        region = self._known_in.get(node_id)
+        return None if region is None else self._regions[region].entries[node_id]
 
     def _forget(self, now_ms: float) -> None:
-        expired = [
-            node_id
-            for node_id, entry in self._entries.items()
-            if entry.gone_ms is not None and entry.gone_ms + self._window_ms < now_ms
-        ]
-        for node_id in expired:
-            self._entries.pop(node_id)
+        while self._gone:
+            node_id, region = next(iter(self._gone.items()))
+            members = self._regions[region]
+            gone_ms = members.entries[node_id].gone_ms
+            if gone_ms is not None and gone_ms + self._keep_ms > now_ms:
+                return
+            self._gone.pop(node_id)
+            self._known_in.pop(node_id)
+            self._regions[region].remove(node_id)
 
 
 def _bucket(identity: str) -> int:
-    digest = hashlib.blake2b(identity.encode(), digest_size=4).digest()
-    return int.from_bytes(digest) % BUCKETS
+    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
+    return rendezvous.hash_text(str(int.from_bytes(digest) % BUCKETS))
--- a/packages/gentianmill/src/gentianmill/rendezvous.py
+++ b/packages/gentianmill/src/gentianmill/rendezvous.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 SCORE_BYTES = 8
+MASK = 0xFFFFFFFFFFFFFFFF
 
 
 def score(key: str, node_id: str) -> int:
@@ -19,3 +20,17 @@
 def pick(key: str, node_ids: Iterable[str]) -> str | None:
     """Return the node with the highest score for a key, or None if there is none."""
     return max(node_ids, key=lambda node_id: score(key, node_id), default=None)
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash of a key or node id, as an argument of ``mix``."""
+    digest = hashlib.blake2b(text.encode(), digest_size=SCORE_BYTES).digest()
+    return int.from_bytes(digest)
+
+
+def mix(key_hash: int, node_hash: int) -> int:
+    """Return the 64-bit score of a node from the hashes of a key and a node id.
+
+    It costs about a third of ``score``, since both hashes can be kept.
+    """
+    return (key_hash | 1) * node_hash & MASK
