Connect operator listener, metrics, logs and crash suspects to the node

Cause: the parts were merged but not connected. A merge had also dropped the home picker's configure method, and the exception ended the sheet polls silently: every class but the first was refused. Ruled out: the admission level itself. Change: the method is back, and a fault in one sheet no longer ends the polls.

--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -24,11 +24,12 @@
 from gentianmill_node.keys import read_key
 from gentianmill_node.member_loop import MemberLoop
 from gentianmill_node.members import MemberEffects, own_member
-from gentianmill_node.metrics import NodeMetrics
+from gentianmill_node.metrics import Metrics
 from gentianmill_node.peer_client import PeerPool
 from gentianmill_node.policy import Policy
 from gentianmill_node.retry_gate import RetryGate
 from gentianmill_node.running_calls import RunningCalls
+from gentianmill_node.sheet_effects import SheetEffects
 from gentianmill_node.sheet_loop import SheetLoop
 from gentianmill_node.sheet_source import SheetSource
 from gentianmill_node.strikes import StrikeSender
@@ -51,7 +52,7 @@
     sheet_loop: SheetLoop
     members: MemberLoop
     peers: PeerPool
-    metrics: NodeMetrics
+    metrics: Metrics
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,11 +85,13 @@
     session = aiohttp.ClientSession()
     table = HttpTableStore(settings.table, session)
     tracker = SheetTracker()
-    sheet_loop = SheetLoop(settings, clock, table, tracker, policy.apply)
+    metrics = Metrics()
+    sheet_loop = SheetLoop(
+        settings, clock, table, tracker, SheetEffects(policy, metrics).apply
+    )
     effects = MemberEffects(policy, settings.node.region, clock)
     members = MemberLoop(settings, clock, table, own, effects.apply, sheet_loop)
     effects.apply(own)
-    peer_key = read_key(settings.keys.peer_key_file)
     return Control(
         clock=clock,
         own=own,
@@ -99,11 +102,16 @@
         sheets=SheetSource(tracker),
         sheet_loop=sheet_loop,
         members=members,
-        peers=PeerPool(clock, peer_key, client_context(settings.listeners)),
-        metrics=NodeMetrics(),
+        peers=_peer_pool(settings, clock),
+        metrics=metrics,
     )
 
 
+def _peer_pool(settings: NodeSettingsModel, clock: Clock) -> PeerPool:
+    key = read_key(settings.keys.peer_key_file)
+    return PeerPool(clock, key, client_context(settings.listeners))
+
+
 def assemble_data_path(settings: NodeSettingsModel, control: Control) -> DataPath:
     """Create the parts that carry calls.
 
@@ -114,7 +122,7 @@
     running = RunningCalls()
     upstream = UpstreamClient(settings.upstream, settings.listeners.max_body_bytes)
     strikes = StrikeSender(control.members.table, control.peers)
-    suspects = SuspectGate(control.policy.suspects, control.clock, strikes.send)
+    suspects = SuspectGate(control.policy, control.clock, strikes.send)
     pace = CommitPace(control.members.table, control.sheets, control.policy)
     claims = ClaimStore(
         control.table, control.clock, control.own.node_id, pace.pause_ms
--- a/packages/gentianmill-node/src/gentianmill_node/call_report.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call_report.py
@@ -5,7 +5,7 @@
 
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.logs import component
-from gentianmill_node.metrics import NodeMetrics
+from gentianmill_node.metrics import Metrics
 
 log = component('entry')
 
@@ -13,7 +13,7 @@
 class CallReport:
     """Write one log line and the metrics of each call that ends."""
 
-    def __init__(self, metrics: NodeMetrics) -> None:
+    def __init__(self, metrics: Metrics) -> None:
         """Create a report.
 
         Args:
@@ -30,14 +30,15 @@
             latency_ms: Time from the request to the answer in ms.
         """
         code = answer.error_code.value if answer.error_code else ''
-        self._metrics.call_done(call, answer.outcome, code, latency_ms)
+        work_class = call.operation.work_class.name
+        self._metrics.on_call(call.tenant, work_class, latency_ms, answer.outcome, code)
         if answer.outcome is Outcome.answered:
             return
         log.info(
             'Call not answered.',
             call_id=call.request_id,
             tenant=call.tenant,
-            work_class=call.operation.work_class.name,
+            work_class=work_class,
             outcome=answer.outcome.value,
             code=code,
         )
--- a/packages/gentianmill-node/src/gentianmill_node/cli.py
+++ b/packages/gentianmill-node/src/gentianmill_node/cli.py
@@ -13,7 +13,7 @@
 from gentianmill.errors import GentianmillError  # noqa: E402
 from gentianmill.settings_file import load_settings  # noqa: E402
 
-from gentianmill_node.logs import configure_logs  # noqa: E402
+from gentianmill_node import logs  # noqa: E402
 from gentianmill_node.service import NodeService  # noqa: E402
 
 EXIT_BAD_SETTINGS = 2
@@ -36,7 +36,7 @@
     except (GentianmillError, OSError) as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_BAD_SETTINGS)
-    configure_logs()
+    logs.configure()
     service = NodeService(settings=settings)
     try:
         with entrypoint(
--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -25,7 +25,12 @@
 """
 
 _REDIRECTED = frozenset(
-    (ErrorCode.draining, ErrorCode.connection_lost, ErrorCode.upstream_unreachable)
+    (
+        ErrorCode.draining,
+        ErrorCode.connection_lost,
+        ErrorCode.upstream_unreachable,
+        ErrorCode.suspect_elsewhere,
+    )
 )
 _REPEATED = _REDIRECTED | {ErrorCode.overloaded, ErrorCode.upstream_refused}
 _UNREACHABLE = frozenset((ErrorCode.connection_lost, ErrorCode.upstream_unreachable))
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -15,7 +15,7 @@
 from gentianmill_node.health_watch import HealthWatch, UpstreamState
 from gentianmill_node.keys import read_key
 from gentianmill_node.logs import component
-from gentianmill_node.node_view import RunningNodeView
+from gentianmill_node.running_view import RunningNodeView
 from gentianmill_node.operator_listener import operator_app
 from gentianmill_node.peer_listener import PeerHandlers, PeerListener
 from gentianmill_node.strikes import to_strike
@@ -52,11 +52,6 @@
         self._server = WebServer(server_context(settings.listeners))
         self._tasks: list[asyncio.Task[None]] = []
 
-    @property
-    def health(self) -> HealthWatch:
-        """Return what is known of the own upstream."""
-        return self._health
-
     async def start(self) -> None:
         """Open the listeners and join the other nodes."""
         await self._data.upstream.start()
@@ -83,6 +78,7 @@
 
     def start_drain(self) -> None:
         """Drain in the background on behalf of an operator."""
+        self.refuse_new_work()
         self._tasks.append(asyncio.ensure_future(self._drain_and_end()))
 
     async def close(self) -> None:
@@ -124,7 +120,9 @@
         )
 
     def _operator_app(self) -> web.Application:
-        view = RunningNodeView(self, self._control, self._data)
+        view = RunningNodeView(
+            self._control, self._data, self._health, self.start_drain
+        )
         return operator_app(view, read_key(self._settings.keys.operator_key_file))
 
     def _peer_listener(self) -> PeerListener:
--- a/packages/gentianmill-node/src/gentianmill_node/peer_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import ssl
+from collections.abc import Sequence
 
 import aiohttp
 from gentianmill.clock import Clock
@@ -170,7 +171,7 @@
 class PeerPool:
     """Open connections to other nodes when they are needed."""
 
-    def __init__(self, clock: Clock, key: str, tls: ssl.SSLContext | None) -> None:
+    def __init__(self, clock: Clock, key: bytes, tls: ssl.SSLContext | None) -> None:
         """Create an empty pool; call ``start`` before use.
 
         Args:
@@ -200,7 +201,7 @@
     async def start(self) -> None:
         """Open the session."""
         self._session = aiohttp.ClientSession(
-            headers={'Authorization': f'Bearer {self._key}'},
+            headers={'Authorization': f'Bearer {self._key.decode()}'},
             connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
@@ -236,11 +237,14 @@
         except GentianmillError:
             return False
 
-    async def send_strike(self, member: Member, strike: StrikeFrame) -> None:
-        """Tell a guard about a crash suspect; lost if it cannot be reached."""
+    async def send_strikes(
+        self, member: Member, strikes: Sequence[StrikeFrame]
+    ) -> None:
+        """Tell a guard about crash suspects; lost if it cannot be reached."""
         try:
             connection = await self._connection(member)
-            await connection.send(strike)
+            for strike in strikes:
+                await connection.send(strike)
         except (GentianmillError, ConnectionError, aiohttp.ClientError):
             return
 
--- a/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
@@ -49,7 +49,7 @@
 class PeerListener:
     """Accept the WebSockets of other nodes."""
 
-    def __init__(self, handlers: PeerHandlers, key: str) -> None:
+    def __init__(self, handlers: PeerHandlers, key: bytes) -> None:
         """Create a listener.
 
         Args:
@@ -57,7 +57,7 @@
             key: Peer key that other nodes must present.
         """
         self._handlers = handlers
-        self._key = key
+        self._authorisation = b'Bearer %b' % key
         self._sockets: set[web.WebSocketResponse] = set()
 
     def app(self) -> web.Application:
@@ -78,8 +78,8 @@
         request: web.Request,
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
-        offered = request.headers.get('Authorization', '')
-        if same_key(offered, f'Bearer {self._key}'):
+        offered = request.headers.get('Authorization', '').encode(errors='replace')
+        if same_key(offered, self._authorisation):
             return await handler(request)
         log.warning('Connection refused.', code='unauthorised', peer=request.remote)
         body = {
--- a/packages/gentianmill-node/src/gentianmill_node/policy.py
+++ b/packages/gentianmill-node/src/gentianmill_node/policy.py
@@ -11,7 +11,7 @@
 from gentianmill.settings_models import NodeSettingsModel
 from gentianmill.sheet import RANKS_PER_CLASS, Sheet
 from gentianmill.sheet_models import LimitsModel, RetryModel
-from gentianmill.suspects import SuspectList
+from gentianmill.suspects import SuspectList, suspect_owner
 
 MS_PER_S = 1000
 
@@ -41,7 +41,11 @@
         self.ledger = RetryLedger(0, retry.window_s * MS_PER_S)
         self.throttle = RetryThrottle(retry.ratio)
         self.homes = HomePicker(retry.window_s * MS_PER_S)
-        self.suspects = SuspectList(self._limits.suspect_window_s * MS_PER_S)
+        self._service = settings.upstream.service
+        self._node_id = node_id
+        self.suspects = SuspectList(
+            self._limits.suspect_window_s * MS_PER_S, self._owns_suspect
+        )
         self._classes: tuple[tuple[str, bool], ...] = ()
 
     @property
@@ -64,6 +68,15 @@
         self.suspects.configure(self._limits.suspect_window_s * MS_PER_S)
         self._apply_classes(sheet)
 
+    def suspect_owner(self, digest: bytes) -> str:
+        """Return the guard that alone runs a suspect; empty if there is none."""
+        members = self.router.members(self._service)
+        node_ids = (member.node_id for member in members if member.takes_calls)
+        return suspect_owner(digest, node_ids) or ''
+
+    def _owns_suspect(self, digest: bytes) -> bool:
+        return self.suspect_owner(digest) == self._node_id
+
     def _apply_classes(self, sheet: Sheet) -> None:
         classes = tuple(
             (entry.name, entry.protected) for entry in sheet.classes.values()
--- a/packages/gentianmill-node/src/gentianmill_node/sheet_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/sheet_loop.py
@@ -1,7 +1,6 @@
 """Keep the planning sheet up to date from the table and from peers."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 
@@ -98,8 +97,11 @@
 
     async def _poll_forever(self) -> None:
         while True:
-            with contextlib.suppress(TimeoutError):
+            try:
                 await self.poll()
+            except Exception:
+                # A fault in one sheet must not end the polls for the next ones.
+                _log.exception('sheet: poll failed')
             factor = 1 + self._rng.uniform(-JITTER, JITTER)
             await asyncio.sleep(self._interval_ms * factor / MS_PER_S)
 
--- a/packages/gentianmill-node/src/gentianmill_node/strikes.py
+++ b/packages/gentianmill-node/src/gentianmill_node/strikes.py
@@ -1,6 +1,7 @@
 """Send strikes against crash suspects to the other guards of the service."""
 
 import asyncio
+from collections.abc import Sequence
 
 from gentianmill.member import Member
 from gentianmill.membership import MemberTable
@@ -27,20 +28,14 @@
         self._peers = peers
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def send(self, strike: Strike) -> None:
-        """Send a strike in the background."""
-        own = self._members.own
-        frame = StrikeFrame(
-            service=own.service,
-            digest=strike.digest,
-            convicted=strike.convicted,
-            cleared=strike.cleared,
-        )
-        if strike.convicted:
-            log.warning('Content refused, it crashes upstreams.')
+    def send(self, strikes: Sequence[Strike]) -> None:
+        """Send strikes in the background, in this order."""
+        if not strikes:
+            return
+        frames = [_to_frame(self._members.own.service, strike) for strike in strikes]
         for member in self._members.members:
             if self._is_other_guard(member):
-                task = asyncio.ensure_future(self._peers.send_strike(member, frame))
+                task = asyncio.ensure_future(self._peers.send_strikes(member, frames))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
@@ -51,6 +46,17 @@
         return member.node_id != own.node_id
 
 
+def _to_frame(service: str, strike: Strike) -> StrikeFrame:
+    if strike.convicted:
+        log.warning('Content refused, it crashes upstreams.')
+    return StrikeFrame(
+        service=service,
+        digest=strike.digest,
+        convicted=strike.convicted,
+        cleared=strike.cleared,
+    )
+
+
 def to_strike(frame: StrikeFrame) -> Strike:
     """Return the strike in a frame of another guard."""
     return Strike(frame.digest, frame.convicted, frame.cleared)
--- a/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
@@ -1,12 +1,14 @@
 """Hold crash suspects back so that at most one runs on the upstream."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from gentianmill.clock import Clock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.outcome import Outcome
-from gentianmill.suspects import Strike, SuspectList, SuspectVerdict
+from gentianmill.suspects import Strike, SuspectVerdict
+
+from gentianmill_node.policy import Policy
 
 MS_PER_S = 1000
 STEP = 'suspect'
@@ -16,16 +18,20 @@
     """Let calls wait while another crash suspect runs."""
 
     def __init__(
-        self, suspects: SuspectList, clock: Clock, publish: Callable[[Strike], None]
+        self,
+        policy: Policy,
+        clock: Clock,
+        publish: Callable[[Sequence[Strike]], None],
     ) -> None:
         """Create a gate.
 
         Args:
-            suspects: Decides which digests may run.
+            policy: Decides which digests may run, and where.
             clock: Clock of the node.
-            publish: Sends a strike to the other guards of the service.
+            publish: Sends strikes to the other guards of the service, in order.
         """
-        self._suspects = suspects
+        self._policy = policy
+        self._suspects = policy.suspects
         self._clock = clock
         self._publish = publish
         self._changed = asyncio.Event()
@@ -48,6 +54,8 @@
                 return
             if verdict is SuspectVerdict.refuse:
                 raise _refused()
+            if verdict is SuspectVerdict.elsewhere:
+                raise _elsewhere(self._policy.suspect_owner(digest))
             await self._wait(deadline_ms)
 
     def leave(self, digest: bytes, completed: bool) -> None:
@@ -61,12 +69,11 @@
         strike = self._suspects.finish(digest, self._clock.now_ms(), completed)
         self._wake()
         if strike:
-            self._publish(strike)
+            self._publish((strike,))
 
     def crash(self) -> None:
         """Report that the upstream crashed with all running calls."""
-        for strike in self._suspects.crash(self._clock.now_ms()):
-            self._publish(strike)
+        self._publish(self._suspects.crash(self._clock.now_ms()))
         self._wake()
 
     def merge(self, strike: Strike) -> None:
@@ -95,3 +102,8 @@
 def _refused() -> GentianmillError:
     message = 'this content crashed upstreams and is refused'
     return GentianmillError(ErrorCode.crash_suspect, STEP, '', message)
+
+
+def _elsewhere(owner: str) -> GentianmillError:
+    message = 'this content was running when an upstream crashed; only one node runs it'
+    return GentianmillError(ErrorCode.suspect_elsewhere, STEP, owner, message)
--- a/packages/gentianmill/src/gentianmill/errors.py
+++ b/packages/gentianmill/src/gentianmill/errors.py
@@ -29,6 +29,7 @@
     short_answer = 'short_answer'
     digest_mismatch = 'digest_mismatch'
     crash_suspect = 'crash_suspect'
+    suspect_elsewhere = 'suspect_elsewhere'
     cancelled = 'cancelled'
     bad_settings = 'bad_settings'
     bad_sheet = 'bad_sheet'
--- a/packages/gentianmill/src/gentianmill/home.py
+++ b/packages/gentianmill/src/gentianmill/home.py
@@ -108,15 +108,23 @@
         Args:
             window_ms: Time for which a home keeps a retry count.
         """
-        self._margin_ms = window_ms * MARGIN_SHARE
-        self._keep_ms = window_ms + self._margin_ms
-        self._founding_ms = min(FOUNDING_MS, window_ms * MARGIN_SHARE)
-        self._settling_ms = min(SETTLING_MS, window_ms * MARGIN_SHARE * 2)
+        self.configure(window_ms)
         self._regions: dict[str, _Region] = {}
         self._gone: dict[str, str] = {}
         self._known_in: dict[str, str] = {}
         self._started_ms: float | None = None
 
+    def configure(self, window_ms: float) -> None:
+        """Apply the window of a new sheet.
+
+        Args:
+            window_ms: Time for which a home keeps a retry count.
+        """
+        self._margin_ms = window_ms * MARGIN_SHARE
+        self._keep_ms = window_ms + self._margin_ms
+        self._founding_ms = min(FOUNDING_MS, window_ms * MARGIN_SHARE)
+        self._settling_ms = min(SETTLING_MS, window_ms * MARGIN_SHARE * 2)
+
     def member_up(
         self, node_id: str, region: str, now_ms: float, age_ms: float | None = None
     ) -> None:
--- a/packages/gentianmill/src/gentianmill/sheet.py
+++ b/packages/gentianmill/src/gentianmill/sheet.py
@@ -107,6 +107,11 @@
         """Return the names of the services."""
         return tuple(self._operations)
 
+    @property
+    def tenants(self) -> tuple[str, ...]:
+        """Return the tenants that have a share of their own."""
+        return tuple(self._model.tenants.shares)
+
     @property
     def retry(self) -> RetryModel:
         """Return the retry settings."""
@@ -148,10 +153,6 @@
         tenants = self._model.tenants
         return tenants.shares.get(tenant, tenants.default_share)
 
-    def names_tenant(self, tenant: str) -> bool:
-        """Return whether the sheet lists the tenant by name."""
-        return tenant in self._model.tenants.shares
-
     def _operation(self, service: str, entry: OperationModel) -> Operation:
         return Operation(
             service=service,
--- a/packages/gentianmill/src/gentianmill/suspects.py
+++ b/packages/gentianmill/src/gentianmill/suspects.py
@@ -80,8 +80,6 @@
         Args:
             digest: Digest of the call.
             now_ms: Current time.
-            completed: Whether the upstream gave a complete response; a suspect
-                whose call timed out is not cleared.
 
         Returns:
             ``run``; ``wait`` while another suspect runs here; ``elsewhere`` if only
