--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -27,6 +27,10 @@
     return BEGIN_MS <= now_ms < END_MS
 
 
+def _surge(now_ms: float) -> float:
+    return SURGE if _is_triggered(now_ms) else 1
+
+
 def _slowdown(is_slowed: bool, now_ms: float) -> float:
     return SLOWDOWN if is_slowed and _is_triggered(now_ms) else 1
 
@@ -47,7 +51,7 @@
     slowed = deployment.busiest_service()
     load = Load(
         end_ms=LAST_MS + TAIL_MS,
-        rate=lambda now_ms: rate * (SURGE if _is_triggered(now_ms) else 1),
+        rate=lambda now_ms: rate * _surge(now_ms),
         slowdown=lambda service, now_ms: _slowdown(service == slowed, now_ms),
     )
     requests = simulate(job, load).requests
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -17,6 +17,10 @@
     return Simulation(GUILD, policy, load, seed).run()
 
 
+def demand(found: Simulation) -> list[tuple]:
+    return [(entry.kind.name, entry.sent_ms, entry.tenant) for entry in found.requests]
+
+
 def test_a_seed_gives_the_same_run():
     """Guards against figures that cannot be repeated."""
     first, second = run(CURRENT, 1.5), run(CURRENT, 1.5)
@@ -28,11 +32,7 @@
 
 def test_policies_get_the_same_demand():
     """Guards against comparing policies under different loads."""
-    demands = [
-        [(entry.kind.name, entry.sent_ms, entry.tenant) for entry in found.requests]
-        for found in (run(policy, 0.5) for policy in (NO_CONTROL, CURRENT))
-    ]
-    assert demands[0] == demands[1]
+    assert demand(run(NO_CONTROL, 0.5)) == demand(run(CURRENT, 0.5))
 
 
 @pytest.mark.parametrize('policy', [NO_CONTROL, FIXED_LIMIT, CURRENT])
