Carry age and classes with relayed levels

Cause: after an overload, entries refused requests for more than 9 s while every guard was open. Services of a deep call chain call each other in a cycle and kept relaying the old level; a node also relayed levels of services that only its entry called, and of services that a request of another class never reaches. Change: LoadReport.levels_below holds level, age and classes per service; LevelTable counts the age from the overloaded service's own report and drops it after 1.5 s, applies it only to classes that get there, never to protected ranks, and relays only services noted with on_egress. AdmissionLevel also opens for periods in which nothing was observed. Ruled out: opening a level by 2 ranks per relay; a cycle needs hundreds of relays then. Opening by age without an origin; entries of a service with many members see each of them about once a second.

--- a/bench/model.py
+++ b/bench/model.py
@@ -326,6 +326,10 @@
         if child_index == len(children):
             self._finish(call, ok=True)
             return
+        if self.policy.controls:
+            rank = call.attempt.request.rank
+            levels = call.endpoint.node.levels
+            levels.on_egress(children[child_index].service, rank)
         child = Call(
             call.attempt,
             children[child_index],
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -86,7 +86,10 @@
 
 def level_table(deployment: 'Deployment') -> LevelTable:
     """Return the table of an entry."""
-    return LevelTable(len(deployment.classes) * RANKS_PER_CLASS - 1)
+    return LevelTable(
+        len(deployment.classes) * RANKS_PER_CLASS - 1,
+        deployment.protected_count * RANKS_PER_CLASS - 1,
+    )
 
 
 class OpenGuard:
--- a/packages/gentianmill/src/gentianmill/level.py
+++ b/packages/gentianmill/src/gentianmill/level.py
@@ -24,6 +24,9 @@
 MAX_STEP = 64
 """Most ranks opened at once; half a class."""
 
+MAX_MISSED = 100
+"""Bound on the periods without an observation that are made up for."""
+
 MIN_LEVEL = RANKS_PER_CLASS // 2 - 1
 """The level never closes the most important half of the first class."""
 
@@ -100,19 +103,22 @@
         if self._period_end_ms is None:
             self._period_end_ms = now_ms + PERIOD_MS
         if now_ms >= self._period_end_ms:
-            self._end_period(now_ms, queue_delay_ms)
+            self._end_period(now_ms, self._period_end_ms, queue_delay_ms)
         lowest = self._lowest_delay_ms
         if lowest is None or queue_delay_ms < lowest:
             self._lowest_delay_ms = queue_delay_ms
         self._refused = self._refused or refused
 
-    def _end_period(self, now_ms: float, queue_delay_ms: float) -> None:
+    def _end_period(self, now_ms: float, end_ms: float, queue_delay_ms: float) -> None:
         lowest = self._lowest_delay_ms
         delay_ms = queue_delay_ms if lowest is None else lowest
         if delay_ms > self._delay_ms or self._refused:
             self._lower()
         else:
             self._raise()
+        # Nothing was observed in the periods between, so nothing waited.
+        for _ in range(min(MAX_MISSED, int((now_ms - end_ms) / PERIOD_MS))):
+            self._raise()
         self._admitted = Counter()
         self._lowest_delay_ms = None
         self._refused = False
--- a/packages/gentianmill/src/gentianmill/level_table.py
+++ b/packages/gentianmill/src/gentianmill/level_table.py
@@ -6,6 +6,7 @@
 from msgspec import UNSET
 
 from gentianmill.level import PERIOD_MS
+from gentianmill.sheet import RANKS_PER_CLASS
 
 if TYPE_CHECKING:
     from gentianmill.messages import LoadReport
@@ -16,11 +17,11 @@
 RECOVERY_STEP = 32
 """Ranks by which an older report opens every 250 ms."""
 
-RELAY_STEP = 2
-"""Ranks by which a level opens each time it is relayed.
+RELAY_MS = 1500
+"""Age at which a relayed level no longer counts.
 
-Without it, services that call each other in a cycle would keep relaying a
-low level to each other after the overloaded service has recovered.
+The age is counted from the report of the overloaded service itself, so
+services that call each other in a cycle cannot keep an old level alive.
 """
 
 CACHE_MS = 50
@@ -44,24 +45,66 @@
         return self.level + int(periods * RECOVERY_STEP)
 
 
+class _Below:
+    """Level of a service further down, as relayed by the one that calls it."""
+
+    __slots__ = ('classes', 'level', 'origin_ms')
+
+    def __init__(self, level: int, origin_ms: float, classes: int) -> None:
+        self.level = level
+        self.origin_ms = origin_ms
+        self.classes = classes
+
+    def excludes(self, rank: int, now_ms: float) -> bool:
+        if rank <= self.level or now_ms - self.origin_ms > RELAY_MS:
+            return False
+        return bool(self.classes & _class_bit(rank))
+
+    def is_relayed(self, now_ms: float) -> bool:
+        return self.classes > 0 and now_ms - self.origin_ms <= RELAY_MS
+
+    def packed(self, now_ms: float) -> list[int]:
+        return [self.level, int(now_ms - self.origin_ms), self.classes]
+
+
 class LevelTable:
     """Keep the levels that members reported with their responses.
 
     A level of a service is the median over the members that reported it, so
     a single slow member does not close the service. Old reports open by
     themselves: a service that is refused entirely sends no new reports.
+
+    A service relays the levels of the services that its calls lead to, with
+    the classes of these calls, so a request is refused at the entry only if
+    it belongs to a class that gets there. Relayed levels never exclude
+    protected ranks, since not every request of a class makes every call.
     """
 
-    def __init__(self, max_level: int) -> None:
+    def __init__(self, max_level: int, protected_level: int = -1) -> None:
         """Create a table in which every service is open.
 
         Args:
             max_level: Level at which every rank is admitted.
+            protected_level: Highest rank of the protected classes; -1 if there
+                are none.
         """
         self._max_level = max_level
+        self._protected_level = protected_level
         self._reports: dict[str, dict[str, _Report]] = {}
+        self._below: dict[str, dict[str, _Below]] = {}
+        self._egress_classes: dict[str, int] = {}
         self._cached: dict[str, _Report] = {}
 
+    def on_egress(self, service: str, rank: int) -> None:
+        """Note a call by the own upstream; only such services are relayed.
+
+        Args:
+            service: Service that is called.
+            rank: Rank of the request.
+        """
+        classes = self._egress_classes.get(service, 0)
+        self._egress_classes[service] = classes | _class_bit(rank)
+
     def update(
         self, service: str, node_id: str, load: 'LoadReport', now_ms: float
     ) -> None:
@@ -73,20 +116,27 @@
             load: The report.
             now_ms: Current time in milliseconds.
         """
-        below = {} if load.levels_below is UNSET else load.levels_below
-        level = min(load.level, *below.values()) if below else load.level
         reports = self._reports.setdefault(service, {})
         previous = reports.get(node_id)
-        reports[node_id] = _Report(level, now_ms)
-        if previous is None or previous.level != level:
+        reports[node_id] = _Report(load.level, now_ms)
+        if previous is None or previous.level != load.level:
             self._cached.pop(service, None)
+        if load.levels_below and load.levels_below is not UNSET:
+            below = self._below.setdefault(service, {})
+            for callee, (level, age_ms, classes) in load.levels_below.items():
+                _keep_newer(below, callee, _Below(level, now_ms - age_ms, classes))
 
     def admits(self, service: str, rank: int, now_ms: float) -> bool:
         """Return whether a request of this rank may enter a service."""
-        return rank <= self.level(service, now_ms)
+        if rank > self.level(service, now_ms):
+            return False
+        below = self._below.get(service)
+        if not below or rank <= self._protected_level:
+            return True
+        return not any(entry.excludes(rank, now_ms) for entry in below.values())
 
     def level(self, service: str, now_ms: float) -> int:
-        """Return the level of a service and of those that it calls."""
+        """Return the level of a service itself."""
         cached = self._cached.get(service)
         if cached is not None and now_ms - cached.at_ms < CACHE_MS:
             return cached.level
@@ -94,14 +144,35 @@
         self._cached[service] = _Report(level, now_ms)
         return level
 
-    def levels(self, now_ms: float) -> dict[str, int]:
-        """Return the levels to relay, for services that are not fully open."""
-        relayed = {}
-        for service in self._reports:
-            level = self.level(service, now_ms) + RELAY_STEP
-            if level < self._max_level:
-                relayed[service] = level
-        return relayed
+    def levels(self, now_ms: float) -> dict[str, list[int]]:
+        """Return the levels to relay, for services that are not fully open.
+
+        Args:
+            now_ms: Current time in milliseconds.
+
+        Returns:
+            Per service the level, its age in ms and the bit mask of the classes
+            of the own upstream's calls that lead there.
+        """
+        found: dict[str, _Below] = {}
+        for service in self._egress_classes:
+            self._collect(found, service, now_ms)
+        return {
+            name: below.packed(now_ms)
+            for name, below in found.items()
+            if below.is_relayed(now_ms)
+        }
+
+    def _collect(self, found: dict[str, _Below], service: str, now_ms: float) -> None:
+        classes = self._egress_classes[service]
+        level = self.level(service, now_ms)
+        if level < self._max_level:
+            reports = self._reports[service].values()
+            newest_ms = max(report.at_ms for report in reports)
+            _keep_newer(found, service, _Below(level, newest_ms, classes))
+        for callee, entry in self._below.get(service, {}).items():
+            relayed = _Below(entry.level, entry.origin_ms, entry.classes & classes)
+            _keep_newer(found, callee, relayed)
 
     def _median(self, reports: dict[str, _Report], now_ms: float) -> int:
         stale = [
@@ -115,3 +186,13 @@
             return self._max_level
         found = [report.level_at(now_ms) for report in reports.values()]
         return min(self._max_level, int(statistics.median_low(found)))
+
+
+def _keep_newer(entries: dict[str, _Below], service: str, entry: _Below) -> None:
+    known = entries.get(service)
+    if known is None or entry.origin_ms > known.origin_ms:
+        entries[service] = entry
+
+
+def _class_bit(rank: int) -> int:
+    return 1 << (rank // RANKS_PER_CLASS)
--- a/packages/gentianmill/src/gentianmill/messages.py
+++ b/packages/gentianmill/src/gentianmill/messages.py
@@ -32,9 +32,9 @@
     draining: bool
     levels_below: (
         Annotated[
-            dict[str, int],
+            dict[str, list[int]],
             Meta(
-                description='Lowest level seen for each service that this service calls.'
+                description='Per service called by this service or further down: level, age of the level in ms, bit mask of the classes whose calls go there.'
             ),
         ]
         | UnsetType
--- a/tests/test_level.py
+++ b/tests/test_level.py
@@ -65,3 +65,11 @@
     for now_ms in range(0, 2000, 10):
         level.observe(now_ms, 100 if now_ms % 250 else 0, refused=False)
     assert level.is_open
+
+
+def test_opens_while_nothing_is_observed():
+    """Guards against a guard without calls that stays closed."""
+    level = AdmissionLevel(5, 2)
+    now_ms = overload(level, 0, 100, refused=False)
+    level.observe(now_ms + 10_000, 0, refused=False)
+    assert level.is_open
