Add claim rows, claim states and group commit

Cause: at-most-once execution needs decision logic that can be checked without I/O. Change: ClaimRow, ClaimBook (steps of the claims of one node), CommitBatch (at most 500 rows and 4 MiB) and the retention rule of UUIDv7 keys. The response is a row of its own under the claim id, inserted and never changed: the table's answer to a write carries no revision, so updating the claim row would need one read per call, 2,700 a second at the design size against about 2,000 reads that the platform allows. A write with unknown result may take effect later; a claim released after one is looked at again until 30 s have passed. Ruled out: one row updated by an unconditional write (no fencing).

--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/claims.py
@@ -0,0 +1,245 @@
+"""The claims of one node: their states and group commit."""
+
+import dataclasses
+from collections.abc import Iterable
+
+import msgspec
+
+from gentianmill._claim_steps import Claim, ClaimStep, ClaimSteps
+from gentianmill.claim_rows import ClaimRow, ClaimState, StoredResponse, key_expired
+
+__all__ = [
+    'Claim',
+    'ClaimBook',
+    'ClaimRow',
+    'ClaimState',
+    'ClaimStep',
+    'CommitBatch',
+    'StoredResponse',
+    'key_expired',
+]
+
+BATCH_ROWS = 500
+BATCH_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowWrite:
+    """A conditional write; the fields are those of the table's write."""
+
+    key: str
+    value: bytes | None
+    expected_revision: int
+
+
+class CommitBatch:
+    """The writes of one transaction, at most one for each row."""
+
+    def __init__(self) -> None:
+        """Create an empty batch."""
+        self._writes: dict[str, RowWrite] = {}
+        self._claims: dict[str, Claim] = {}
+        self._size = 0
+
+    def __len__(self) -> int:
+        """Return the number of writes."""
+        return len(self._writes)
+
+    @property
+    def writes(self) -> tuple[RowWrite, ...]:
+        """Return the writes in the order in which they were added."""
+        return tuple(self._writes.values())
+
+    @property
+    def claims(self) -> tuple[Claim, ...]:
+        """Return the claims concerned, in the same order."""
+        return tuple(self._claims.values())
+
+    def add(self, claim: Claim) -> bool:
+        """Add the write that a claim waits for, if there is room.
+
+        Returns:
+            Whether it was added. The first write is added whatever its size.
+        """
+        write = _write_of(claim)
+        size = len(write.value or b'')
+        full = len(self) >= BATCH_ROWS or self._size + size > BATCH_BYTES
+        if write.key in self._writes or (self._writes and full):
+            return False
+        self._writes[write.key] = write
+        self._claims[write.key] = claim
+        self._size += size
+        return True
+
+    def split(self, failed: Iterable[str]) -> tuple[list[Claim], list[Claim]]:
+        """Return the claims whose write failed, and the others."""
+        wrong = set(failed)
+        bad = [claim for key, claim in self._claims.items() if key in wrong]
+        good = [claim for key, claim in self._claims.items() if key not in wrong]
+        return bad, good
+
+
+class ClaimBook:
+    """The claims of one node and the transitions between their steps.
+
+    Only ``take`` allows a call to run, only once, and only after the table
+    confirmed that the row holds the claim.
+    """
+
+    def __init__(self, settle_ms: float = 30_000, recheck_ms: float = 1000) -> None:
+        """Create an empty book.
+
+        Args:
+            settle_ms: Time after which a write with unknown result no longer
+                takes effect.
+            recheck_ms: Pause between looks at the row of a released claim
+                whose write may still take effect.
+        """
+        self._settle_ms = settle_ms
+        self._recheck_ms = recheck_ms
+        self._steps = ClaimSteps()
+
+    def __len__(self) -> int:
+        """Return the number of claims in the book."""
+        return len(self._steps)
+
+    @property
+    def unwritten(self) -> int:
+        """Return the number of claims with a write or a release to come."""
+        held = self._steps.of(ClaimStep.held)
+        running = self._steps.of(ClaimStep.running)
+        return len(self) - len(held) - len(running)
+
+    @property
+    def response_bytes(self) -> int:
+        """Return the size of the response bodies not yet recorded."""
+        recording = self._steps.of(ClaimStep.recording)
+        return sum(claim.response_bytes for claim in recording)
+
+    def open(self, row: ClaimRow) -> Claim:
+        """Add a claim that wants its row written."""
+        claim = Claim(row)
+        self._steps.move(claim, ClaimStep.wanted)
+        return claim
+
+    def take(self, claim: Claim) -> None:
+        """Allow the call of a held claim to run.
+
+        Raises:
+            ValueError: If the claim is not held, or was taken before.
+        """
+        self._steps.demand(claim, ClaimStep.held)
+        self._steps.move(claim, ClaimStep.running)
+
+    def record(self, claim: Claim, response: StoredResponse | None) -> None:
+        """Record the response of a running call; None if none will come.
+
+        Raises:
+            ValueError: If the claim is not running.
+        """
+        self._steps.demand(claim, ClaimStep.running)
+        state = ClaimState.recorded if response else ClaimState.abandoned
+        claim.row = msgspec.structs.replace(claim.row, state=state, response=response)
+        self._steps.move(claim, ClaimStep.recording)
+
+    def release(self, claim: Claim) -> None:
+        """Give up a claim whose call did not run.
+
+        Raises:
+            ValueError: If a response was recorded.
+        """
+        if claim.step is ClaimStep.recording:
+            raise ValueError(f'claim {claim.row.claim_id} has run')
+        claim.unwanted = True
+        if claim.step is ClaimStep.wanted:
+            self._steps.want(claim)
+        elif claim.step in {ClaimStep.held, ClaimStep.running}:
+            self._steps.move(claim, ClaimStep.releasing)
+
+    def next_batch(self) -> CommitBatch:
+        """Return the writes of the next transaction; empty if there are none."""
+        batch = CommitBatch()
+        for step in (ClaimStep.recording, ClaimStep.deleting, ClaimStep.wanted):
+            for claim in self._steps.of(step):
+                if batch.add(claim) and step is ClaimStep.wanted:
+                    self._steps.move(claim, ClaimStep.sent)
+        return batch
+
+    def on_applied(self, batch: CommitBatch, now_ms: float) -> None:
+        """Note that all writes of a batch took effect."""
+        for claim in batch.claims:
+            if claim.step is ClaimStep.sent:
+                self._steps.hold(claim)
+            elif claim.step is ClaimStep.deleting:
+                self._absent(claim, now_ms)
+            else:
+                self._steps.move(claim, ClaimStep.done)
+
+    def on_conflict(self, batch: CommitBatch, failed: Iterable[str]) -> None:
+        """Note that a batch was refused because of the rows that failed.
+
+        A response row that exists already was written by an earlier attempt.
+        """
+        bad, good = batch.split(failed)
+        for claim in good:
+            if claim.step is ClaimStep.sent:
+                self._steps.want(claim)
+        for refused in bad:
+            self._steps.refuse(refused)
+
+    def on_unknown(self, batch: CommitBatch) -> None:
+        """Note that it is not known whether a batch took effect."""
+        for claim in batch.claims:
+            if claim.step is ClaimStep.sent:
+                claim.doubtful = True
+            if claim.step is not ClaimStep.recording:
+                self._steps.refuse(claim)
+
+    def to_read(self, now_ms: float) -> list[Claim]:
+        """Return the claims whose row must be read now."""
+        released = self._steps.of(ClaimStep.releasing)
+        due = [claim for claim in released if claim.due_ms <= now_ms]
+        return [*self._steps.of(ClaimStep.unresolved), *due]
+
+    def next_read_ms(self) -> float | None:
+        """Return when the next released row is to be read, or None."""
+        released = self._steps.of(ClaimStep.releasing)
+        return min((claim.due_ms for claim in released), default=None)
+
+    def on_read(
+        self, claim: Claim, row: ClaimRow | None, revision: int, now_ms: float
+    ) -> None:
+        """Decide a claim by the row that was read; the claim id decides.
+
+        Args:
+            claim: A claim from ``to_read``.
+            row: The row under the claim's key, or None if there is none.
+            revision: Revision of the row; 0 if there is none.
+            now_ms: Current time in ms.
+        """
+        own = row is not None and row.claim_id == claim.row.claim_id
+        if claim.step is ClaimStep.releasing:
+            if own:
+                claim.revision = revision
+                self._steps.move(claim, ClaimStep.deleting)
+            else:
+                self._absent(claim, now_ms)
+        elif claim.step is ClaimStep.unresolved:
+            self._steps.resolve(claim, row, own)
+
+    def _absent(self, claim: Claim, now_ms: float) -> None:
+        if claim.settled_ms is None:
+            claim.settled_ms = now_ms + self._settle_ms
+        if claim.doubtful and now_ms < claim.settled_ms:
+            claim.due_ms = now_ms + self._recheck_ms
+            self._steps.move(claim, ClaimStep.releasing)
+        else:
+            self._steps.move(claim, ClaimStep.done)
+
+
+def _write_of(claim: Claim) -> RowWrite:
+    if claim.step is ClaimStep.deleting:
+        return RowWrite(claim.row.row_key, None, claim.revision)
+    if claim.step is ClaimStep.recording:
+        return RowWrite(claim.row.response_key, claim.row.encode(), 0)
+    return RowWrite(claim.row.row_key, claim.row.encode(), 0)
