Add the claim store with group commit

Cause: the guard needs claims, responses and releases written in shared transactions, one in flight per node, with a pause between them. Change: ClaimStore and its committer. A lost answer is read back and decided by the claim id; conflicts of one key return the other claims to the next transaction; resends join the running call in memory or poll the row of another holder; record, release and abandon never suspend, so cancellation cannot lose them. While the table is down, claims are refused at once, so memory stays bounded, and one read each 500 ms finds out when it is back. Ruled out: waiting in record until the response is written; a caller would wait for the whole outage though its work has run. A pause shorter than the resolution of the clock made the loop spin in virtual time (test hung); waits are now at least 1 ms.

--- /dev/null
+++ b/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
@@ -0,0 +1,223 @@
+"""The loop that writes the claims of a node, one transaction at a time."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import msgspec
+import structlog
+
+from gentianmill.claims import Claim, ClaimBook, ClaimRow, ClaimStep, CommitBatch
+from gentianmill.clock import Clock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.outcome import Outcome
+from gentianmill_node.table_client import TableStore, TableWrite
+
+MS_PER_S = 1000
+MAX_CLAIMS = 10_000
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+READS_AT_ONCE = 16
+OUTAGE_PAUSE_MS = 500
+RETRY_AFTER_MS = 1000
+PROBE_KEY = 'claims'
+UNDECIDED = frozenset((ClaimStep.wanted, ClaimStep.sent, ClaimStep.unresolved))
+STEP = 'claim'
+
+log = structlog.get_logger()
+
+
+async def read_row(table: TableStore, key: str) -> tuple[ClaimRow | None, int]:
+    """Read a claim or response row and its revision.
+
+    Raises:
+        GentianmillError: With code ``store_unavailable`` if the row cannot be
+            read or is malformed.
+    """
+    found = await table.read(key)
+    if found is None:
+        return None, 0
+    try:
+        return ClaimRow.decode(found.value), found.revision
+    except msgspec.DecodeError as error:
+        raise _unavailable(f'row {key!r} is malformed: {error}') from error
+
+
+class ClaimCommitter:
+    """Write claims, responses and releases; keep trying through outages."""
+
+    def __init__(
+        self, table: TableStore, clock: Clock, pause_ms: Callable[[], float]
+    ) -> None:
+        """Create a committer; see ``ClaimStore`` for the arguments."""
+        self._table = table
+        self._clock = clock
+        self._pause_ms = pause_ms
+        self._book = ClaimBook()
+        self._decided: dict[str, asyncio.Future[None]] = {}
+        self._work = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._down = False
+        self._closing = False
+
+    @property
+    def book(self) -> ClaimBook:
+        """Return the claims of this node; call ``wake`` after changing them."""
+        return self._book
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self, limit_ms: float) -> int:
+        """Refuse new claims, write what is left, stop.
+
+        Returns:
+            The number of claims that were not written within the limit.
+        """
+        self._closing = True
+        self.wake()
+        if self._task is not None:
+            await asyncio.wait((self._task,), timeout=limit_ms / MS_PER_S)
+            self._task.cancel()
+            await asyncio.wait((self._task,))
+        return self._book.unwritten
+
+    def wake(self) -> None:
+        """Tell the loop that there may be work."""
+        self._work.set()
+
+    def open(self, row: ClaimRow) -> Claim:
+        """Add a claim to the next transaction.
+
+        Raises:
+            GentianmillError: If the table is known to be down, the node is
+                closing, or too much waits to be written.
+        """
+        if self._closing:
+            raise GentianmillError(ErrorCode.draining, STEP, '', 'node is closing')
+        if self._down:
+            raise _unavailable('table service is down')
+        full = len(self._book) >= MAX_CLAIMS
+        if full or self._book.response_bytes >= MAX_RESPONSE_BYTES:
+            raise _unavailable('too many claims wait for the table service')
+        claim = self._book.open(row)
+        self.wake()
+        return claim
+
+    async def decided(self, claim: Claim, deadline_ms: float) -> None:
+        """Wait until a claim is held or lost.
+
+        Raises:
+            GentianmillError: ``store_unavailable``, or ``deadline`` with
+                outcome ``expired``; the caller then releases the claim.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._decided[claim.row.claim_id] = future
+        wait_s = max(0, deadline_ms - self._clock.now_ms()) / MS_PER_S
+        try:
+            await asyncio.wait_for(future, wait_s)
+        except TimeoutError:
+            raise GentianmillError(
+                ErrorCode.deadline,
+                STEP,
+                '',
+                'deadline passed before the claim was written',
+                outcome=Outcome.expired,
+            ) from None
+        finally:
+            self._decided.pop(claim.row.claim_id, None)
+
+    async def _run(self) -> None:
+        while not (self._closing and not self._book.unwritten):
+            self._work.clear()
+            wrote = await self._step()
+            if self._down:
+                await asyncio.sleep(OUTAGE_PAUSE_MS / MS_PER_S)
+            elif wrote:
+                await asyncio.sleep(self._pause_ms() / MS_PER_S)
+            else:
+                await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        due_ms = self._book.next_read_ms()
+        wait_s = None
+        if due_ms is not None:
+            wait_s = max(1, due_ms - self._clock.now_ms()) / MS_PER_S
+        try:
+            await asyncio.wait_for(self._work.wait(), wait_s)
+        except TimeoutError:
+            return
+
+    async def _step(self) -> bool:
+        """Read what is undecided, write one batch; return whether it was sent."""
+        try:
+            wrote = await self._read_and_write()
+        except GentianmillError as error:
+            self._set_down(error)
+            return False
+        if self._down:
+            log.info('claims: table available again')
+        self._down = False
+        return wrote
+
+    async def _read_and_write(self) -> bool:
+        if self._down:
+            await self._table.read(PROBE_KEY)
+        await self._read_rows()
+        batch = self._book.next_batch()
+        if not batch:
+            return False
+        await self._commit(batch)
+        await self._read_rows()
+        return True
+
+    async def _commit(self, batch: CommitBatch) -> None:
+        writes = [
+            TableWrite(write.key, write.value, write.expected_revision)
+            for write in batch.writes
+        ]
+        try:
+            failed = await self._table.transact(writes)
+        except GentianmillError:
+            # Reading back decides; if that fails too, the table is down.
+            self._book.on_unknown(batch)
+            return
+        if failed:
+            self._book.on_conflict(batch, failed)
+        else:
+            self._book.on_applied(batch, self._clock.now_ms())
+        self._notify(batch.claims)
+
+    async def _read_rows(self) -> None:
+        pending = self._book.to_read(self._clock.now_ms())
+        slots = asyncio.Semaphore(READS_AT_ONCE)
+        reads = [self._read_claim(claim, slots) for claim in pending]
+        results = await asyncio.gather(*reads, return_exceptions=True)
+        self._notify(pending)
+        for result in results:
+            if result is not None:
+                raise result
+
+    async def _read_claim(self, claim: Claim, slots: asyncio.Semaphore) -> None:
+        async with slots:
+            row, revision = await read_row(self._table, claim.row.row_key)
+        self._book.on_read(claim, row, revision, self._clock.now_ms())
+
+    def _notify(self, claims: Sequence[Claim]) -> None:
+        for claim in claims:
+            future = self._decided.get(claim.row.claim_id)
+            if future and not future.done() and claim.step not in UNDECIDED:
+                future.set_result(None)
+
+    def _set_down(self, error: GentianmillError) -> None:
+        if not self._down:
+            log.warning('claims: table unavailable', error=str(error))
+        self._down = True
+        for future in self._decided.values():
+            if not future.done():
+                future.set_exception(error)
+
+
+def _unavailable(message: str) -> GentianmillError:
+    return GentianmillError(
+        ErrorCode.store_unavailable, STEP, '', message, retry_after_ms=RETRY_AFTER_MS
+    )
