Add the commands of gentianmillctl

Cause: operators check, submit and inspect from a shell and from scripts. Ruled out: an own argument parser; defopt derives it from the signatures. Keys come from files.

--- /dev/null
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
@@ -0,0 +1,87 @@
+"""What the commands do once their arguments are parsed."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import aiohttp
+
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.settings_file import is_host_port, is_http_url
+from gentianmill_ctl.check import read_file, read_sheet
+from gentianmill_ctl.operator_client import OperatorClient
+from gentianmill_ctl.result import (
+    ExitCode,
+    Result,
+    exit_code,
+    print_error,
+    print_result,
+)
+from gentianmill_ctl.submit import Submission, new_sheet
+from gentianmill_ctl.table_access import TableAccess
+
+MAX_VERSION = 2**53
+TIMEOUT = aiohttp.ClientTimeout(total=5)
+
+Ask = Callable[[OperatorClient], Awaitable[Result]]
+
+
+def run_command(command: Coroutine[Any, Any, Result], as_json: bool) -> int:
+    """Run a command, print its result or error and return the exit code."""
+    try:
+        result = asyncio.run(command)
+    except GentianmillError as error:
+        print_error(error, as_json)
+        return exit_code(error)
+    print_result(result, as_json)
+    return ExitCode.success
+
+
+async def checked(check: Callable[[str], Result], file_name: str) -> Result:
+    """Run a check that makes no connection."""
+    return check(file_name)
+
+
+async def submit_file(
+    file_name: str, table: str, expect: int, by: str, key_file: str
+) -> Result:
+    """Check a sheet and submit it.
+
+    Raises:
+        GentianmillError: With the code that decides the exit code.
+    """
+    if not is_http_url(table):
+        raise _usage(table, '--table is not an http or https URL')
+    if not 0 <= expect <= MAX_VERSION:
+        raise _usage(str(expect), f'--expect is not between 0 and {MAX_VERSION}')
+    if not by.strip():
+        raise _usage(by, '--by is empty')
+    model, text = read_sheet(file_name)
+    key = _read_key(key_file) if key_file else ''
+    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        access = TableAccess(table, session, key)
+        return await Submission(access, model, new_sheet(text, expect, by)).send()
+
+
+async def ask_node(ask: Ask, node: str, key_file: str) -> Result:
+    """Ask a node for a report.
+
+    Raises:
+        GentianmillError: With the code that decides the exit code.
+    """
+    if not is_host_port(node):
+        raise _usage(node, '--node is not host:port')
+    key = _read_key(key_file)
+    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        return await ask(OperatorClient(node, session, key))
+
+
+def _read_key(file_name: str) -> str:
+    key = read_file(file_name).strip()
+    if not key or not all(0x21 <= byte <= 0x7E for byte in key):
+        raise _usage(file_name, 'the key file is not one line of printable ASCII')
+    return key.decode()
+
+
+def _usage(found: str, message: str) -> GentianmillError:
+    return GentianmillError(ErrorCode.bad_request, 'arguments', found, message)
--- /dev/null
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -0,0 +1,149 @@
+"""The commands of ``gentianmillctl``."""
+
+import sys
+
+import defopt
+
+from gentianmill_ctl._actions import ask_node, checked, run_command, submit_file
+from gentianmill_ctl.check import check_settings_file, check_sheet_file
+from gentianmill_ctl.drain import start_drain
+from gentianmill_ctl.result import EXIT_CODE_HELP
+from gentianmill_ctl.show import (
+    drain_report,
+    limit_report,
+    member_report,
+    sheet_report,
+)
+
+
+def check_settings(file: str, *, json: bool = False) -> int:
+    """Check the settings of a node; make no connection.
+
+    Args:
+        file: Settings file in YAML.
+        json: Print JSON.
+    """
+    return run_command(checked(check_settings_file, file), json)
+
+
+def check_sheet(file: str, *, json: bool = False) -> int:
+    """Check a planning sheet; make no connection.
+
+    Args:
+        file: Planning sheet in YAML.
+        json: Print JSON.
+    """
+    return run_command(checked(check_sheet_file, file), json)
+
+
+def submit(
+    file: str,
+    *,
+    table: str,
+    expect: int,
+    by: str,
+    key_file: str = '',
+    json: bool = False,
+) -> int:
+    """Check a planning sheet and put it in force if the expected version still is.
+
+    Args:
+        file: Planning sheet in YAML.
+        table: URL of the platform's table service.
+        expect: Version now in force; 0 if there is none yet.
+        by: Name of the operator, kept with the sheet.
+        key_file: File with the key of the table service.
+        json: Print JSON.
+    """
+    return run_command(submit_file(file, table, expect, by, key_file), json)
+
+
+def show_sheet(*, node: str, key_file: str, json: bool = False) -> int:
+    """Show the sheet in force at a node.
+
+    Args:
+        node: host:port of the node's operator listener.
+        key_file: File with the operator key.
+        json: Print JSON.
+    """
+    return run_command(ask_node(sheet_report, node, key_file), json)
+
+
+def members(*, node: str, key_file: str, json: bool = False) -> int:
+    """List the members that a node knows.
+
+    Args:
+        node: host:port of the node's operator listener.
+        key_file: File with the operator key.
+        json: Print JSON.
+    """
+    return run_command(ask_node(member_report, node, key_file), json)
+
+
+def limits(*, node: str, key_file: str, json: bool = False) -> int:
+    """Show the load and the limits of a node.
+
+    Args:
+        node: host:port of the node's operator listener.
+        key_file: File with the operator key.
+        json: Print JSON.
+    """
+    return run_command(ask_node(limit_report, node, key_file), json)
+
+
+def drains(*, node: str, key_file: str, json: bool = False) -> int:
+    """List the members that drain, as far as a node knows.
+
+    Args:
+        node: host:port of the node's operator listener.
+        key_file: File with the operator key.
+        json: Print JSON.
+    """
+    return run_command(ask_node(drain_report, node, key_file), json)
+
+
+def drain(*, node: str, key_file: str, json: bool = False) -> int:
+    """Ask a node to finish its calls, take no new ones and end.
+
+    Args:
+        node: host:port of the node's operator listener.
+        key_file: File with the operator key.
+        json: Print JSON.
+    """
+    return run_command(ask_node(start_drain, node, key_file), json)
+
+
+COMMANDS = (
+    check_settings,
+    check_sheet,
+    submit,
+    show_sheet,
+    members,
+    limits,
+    drains,
+    drain,
+)
+
+
+def main() -> None:
+    """Run the command that the arguments name and exit with its code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run a command.
+
+    Args:
+        arguments: Command line without the program name.
+
+    Returns:
+        The exit code.
+
+    Raises:
+        SystemExit: With code 2 if the arguments are wrong.
+    """
+    return defopt.run(
+        list(COMMANDS),
+        argv=arguments,
+        argparse_kwargs={'prog': 'gentianmillctl', 'epilog': EXIT_CODE_HELP},
+    )
