Measure the tail with slowed upstreams

Change: a discrete-event model of both deployments on a logical clock, with the onset of the slowing inside the measured time, at-most-once calls with affinity, hedges and late load reports; baselines random, round_robin and least_in_flight within the own region; the router is told of cancelled copies.

--- /dev/null
+++ b/bench/tail.py
@@ -0,0 +1,94 @@
+"""Measure the tail with a tenth of the upstreams slowed 5 times.
+
+``.venv/bin/python bench/tail.py`` prints one JSON line. The ratio of a policy is
+its p99 with slowed upstreams over its own p99 with none slowed; the worse of the
+two deployments counts.
+"""
+
+import itertools
+import json
+import math
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from types import MappingProxyType
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from baseline_routers import BASELINES  # noqa: E402
+from tail_model import DEPLOYMENTS, Model, current_router  # noqa: E402
+
+NAME = 'tail'
+TARGET = 1.3
+SEEDS = (1, 2, 3)
+WORKERS = 4
+POLICIES = MappingProxyType({'current': current_router, **BASELINES})
+
+
+def measure(policy: str, deployment_number: int, seed: int) -> dict[str, float]:
+    """Return p99 in ms with and without slowed upstreams, and shares of copies."""
+    deployment = DEPLOYMENTS[deployment_number]
+    factory = POLICIES[policy.removesuffix('_no_hedge')]
+    hedged = policy == 'current'
+    figures: dict[str, float] = {}
+    for state in ('none', 'slowed'):
+        model = Model(deployment, factory, seed, state == 'slowed', hedged)
+        model.run()
+        latencies_ms = sorted(model.latencies_ms)
+        rank = math.ceil(0.99 * len(latencies_ms)) - 1
+        figures[f'{state}_p99_ms'] = latencies_ms[rank]
+        figures[f'{state}_hedge_share'] = model.hedges / len(latencies_ms)
+        figures[f'{state}_slow_share'] = model.slow_copies / model.copies
+    figures['ratio'] = figures['slowed_p99_ms'] / figures['none_p99_ms']
+    return figures
+
+
+def run(seeds: tuple[int, ...] = SEEDS, policies: tuple[str, ...] = ()) -> dict:
+    """Run all policies.
+
+    Args:
+        seeds: Seeds of the runs.
+        policies: Names of policies; all of them if empty.
+
+    Returns:
+        Figures of the current router and of the baselines, averaged over seeds.
+    """
+    names = policies or ('current', 'current_no_hedge', *BASELINES)
+    places = range(len(DEPLOYMENTS))
+    jobs = list(itertools.product(names, places, seeds))
+    with ProcessPoolExecutor(WORKERS) as pool:
+        measured = list(pool.map(measure, *zip(*jobs, strict=True)))
+    found: dict = {name: [] for name in names}
+    for (policy, number, _), run_figures in zip(jobs, measured, strict=True):
+        found[policy].append((number, run_figures))
+    figures = {policy: _summary(runs) for policy, runs in found.items()}
+    ratio = figures['current']['ratio']
+    return {
+        'name': NAME,
+        'seeds': list(seeds),
+        'baselines': {name: figures[name] for name in names if name != 'current'},
+        'current': figures['current'],
+        'ratio': ratio,
+        'target': TARGET,
+        'met': ratio <= TARGET,
+    }
+
+
+def _summary(found: list[tuple[int, dict[str, float]]]) -> dict:
+    summary: dict = {}
+    for number, deployment in enumerate(DEPLOYMENTS):
+        runs = [figures for other, figures in found if other == number]
+        summary[deployment.name] = {
+            key: round(statistics.mean(figures[key] for figures in runs), 3)
+            for key in runs[0]
+        }
+        summary[deployment.name]['worst_seed_ratio'] = round(
+            max(figures['ratio'] for figures in runs), 3
+        )
+    summary['ratio'] = max(summary[place.name]['ratio'] for place in DEPLOYMENTS)
+    return summary
+
+
+if __name__ == '__main__':
+    print(json.dumps(run(policies=tuple(sys.argv[1:]))))
--- a/packages/gentianmill/src/gentianmill/route_state.py
+++ b/packages/gentianmill/src/gentianmill/route_state.py
@@ -114,6 +114,12 @@
             self.latency.observe(latency_ms)
             self._pause_ms = FIRST_PAUSE_MS
 
+    def cancelled(self, elapsed_ms: float) -> None:
+        """Take note of a call that was cancelled after some time."""
+        self.load.own = max(self.load.own - 1, 0)
+        if elapsed_ms > self.latency.value_ms:
+            self.latency.observe(elapsed_ms)
+
     def unreachable(self, now_ms: float) -> None:
         """Pause the member; each pause is twice as long as the one before."""
         if now_ms < self.unreachable_until_ms:
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -113,6 +113,19 @@
         if state is not None:
             state.done(latency_ms, ok)
 
+    def on_cancelled(self, node_id: str, now_ms: float, elapsed_ms: float) -> None:
+        """Take note of a call that was cancelled, such as the loser of a hedge.
+
+        Args:
+            node_id: Member that the call was sent to.
+            now_ms: Current time.
+            elapsed_ms: Time from the start of the call; its latency is not known,
+                except that it is longer.
+        """
+        state = self._states.get(node_id)
+        if state is not None:
+            state.cancelled(elapsed_ms)
+
     def on_load(self, node_id: str, load: LoadReport, now_ms: float) -> None:
         """Take over the load report of a member."""
         state = self._states.get(node_id)
