Let affinity avoid slow members and stay in the own region

Cause: calls with affinity stayed on a slowed member until it was ejected. Ruled out: dropping affinity, since a resend should join the first copy. Change: the preferred member is taken only if its smoothed latency is at most 1.5 times the usual one; the key picks among members of the own region, since the claim protects the call and a distant guard costs 60 ms.

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -60,8 +60,8 @@
     with ProcessPoolExecutor(WORKERS) as pool:
         measured = list(pool.map(measure, *zip(*jobs, strict=True)))
     found: dict = {name: [] for name in names}
-    for (policy, number, _), run_figures in zip(jobs, measured, strict=True):
-        found[policy].append((number, run_figures))
+    for job, run_figures in zip(jobs, measured, strict=True):
+        found[job[0]].append((job[1], run_figures))
     figures = {policy: _summary(runs) for policy, runs in found.items()}
     ratio = figures['current']['ratio']
     return {
--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -39,6 +39,11 @@
         self._ejected_share = ejected_share
         self._ejections: dict[str, _Ejection] = {}
         self._next_review_ms = float('-inf')
+        self._normal_ms: dict[bool, float] = {}
+
+    def normal_ms(self, state: RouteState) -> float:
+        """Return the median latency of members as far away as this one, in ms."""
+        return self._normal_ms.get(state.tier > 1, float('inf'))
 
     def review(self, states: Sequence[RouteState], now_ms: float) -> None:
         """Eject and readmit members; does nothing until a review is due.
@@ -51,12 +56,11 @@
             return
         self._next_review_ms = now_ms + REVIEW_INTERVAL_MS
         self._forget({state.member.node_id for state in states})
-        normal_ms = _normal_latencies(states)
+        self._normal_ms = _normal_latencies(states)
         failures = _median([state.failure_share for state in states])
         for state in states:
             self._readmit(state, now_ms)
-            limit_ms = normal_ms.get(state.tier > 1, float('inf'))
-            if _is_outlier(state, limit_ms, failures):
+            if _is_outlier(state, self.normal_ms(state), failures):
                 self._eject(state, states, now_ms)
 
     def _readmit(self, state: RouteState, now_ms: float) -> None:
--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -1,5 +1,6 @@
 """The members of one service, as seen from one entry."""
 
+from gentianmill import rendezvous
 from gentianmill.ejection import OutlierEjector
 from gentianmill.route_state import RouteState
 
@@ -25,6 +26,7 @@
         """
         self._states: dict[str, RouteState] = {}
         self._ejector = OutlierEjector(ejected_share)
+        self._near_hashes: dict[str, int] = {}
         self._widened = [False for _ in range(TIERS)]
         self._refreshed_ms = float('-inf')
 
@@ -36,10 +38,25 @@
     def add(self, state: RouteState) -> None:
         """Add a member or replace its state."""
         self._states[state.member.node_id] = state
+        self._hash_members()
 
     def remove(self, node_id: str) -> None:
         """Remove a member."""
         self._states.pop(node_id, None)
+        self._hash_members()
+
+    def preferred(self, affinity: str) -> str | None:
+        """Return the node id that a key prefers, in the own region if it has one."""
+        key_hash = rendezvous.hash_text(affinity)
+        scores = {
+            node_id: rendezvous.mix(key_hash, node_hash)
+            for node_id, node_hash in self._near_hashes.items()
+        }
+        return max(scores, key=scores.__getitem__, default=None)
+
+    def normal_ms(self, state: RouteState) -> float:
+        """Return the usual latency of members as far away as this one, in ms."""
+        return self._ejector.normal_ms(state)
 
     def candidates(self, now_ms: float, excluded: frozenset[str]) -> list[RouteState]:
         """Return the members among which a call is routed.
@@ -63,6 +80,14 @@
                 break
         return chosen
 
+    def _hash_members(self) -> None:
+        states = self._states.values()
+        near = [state.member.node_id for state in states if state.tier <= 1]
+        node_ids = near or list(self._states)
+        self._near_hashes = dict(
+            zip(node_ids, map(rendezvous.hash_text, node_ids), strict=True)
+        )
+
     def _refresh(self, now_ms: float) -> None:
         if now_ms < self._refreshed_ms + REFRESH_MS:
             return
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -2,7 +2,6 @@
 
 import random
 
-from gentianmill import rendezvous
 from gentianmill.member import Member
 from gentianmill.messages import LoadReport
 from gentianmill.route_state import RouteState
@@ -14,6 +13,7 @@
 NO_NODES: frozenset[str] = frozenset()
 UNKNOWN_LATENCY_MS = 1.0
 AFFINITY_LOAD = 1.0
+AFFINITY_SLOWNESS = 1.5
 
 
 class Router:
@@ -165,12 +165,14 @@
     ) -> RouteState | None:
         if not affinity:
             return None
-        chosen = rendezvous.pick(affinity, table.states)
+        chosen = table.preferred(affinity)
         state = table.states.get(chosen or '')
         if state is None or not state.admissible(now_ms):
             return None
         in_flight = state.load.in_flight(now_ms)
-        return state if in_flight < AFFINITY_LOAD * state.load.limit else None
+        slow = state.latency.value_ms > AFFINITY_SLOWNESS * table.normal_ms(state)
+        overloaded = in_flight >= AFFINITY_LOAD * state.load.limit
+        return None if slow or overloaded else state
 
     def _best(self, candidates: list[RouteState], now_ms: float) -> RouteState:
         pair = candidates
