Expect the latency of a member from the age of its waiting calls

Cause: a member that becomes slow shows it only when its first slow call ends. Ruled out: the oldest waiting call, since one straggler would move it. Change: expected latency is the smoothed latency or twice the median age of the calls that wait for the member, whichever is higher.

--- a/packages/gentianmill/src/gentianmill/route_state.py
+++ b/packages/gentianmill/src/gentianmill/route_state.py
@@ -1,5 +1,6 @@
 """What one entry knows about one member."""
 
+import bisect
 import math
 
 from gentianmill.latency import SmoothedLatency
@@ -11,6 +12,9 @@
 LONGEST_PAUSE_MS = 30_000
 FAILURE_WEIGHT = 0.05
 SMALLEST_WEIGHT = 0.1
+MIN_WAITING = 3
+AGE_FACTOR = 2
+ROUNDING_MS = 1e-3
 
 
 class LoadView:
@@ -54,6 +58,7 @@
 
     __slots__ = (
         '_pause_ms',
+        '_starts_ms',
         'added_ms',
         'ejected',
         'failure_share',
@@ -84,6 +89,7 @@
         self.probing = False
         self.unreachable_until_ms = -math.inf
         self._pause_ms = FIRST_PAUSE_MS
+        self._starts_ms: list[float] = []
 
     def update(self, member: Member) -> None:
         """Take over a change; a new incarnation ends a drain that was reported."""
@@ -106,17 +112,35 @@
             return 1
         return max(age_ms / slow_start_ms, SMALLEST_WEIGHT)
 
-    def done(self, latency_ms: float, ok: bool) -> None:
+    def expected_ms(self, now_ms: float) -> float:
+        """Return the latency to expect, in ms; 0 if nothing is known.
+
+        A member that has become slow is seen by the age of the calls that wait for
+        it, before the first of them ends. The median age is not moved by a single
+        straggler.
+        """
+        starts_ms = self._starts_ms
+        if len(starts_ms) < MIN_WAITING:
+            return self.latency.value_ms
+        median_age_ms = now_ms - starts_ms[len(starts_ms) // 2]
+        return max(self.latency.value_ms, AGE_FACTOR * median_age_ms)
+
+    def start(self, now_ms: float) -> None:
+        """Take note of a call that was sent."""
+        self.load.own += 1
+        self._starts_ms.append(now_ms)
+
+    def done(self, now_ms: float, latency_ms: float, ok: bool) -> None:
         """Take note of a call that ended."""
-        self.load.own = max(self.load.own - 1, 0)
+        self._end(now_ms - latency_ms)
         self.failure_share += FAILURE_WEIGHT * ((not ok) - self.failure_share)
         if ok:
             self.latency.observe(latency_ms)
             self._pause_ms = FIRST_PAUSE_MS
 
-    def cancelled(self, elapsed_ms: float) -> None:
+    def cancelled(self, now_ms: float, elapsed_ms: float) -> None:
         """Take note of a call that was cancelled after some time."""
-        self.load.own = max(self.load.own - 1, 0)
+        self._end(now_ms - elapsed_ms)
         if elapsed_ms > self.latency.value_ms:
             self.latency.observe(elapsed_ms)
 
@@ -126,3 +150,11 @@
             return
         self.unreachable_until_ms = now_ms + self._pause_ms
         self._pause_ms = min(self._pause_ms * 2, LONGEST_PAUSE_MS)
+
+    def _end(self, started_ms: float) -> None:
+        self.load.own = max(self.load.own - 1, 0)
+        if self._starts_ms:
+            # The start time is computed again from the latency, so it may differ
+            # from the one noted in the last digits.
+            position = bisect.bisect_left(self._starts_ms, started_ms - ROUNDING_MS)
+            self._starts_ms.pop(min(position, len(self._starts_ms) - 1))
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -98,7 +98,7 @@
         """Take note of a call sent to a member."""
         state = self._states.get(node_id)
         if state is not None:
-            state.load.own += 1
+            state.start(now_ms)
 
     def on_done(self, node_id: str, now_ms: float, latency_ms: float, ok: bool) -> None:
         """Take note of a call that ended.
@@ -111,7 +111,7 @@
         """
         state = self._states.get(node_id)
         if state is not None:
-            state.done(latency_ms, ok)
+            state.done(now_ms, latency_ms, ok)
 
     def on_cancelled(self, node_id: str, now_ms: float, elapsed_ms: float) -> None:
         """Take note of a call that was cancelled, such as the loser of a hedge.
@@ -124,7 +124,7 @@
         """
         state = self._states.get(node_id)
         if state is not None:
-            state.cancelled(elapsed_ms)
+            state.cancelled(now_ms, elapsed_ms)
 
     def on_load(self, node_id: str, load: LoadReport, now_ms: float) -> None:
         """Take over the load report of a member."""
@@ -170,7 +170,7 @@
         if state is None or not state.admissible(now_ms):
             return None
         in_flight = state.load.in_flight(now_ms)
-        slow = state.latency.value_ms > AFFINITY_SLOWNESS * table.normal_ms(state)
+        slow = state.expected_ms(now_ms) > AFFINITY_SLOWNESS * table.normal_ms(state)
         overloaded = in_flight >= AFFINITY_LOAD * state.load.limit
         return None if slow or overloaded else state
 
@@ -185,6 +185,6 @@
         return min(own, best, key=lambda state: self._score(state, now_ms))
 
     def _score(self, state: RouteState, now_ms: float) -> float:
-        latency_ms = state.latency.value_ms or UNKNOWN_LATENCY_MS
+        latency_ms = state.expected_ms(now_ms) or UNKNOWN_LATENCY_MS
         weight = state.weight(now_ms, self._limits.slow_start_ms)
         return (state.load.in_flight(now_ms) + 1) * latency_ms / weight
