--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -2,7 +2,6 @@
 
 import random
 
-from gentianmill import rendezvous
 from gentianmill.member import Member
 from gentianmill.messages import LoadReport
 from gentianmill.route_state import RouteState
@@ -14,6 +13,7 @@
 NO_NODES: frozenset[str] = frozenset()
 UNKNOWN_LATENCY_MS = 1.0
 AFFINITY_LOAD = 1.0
+AFFINITY_SLOWNESS = 1.5
 
 
 class Router:
@@ -98,7 +98,7 @@
         """Take note of a call sent to a member."""
         state = self._states.get(node_id)
         if state is not None:
-            state.load.own += 1
+            state.start(now_ms)
 
     def on_done(self, node_id: str, now_ms: float, latency_ms: float, ok: bool) -> None:
         """Take note of a call that ended.
@@ -111,7 +111,20 @@
         """
         state = self._states.get(node_id)
         if state is not None:
-            state.done(latency_ms, ok)
+            state.done(now_ms, latency_ms, ok)
+
+    def on_cancelled(self, node_id: str, now_ms: float, elapsed_ms: float) -> None:
+        """Take note of a call that was cancelled, such as the loser of a hedge.
+
+        Args:
+            node_id: Member that the call was sent to.
+            now_ms: Current time.
+            elapsed_ms: Time from the start of the call; its latency is not known,
+                except that it is longer.
+        """
+        state = self._states.get(node_id)
+        if state is not None:
+            state.cancelled(now_ms, elapsed_ms)
 
     def on_load(self, node_id: str, load: LoadReport, now_ms: float) -> None:
         """Take over the load report of a member."""
@@ -152,12 +165,14 @@
     ) -> RouteState | None:
         if not affinity:
             return None
-        chosen = rendezvous.pick(affinity, table.states)
+        chosen = table.preferred(affinity)
         state = table.states.get(chosen or '')
         if state is None or not state.admissible(now_ms):
             return None
         in_flight = state.load.in_flight(now_ms)
-        return state if in_flight < AFFINITY_LOAD * state.load.limit else None
+        slow = state.expected_ms(now_ms) > AFFINITY_SLOWNESS * table.normal_ms(state)
+        overloaded = in_flight >= AFFINITY_LOAD * state.load.limit
+        return None if slow or overloaded else state
 
     def _best(self, candidates: list[RouteState], now_ms: float) -> RouteState:
         pair = candidates
@@ -170,6 +185,6 @@
         return min(own, best, key=lambda state: self._score(state, now_ms))
 
     def _score(self, state: RouteState, now_ms: float) -> float:
-        latency_ms = state.latency.value_ms or UNKNOWN_LATENCY_MS
+        latency_ms = state.expected_ms(now_ms) or UNKNOWN_LATENCY_MS
         weight = state.weight(now_ms, self._limits.slow_start_ms)
         return (state.load.in_flight(now_ms) + 1) * latency_ms / weight
