--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -123,7 +123,7 @@
     upstream = UpstreamClient(settings.upstream, settings.listeners.max_body_bytes)
     strikes = StrikeSender(control.members.table, control.peers)
     suspects = SuspectGate(control.policy, control.clock, strikes.send)
-    pace = CommitPace(control.members.table, control.sheets, control.policy)
+    pace = CommitPace(control.members.table, control.tracker, control.policy)
     claims = ClaimStore(
         control.table, control.clock, control.own.node_id, pace.pause_ms
     )
--- a/packages/gentianmill-node/src/gentianmill_node/call.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call.py
@@ -10,6 +10,8 @@
 
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_GATEWAY = 502
+ANSWER_MARGIN = 0.1
+MAX_ANSWER_MARGIN_MS = 100
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -48,7 +50,7 @@
             request_id=self.request_id,
             identity=self.identity,
             digest=self.digest,
-            time_left_ms=int(self.deadline_ms - now_ms),
+            time_left_ms=_guard_time(self.deadline_ms - now_ms),
             rank=self.rank,
             home=self.home,
             depth=self.depth,
@@ -167,6 +169,14 @@
         return answer
 
 
+def _guard_time(left_ms: float) -> int:
+    """Return the time left for the guard, less what its answer needs to arrive.
+
+    Otherwise the sender's timer ends first and a certain outcome becomes unknown.
+    """
+    return int(left_ms - min(left_ms * ANSWER_MARGIN, MAX_ANSWER_MARGIN_MS))
+
+
 def _damaged(code: ErrorCode, peer: str) -> GentianmillError:
     message = 'the response body differs from the one that was sent'
     return GentianmillError(code, 'answer', peer, message, Outcome.unknown)
--- a/packages/gentianmill-node/src/gentianmill_node/commit_pace.py
+++ b/packages/gentianmill-node/src/gentianmill_node/commit_pace.py
@@ -1,9 +1,9 @@
 """Pause between commits, so that all nodes together respect the write budget."""
 
 from gentianmill.membership import MemberTable
+from gentianmill.sheet_version import SheetTracker
 
 from gentianmill_node.policy import Policy
-from gentianmill_node.sheet_source import SheetSource
 
 MS_PER_S = 1000
 
@@ -12,17 +12,17 @@
     """Divide the table's write budget among the nodes that commit claims."""
 
     def __init__(
-        self, members: MemberTable, sheets: SheetSource, policy: Policy
+        self, members: MemberTable, tracker: SheetTracker, policy: Policy
     ) -> None:
         """Create a pace.
 
         Args:
             members: Known members.
-            sheets: Gives the sheet in force.
+            tracker: Holds the sheet in force.
             policy: Holds the write budget.
         """
         self._members = members
-        self._sheets = sheets
+        self._tracker = tracker
         self._policy = policy
 
     def pause_ms(self) -> float:
@@ -31,7 +31,9 @@
         return MS_PER_S * max(self._committing(), 1) / budget
 
     def _committing(self) -> int:
-        sheet = self._sheets.required()
+        sheet = self._tracker.sheet
+        if sheet is None:
+            return 1
         services = {
             name
             for name in sheet.services
--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -188,14 +188,22 @@
             )
 
     async def _run_claimed(self, call: Call, claim: Claim) -> Answer:
+        claims = self._parts.claims
         try:
             answer = await self._run_admitted(call)
         except GentianmillError as error:
             if error.outcome.surely_not_run:
-                await self._parts.claims.release(claim)
+                await claims.release(claim)
+            else:
+                await claims.abandon(claim)
             raise
-        response = StoredResponse(answer.status, answer.headers, answer.body)
-        await self._parts.claims.record(claim, response)
+        except BaseException:
+            # It is not known whether the work ran, so the key stays claimed.
+            await claims.abandon(claim)
+            raise
+        await claims.record(
+            claim, StoredResponse(answer.status, answer.headers, answer.body)
+        )
         return answer
 
     async def _run_admitted(self, call: Call) -> Answer:
