--- a/tests/row_table.py
+++ b/tests/row_table.py
@@ -104,7 +104,7 @@
 
     def _serve(self) -> None:
         asyncio.set_event_loop(self._loop)
-        runner = web.AppRunner(self._app)
+        runner = web.AppRunner(self._app, access_log=None)
         self._loop.run_until_complete(runner.setup())
         self._loop.run_until_complete(web.SockSite(runner, self._socket).start())
         self._loop.run_forever()
