Report an unreadable field of a sheet once and keep positions

Cause: `protected: yes` on the first class was also reported as a wrong order at the next one, and an entry of the wrong type shifted the lines of later duplicate names. Ruled out: skipping the checks across fields when a field is unreadable, since all problems are listed at once. Change: unreadable values are left out of these checks, and names carry their position. Conclusion: tests cover both, and files with a byte order mark or CRLF.

--- a/packages/gentianmill/src/gentianmill/_operation_checks.py
+++ b/packages/gentianmill/src/gentianmill/_operation_checks.py
@@ -42,7 +42,8 @@
         name = operation.get('name')
         if isinstance(name, str) and name in names:
             file.add_problem((*here, 'name'), 'each name once', show_value(name))
-        names.add(str(name))
+        elif isinstance(name, str):
+            names.add(name)
         route = _route(operation)
         first = routes.setdefault(route, index)
         if route is not None and first != index:
--- a/packages/gentianmill/src/gentianmill/sheet_file.py
+++ b/packages/gentianmill/src/gentianmill/sheet_file.py
@@ -1,7 +1,6 @@
 """Read and check a planning sheet."""
 
 import re
-from typing import Any
 
 from gentianmill._operation_checks import Fields, check_operations, entries, mappings
 from gentianmill._model_file import check_model
@@ -10,6 +9,8 @@
 from gentianmill.file_problem import FileError, FileProblem
 from gentianmill.sheet_models import SheetModel
 
+Names = list[tuple[int, str]]
+
 # A service is one segment of the callers' path and of the claims' row keys.
 _SERVICE_NAME = re.compile('[A-Za-z0-9._-]+')
 
@@ -39,7 +40,7 @@
     model = None
     if isinstance(file.data, dict):
         model = check_model(file, SheetModel)
-        _check_names(file, 'regions', entries(file.data, 'regions'))
+        _check_names(file, 'regions', _region_names(file.data))
         _check_classes(file, file.data)
         _check_services(file, file.data)
     if model is None or file.problems:
@@ -47,32 +48,42 @@
     return model
 
 
-def _check_names(file: YamlFile, field: str, names: list[Any]) -> None:
+def _check_names(file: YamlFile, field: str, names: Names) -> None:
     seen: set[str] = set()
-    for index, name in enumerate(names):
-        if isinstance(name, str) and name in seen:
+    for index, name in names:
+        if name in seen:
             file.add_problem((field, index), 'each name once', show_value(name))
-        seen.add(str(name))
+        seen.add(name)
+
+
+def _region_names(data: Fields) -> Names:
+    regions = enumerate(entries(data, 'regions'))
+    return [(index, name) for index, name in regions if isinstance(name, str)]
 
 
 def _check_classes(file: YamlFile, data: Fields) -> None:
-    classes = [entry for _, entry in mappings(data, 'classes')]
-    _check_names(file, 'classes', [entry.get('name') for entry in classes])
+    _check_names(file, 'classes', _class_names(data))
     seen_unprotected = False
     for index, entry in mappings(data, 'classes'):
-        protected = entry.get('protected') is True
-        if protected and seen_unprotected:
+        # An unreadable value is None and no reason for a second problem.
+        protected = entry.get('protected', False)
+        if protected is True and seen_unprotected:
             file.add_problem(
                 ('classes', index, 'protected'),
                 'protected classes before all others',
                 'a protected class after an unprotected one',
             )
-        seen_unprotected = seen_unprotected or not protected
+        seen_unprotected = seen_unprotected or protected is False
 
 
-def _check_services(file: YamlFile, data: Fields) -> None:
+def _class_names(data: Fields) -> Names:
     classes = mappings(data, 'classes')
-    known = {str(entry.get('name')) for _, entry in classes}
+    named = ((index, entry.get('name')) for index, entry in classes)
+    return [(index, name) for index, name in named if isinstance(name, str)]
+
+
+def _check_services(file: YamlFile, data: Fields) -> None:
+    known = {name for _, name in _class_names(data)}
     services = data.get('services')
     if not isinstance(services, dict):
         return
--- a/tests/test_sheet_file.py
+++ b/tests/test_sheet_file.py
@@ -130,6 +130,31 @@
     assert _problems(text) == [(6, 'classes[2].protected')]
 
 
+def test_an_unreadable_field_is_reported_once():
+    """Guards against a second problem that sends the planner to a good line."""
+    text = GOOD.replace('protected: true', 'protected: yes').replace(
+        '{name: quotes}', '{name: quotes, protected: true}'
+    )
+    assert _problems(text) == [(4, 'classes[0].protected')]
+
+
+def test_problems_keep_the_position_after_a_broken_entry():
+    """Guards against a line that belongs to another entry."""
+    text = GOOD.replace(
+        '- {name: quotes}', '- 5\n  - {name: quotes}\n  - {name: quotes}'
+    )
+    assert _problems(text) == [(5, 'classes[1]'), (7, 'classes[3]')]
+
+
+@pytest.mark.parametrize('form', ['\ufeffGOOD', 'GOOD\n...\n'])
+def test_reads_what_editors_write(form: str):
+    """Guards against refusing a good sheet for its byte order mark."""
+    text = form.replace('GOOD', GOOD)
+    assert load_sheet(text, 'sheet.yaml').deployment == 'example'
+    windows = text.replace('\n', '\r\n')
+    assert load_sheet(windows, 'sheet.yaml').deployment == 'example'
+
+
 def test_refuses_duplicate_names():
     """Guards against two classes or regions that cannot be told apart."""
     text = GOOD.replace('[north, south]', '[north, north]').replace(
