--- a/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -145,5 +145,6 @@
     return defopt.run(
         list(COMMANDS),
         argv=arguments,
+        no_negated_flags=True,
         argparse_kwargs={'prog': 'gentianmillctl', 'epilog': EXIT_CODE_HELP},
     )
