Check the claim protocol with a model checker

Cause: interleavings of lost answers, late writes, crashes and resends are too many for examples. Ruled out: three calls without merging states that differ only in the order of the calls; that exceeded 200,000 states. Bounds of the model: one key, 3 calls, one late insert for each call.

--- /dev/null
+++ b/tests/models/claim_model.py
@@ -0,0 +1,237 @@
+"""Specification of the claim protocol for the model checker.
+
+Several calls with one key arrive at different guards (the later ones are
+resends). The table may lose answers, writes may take effect late, and guards
+may crash or pause; a pause is any number of steps of others in between.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from gentianmill.claims import ClaimStep
+
+CRASHED = 'crashed'
+IDLE = 'idle'
+NO_ROW = 0
+UNSENT = frozenset(
+    (ClaimStep.wanted, ClaimStep.sent, ClaimStep.unresolved, ClaimStep.held)
+)
+VARIANTS = {
+    'take_over_crashed_claim': 2,
+    'overwrite_after_lost_answer': 2,
+    'run_before_claim': 2,
+    'run_after_lost_answer': 2,
+    'run_after_not_run_answer': 2,
+    'delete_without_fencing': 3,
+    'not_run_although_running': 2,
+}
+"""Known-bad protocols, and the calls that it takes to refute them."""
+
+
+class Call(NamedTuple):
+    """One call and the claim that its guard makes for it."""
+
+    step: str = IDLE
+    wire: str = ''
+    """The write under way: ``out``, ``applied`` or ``refused``; empty if none."""
+
+    late: bool = False
+    """An insert whose sender no longer waits may still take effect; at most one
+    for each call, to keep the model finite."""
+
+    doubtful: bool = False
+    told_not_run: bool = False
+    ran: bool = False
+
+    def put(self, **changes: object) -> 'Call':
+        """Return a copy with some fields changed."""
+        return self._replace(**changes)
+
+
+State = tuple[int, tuple[Call, ...]]
+Steps = Iterator[tuple[str, int, Call]]
+"""Name of the step, the row after it, the call after it."""
+
+
+def hold(call: Call) -> Call:
+    """Return a call whose row was confirmed."""
+    return call.put(step=ClaimStep.releasing if call.told_not_run else ClaimStep.held)
+
+
+def want(call: Call) -> Call:
+    """Return a call whose row was found absent."""
+    if not call.told_not_run:
+        return call.put(step=ClaimStep.wanted)
+    return call.put(step=ClaimStep.releasing if call.doubtful else ClaimStep.done)
+
+
+def claim_steps(row: int, call: Call, me: int) -> Steps:
+    """Yield the steps up to the decision who holds the key."""
+    if call.step == IDLE:
+        yield 'open', row, call.put(step=ClaimStep.wanted)
+    if call.step == ClaimStep.wanted:
+        yield 'send', row, call.put(step=ClaimStep.sent, wire='out')
+    if call.step == ClaimStep.sent:
+        yield from answer_steps(row, call)
+    if call.wire == 'out' and row == NO_ROW:
+        yield 'effect', me, call.put(wire='applied')
+    elif call.wire == 'out':
+        yield 'effect', row, call.put(wire='refused')
+    if call.late:
+        yield 'late_effect', row or me, call.put(late=False)
+        yield 'late_loss', row, call.put(late=False)
+    if call.step == ClaimStep.unresolved:
+        yield 'read', row, read(row, call, me)
+
+
+def answer_steps(row: int, call: Call) -> Steps:
+    """Yield what the guard may learn about its write."""
+    unsure = call.put(step=ClaimStep.unresolved, wire='', doubtful=True)
+    if call.wire == 'applied':
+        yield 'answer_applied', row, hold(call.put(wire=''))
+    if call.wire == 'refused':
+        yield 'answer_refused', row, call.put(wire='', step=ClaimStep.unresolved)
+    if call.wire == 'out':
+        yield 'answer_lost', row, unsure.put(late=True)
+    yield 'answer_lost', row, unsure
+
+
+def read(row: int, call: Call, me: int) -> Call:
+    """Return a call after its row was read: the claim id decides."""
+    if row == me:
+        return hold(call)
+    if row == NO_ROW:
+        return want(call)
+    return call.put(step=ClaimStep.releasing if call.doubtful else ClaimStep.lost)
+
+
+def run_steps(row: int, call: Call) -> Steps:
+    """Yield the steps of a call whose claim is held, and of giving up."""
+    if call.step == ClaimStep.held:
+        yield 'take', row, call.put(step=ClaimStep.running)
+    if call.step == ClaimStep.running and not call.ran:
+        yield 'run', row, call.put(ran=True)
+        yield 'release', row, call.put(step=ClaimStep.releasing, told_not_run=True)
+    if call.step == ClaimStep.running and call.ran:
+        yield 'record', row, call.put(step=ClaimStep.recording)
+    if call.step == ClaimStep.recording:
+        yield 'record_applied', row, call.put(step=ClaimStep.done)
+        yield 'record_lost', row, call
+    if call.step in UNSENT and not call.told_not_run:
+        yield 'release', row, release(call)
+    if call.step not in {IDLE, CRASHED, ClaimStep.done, ClaimStep.lost}:
+        late = call.late or call.wire == 'out'
+        yield 'crash', row, call.put(step=CRASHED, wire='', late=late)
+
+
+def release(call: Call) -> Call:
+    """Return a call that was told ``not_run`` before its claim was taken."""
+    told = call.put(told_not_run=True)
+    if call.step == ClaimStep.wanted:
+        return want(told)
+    return hold(told) if call.step == ClaimStep.held else told
+
+
+def release_steps(row: int, call: Call, me: int) -> Steps:
+    """Yield the steps that delete the row of a released claim."""
+    again = call.put(step=ClaimStep.releasing)
+    done = call.put(step=ClaimStep.done)
+    if call.step == ClaimStep.releasing and row == me:
+        yield 'read', row, call.put(step=ClaimStep.deleting)
+    elif call.step == ClaimStep.releasing and not call.late:
+        yield 'settle', row, done
+    if call.step == ClaimStep.deleting and row == me:
+        yield 'delete_applied', NO_ROW, again if call.doubtful else done
+        yield 'delete_lost_after_effect', NO_ROW, again
+        yield 'delete_lost', row, again
+
+
+def bad_steps(variant: str, state: State, me: int) -> Steps:
+    """Yield the additional steps of a known-bad protocol."""
+    row, calls = state
+    call = calls[me - 1]
+    run = call.put(step=ClaimStep.running)
+    if _may_seize(variant, state, call):
+        yield variant, me, run
+    if _may_run(variant, call, row == me):
+        yield variant, row, run
+    if variant == 'delete_without_fencing' and call.step == ClaimStep.releasing:
+        yield variant, NO_ROW, call.put(step=ClaimStep.done)
+    if variant == 'not_run_although_running' and call.ran:
+        yield variant, row, call.put(told_not_run=True)
+
+
+def _may_seize(variant: str, state: State, call: Call) -> bool:
+    row, calls = state
+    if variant == 'take_over_crashed_claim':
+        gone = bool(row) and calls[row - 1].step == CRASHED
+        return gone and call.step == ClaimStep.lost
+    unsure = call.step == ClaimStep.unresolved and call.doubtful
+    return variant == 'overwrite_after_lost_answer' and unsure
+
+
+def _may_run(variant: str, call: Call, owns: bool) -> bool:
+    if variant == 'run_before_claim':
+        return call.step == ClaimStep.wanted
+    if variant == 'run_after_lost_answer':
+        return call.step == ClaimStep.unresolved and call.doubtful
+    late = call.step == ClaimStep.releasing and call.doubtful and owns
+    return variant == 'run_after_not_run_answer' and late
+
+
+def transitions_of(
+    variant: str, *, merge: bool
+) -> Callable[[State], list[tuple[str, State]]]:
+    """Return the transition function of the protocol or of a variant of it."""
+
+    def transitions(state: State) -> list[tuple[str, State]]:
+        row, calls = state
+        found = []
+        for me, call in enumerate(calls, start=1):
+            for name, new_row, new_call in (
+                *claim_steps(row, call, me),
+                *run_steps(row, call),
+                *release_steps(row, call, me),
+                *bad_steps(variant, state, me),
+            ):
+                after = (new_row, (*calls[: me - 1], new_call, *calls[me:]))
+                found.append((f'{name}:{me}', canonical(after) if merge else after))
+        return found
+
+    return transitions
+
+
+def canonical(state: State) -> State:
+    """Return the state with the calls in a fixed order.
+
+    Calls are interchangeable, so states that differ in their order only are
+    one state to the checker.
+    """
+    row, calls = state
+    order = sorted(
+        range(len(calls)), key=lambda place: (calls[place], place + 1 == row)
+    )
+    new_row = order.index(row - 1) + 1 if row else NO_ROW
+    return new_row, tuple(calls[place] for place in order)
+
+
+def claim_protocol(calls: int, variant: str = '', *, merge: bool = True) -> Protocol:
+    """Return the protocol, or a known-bad variant, for a number of calls.
+
+    With ``merge``, the numbers in labels are places in the canonical order.
+    """
+    return Protocol(
+        name=variant or 'claims',
+        candidate=bool(variant),
+        fields=('row', 'calls'),
+        initial=(NO_ROW, (Call(),) * calls),
+        transitions=transitions_of(variant, merge=merge),
+        invariants={
+            'at_most_once': lambda at: sum(call.ran for call in at['calls']) <= 1,
+            'not_run_means_no_execution': lambda at: (
+                not any(call.ran and call.told_not_run for call in at['calls'])
+            ),
+        },
+    )
