Widen a tier also when its best member is slow

Cause: with one endpoint of a service per zone, a slowed member is the whole nearest tier, and its load alone crosses the bound late. Change: the next tier is added when the best expected latency is 1.5 times the usual one and removed at 1.2 times.

--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -43,7 +43,7 @@
 
     def normal_ms(self, state: RouteState) -> float:
         """Return the median latency of members as far away as this one, in ms."""
-        return self._normal_ms.get(state.tier > 1, float('inf'))
+        return self._normal_ms.get(state.tier > 1) or float('inf')
 
     def review(self, states: Sequence[RouteState], now_ms: float) -> None:
         """Eject and readmit members; does nothing until a review is due.
--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -8,6 +8,8 @@
 REFRESH_MS = 20
 LEAVE_LOAD = 0.8
 RETURN_LOAD = 0.6
+LEAVE_SLOWNESS = 1.5
+RETURN_SLOWNESS = 1.2
 
 
 class RouteTable:
@@ -97,13 +99,21 @@
             self._widened[tier] = self._is_overloaded(tier, now_ms)
 
     def _is_overloaded(self, tier: int, now_ms: float) -> bool:
-        inside = [state for state in self._states.values() if state.tier <= tier]
-        bound = RETURN_LOAD if self._widened[tier] else LEAVE_LOAD
-        return _load(inside, now_ms) > bound
+        inside = [
+            state
+            for state in self._states.values()
+            if state.tier <= tier and state.admissible(now_ms)
+        ]
+        load_bound = RETURN_LOAD if self._widened[tier] else LEAVE_LOAD
+        slow_bound = RETURN_SLOWNESS if self._widened[tier] else LEAVE_SLOWNESS
+        slowness = min(
+            (state.expected_ms(now_ms) / self.normal_ms(state) for state in inside),
+            default=0,
+        )
+        return slowness > slow_bound or _load(inside, now_ms) > load_bound
 
 
-def _load(states: list[RouteState], now_ms: float) -> float:
-    usable = [state for state in states if state.admissible(now_ms)]
+def _load(usable: list[RouteState], now_ms: float) -> float:
     limit = sum(state.load.limit for state in usable)
     if not limit:
         return 0
