Eject again after one slow probe and keep affinity off probes

Cause: readmission by three probes sent about 0.7% of the calls to members that were still slow. Change: one outlying probe ejects again, three normal ones readmit; calls with affinity, which can't be hedged, are not used as probes.

--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -97,7 +97,7 @@
 def _is_outlier(state: RouteState, normal_ms: float, failures: float) -> bool:
     if state.failure_share > max(FAILURE_LIMIT, failures + FAILURE_MARGIN):
         return True
-    enough = PROBES if state.probing else MIN_OBSERVATIONS
+    enough = 1 if state.probing else MIN_OBSERVATIONS
     if state.latency.count < enough:
         return False
     return state.latency.value_ms > LATENCY_RATIO * normal_ms + LATENCY_MARGIN_MS
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -167,7 +167,7 @@
             return None
         chosen = table.preferred(affinity)
         state = table.states.get(chosen or '')
-        if state is None or not state.admissible(now_ms):
+        if state is None or state.probing or not state.admissible(now_ms):
             return None
         in_flight = state.load.in_flight(now_ms)
         slow = state.expected_ms(now_ms) > AFFINITY_SLOWNESS * table.normal_ms(state)
