Score a member without latency like a usual one

Cause: a member whose latency was unknown scored as if it took 1 ms, so calls that widened to another region went there first. Change: an unknown latency counts as the usual one of the service.

--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -1,5 +1,6 @@
 """Which member a call is sent to."""
 
+import math
 import random
 
 from gentianmill.member import Member
@@ -185,6 +186,10 @@
         return min(own, best, key=lambda state: self._score(state, now_ms))
 
     def _score(self, state: RouteState, now_ms: float) -> float:
-        latency_ms = state.expected_ms(now_ms) or UNKNOWN_LATENCY_MS
+        latency_ms = state.expected_ms(now_ms) or self._usual_ms(state)
         weight = state.weight(now_ms, self._limits.slow_start_ms)
         return (state.load.in_flight(now_ms) + 1) * latency_ms / weight
+
+    def _usual_ms(self, state: RouteState) -> float:
+        usual_ms = self._tables[state.member.service].normal_ms(state)
+        return usual_ms if math.isfinite(usual_ms) else UNKNOWN_LATENCY_MS
