--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -43,7 +43,7 @@
 
     def normal_ms(self, state: RouteState) -> float:
         """Return the median latency of members as far away as this one, in ms."""
-        return self._normal_ms.get(state.tier > 1, float('inf'))
+        return self._normal_ms.get(state.tier > 1) or float('inf')
 
     def review(self, states: Sequence[RouteState], now_ms: float) -> None:
         """Eject and readmit members; does nothing until a review is due.
@@ -97,7 +97,7 @@
 def _is_outlier(state: RouteState, normal_ms: float, failures: float) -> bool:
     if state.failure_share > max(FAILURE_LIMIT, failures + FAILURE_MARGIN):
         return True
-    enough = PROBES if state.probing else MIN_OBSERVATIONS
+    enough = 1 if state.probing else MIN_OBSERVATIONS
     if state.latency.count < enough:
         return False
     return state.latency.value_ms > LATENCY_RATIO * normal_ms + LATENCY_MARGIN_MS
