--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -45,7 +45,7 @@
     zone: str
     slots: int = 32
     latency_ms: float = 2.0
-    files: str = '/files'
+    files: str = '/files/{name}'
     calls: dict[str, list[str]] = dataclasses.field(default_factory=dict)
 
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -51,7 +51,7 @@
         self._waiting = 0
         self._in_flight = 0
         self._log_path = arguments.log
-        self._file_prefixes = arguments.files.split(',')
+        self._file_patterns = arguments.files.split(',')
         self._cold_until = time.monotonic() + arguments.cold_s
         self._session: aiohttp.ClientSession | None = None
 
@@ -60,8 +60,8 @@
         app = web.Application(client_max_size=16 * 1024 * 1024)
         app.router.add_get('/health', self._health)
         app.router.add_post('/_control/behaviour', self._set_behaviour)
-        for prefix in self._file_prefixes:
-            app.router.add_get(prefix + '/{name}', self._file)
+        for pattern in self._file_patterns:
+            app.router.add_get(pattern, self._file)
         app.router.add_route('*', '/{path:.*}', self._work)
         app.cleanup_ctx.append(self._client)
         return app
@@ -209,7 +209,9 @@
     parser.add_argument('--cold-s', type=float, default=0)
     parser.add_argument('--egress', default='', help='URL of the node egress listener')
     parser.add_argument('--calls', default='{}', help='JSON: path to list of own calls')
-    parser.add_argument('--files', default='/files', help='path prefixes of files')
+    parser.add_argument(
+        '--files', default='/files/{name}', help='path patterns of files'
+    )
     parser.add_argument('--log', default='')
     arguments = parser.parse_args()
 
