--- a/bench/measure.py
+++ b/bench/measure.py
@@ -10,8 +10,11 @@
     {
         'blocking': 'bench.blocking',
         'crest': 'bench.crest',
+        'control': 'bench.control',
         'goodput': 'bench.goodput',
+        'overhead': 'bench.overhead',
         'recovery': 'bench.recovery',
+        'tail': 'bench.tail',
     }
 )
 """Module of each measurement; it has ``run(seeds) -> dict``."""
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -67,7 +67,7 @@
             result.outcome = await self._send(request, result)
             result.outcomes.append(result.outcome)
             settled = result.outcome == 'answered' or result.fault
-            if settled or result.outcomes[-MAX_UNKNOWN:] == ['unknown'] * MAX_UNKNOWN:
+            if settled or result.outcomes.count('unknown') >= MAX_UNKNOWN:
                 break
             await asyncio.sleep(PAUSE_S)
         result.latency_ms = (time.monotonic() - start) * 1000
