Tighten the tests of sheet refusals and lost answers

Ruled out: dropping the broad test of broken files; it guards against crashes. Change: refusals are tested with otherwise good sheets and their exact reason; conflicts without a lost answer must carry no note. Conclusion: each refusal has a test of its own.

--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -165,6 +165,7 @@
     assert fields['differences'] == [
         {'field': 'retry.bound', 'ours': '6', 'theirs': '4'}
     ]
+    assert fields['notes'] == []
     assert _row(table)['submission_id'] == 'of-ben'
 
 
@@ -175,6 +176,7 @@
     fields = json.loads(capsys.readouterr().out)
     assert fields['version'] == 1
     assert fields['differences'] == []
+    assert fields['notes'] == []
     assert _row(table)['accepted_by'] == 'ben'
 
 
--- a/tests/test_sheet_file.py
+++ b/tests/test_sheet_file.py
@@ -243,6 +243,26 @@
     assert _problems(text)
 
 
+@pytest.mark.parametrize(
+    ('old', 'new', 'expected'),
+    [
+        ('[north, south]', '&a [north, south]', 'no anchors and aliases'),
+        ('[north, south]', '[&a north, *a]', 'no anchors and aliases'),
+        ('bound: 6', 'bound: !!int "6"', 'no tags'),
+        ('example', '!!str example', 'no tags'),
+        ('example', f'example #{"x" * 1024 * 1024}', 'at most 1048576 bytes'),
+        ('  bound: 6\n', '  bound: 6\n---\n', 'one document'),
+        ('example', f'{"[" * 17}x{"]" * 17}', 'at most 16 levels of nesting'),
+    ],
+)
+def test_refuses_what_a_reader_cannot_bound(old: str, new: str, expected: str):
+    """Guards against an otherwise good sheet that expands, or builds objects."""
+    assert old in GOOD
+    with pytest.raises(SheetFileError) as caught:
+        load_sheet(GOOD.replace(old, new), 'sheet.yaml')
+    assert [problem.expected for problem in caught.value.problems] == [expected]
+
+
 @given(strategies.text(max_size=200))
 def test_never_fails_otherwise(text: str):
     """Guards against an exception that is no list of problems."""
@@ -270,3 +290,11 @@
         load_sheet(': '.join(parts), 'sheet.yaml')
     except SheetFileError as error:
         assert error.problems
+
+
+def test_does_not_parse_an_oversized_file():
+    """Guards against time spent on a file that is refused anyway."""
+    with pytest.raises(SheetFileError) as caught:
+        load_sheet('[' * (1024 * 1024 + 1), 'sheet.yaml')
+    expected = [problem.expected for problem in caught.value.problems]
+    assert expected == ['at most 1048576 bytes']
