Keep the commit loop alive after unexpected errors

Cause: an exception that is not a table error, such as aiohttp's 'Session is closed', ended the loop; no response would have been recorded any more, and claims would have waited for their deadlines. Change: such a write counts as one with unknown result, the table counts as down until a read succeeds, and the error is logged. Tests also cover the bound on unwritten response bytes and the store over real HTTP.

--- a/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
@@ -154,6 +154,11 @@
         except GentianmillError as error:
             self._set_down(error)
             return False
+        except Exception as failure:
+            # The loop must survive: it alone writes what calls have left.
+            log.exception('claims: unexpected error')
+            self._set_down(_unavailable(f'unexpected {failure!r}'))
+            return False
         if self._down:
             log.info('claims: table available again')
         self._down = False
@@ -181,6 +186,9 @@
             # Reading back decides; if that fails too, the table is down.
             self._book.on_unknown(batch)
             return
+        except Exception:
+            self._book.on_unknown(batch)
+            raise
         if failed:
             self._book.on_conflict(batch, failed)
         else:
--- a/tests/test_claim_store.py
+++ b/tests/test_claim_store.py
@@ -10,12 +10,14 @@
 from gentianmill.claims import ClaimRow
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.outcome import Outcome
+from gentianmill_node import _claim_committer as committer
 from gentianmill_node.claim_store import (
     Claim,
     ClaimRequest,
     ClaimStore,
     StoredResponse,
 )
+from http_platform import http_store
 from in_turn import in_turn
 from standins.faults import FaultMode, Faults
 from standins.table import MemoryTableStore, SimulatedTable
@@ -384,3 +386,75 @@
             assert await _code(store.claim(_request(''))) == bad
 
     run_virtual(run())
+
+
+class _BrokenOnce(MemoryTableStore):
+    """A client with a bug that shows in its first write."""
+
+    def __init__(self, table: SimulatedTable) -> None:
+        super().__init__(table)
+        self._broken = True
+
+    async def transact(self, writes):
+        """Fail once with an error that is not one of the table's."""
+        if self._broken:
+            self._broken = False
+            raise RuntimeError('session is closed')
+        return await super().transact(writes)
+
+
+def test_unexpected_errors_do_not_stop_the_loop():
+    """Guards against one bug that ends all writing of a node."""
+    table = SimulatedTable()
+
+    async def run() -> None:
+        store = ClaimStore(_BrokenOnce(table), LoopClock(), 'n', lambda: PAUSE_MS)
+        await store.start()
+        refused = (ErrorCode.store_unavailable, Outcome.not_run)
+        assert await _code(store.claim(_request())) == refused
+        await asyncio.sleep(1)
+        claim = await _claimed(store, _request())
+        await store.record(claim, RESPONSE)
+        await asyncio.sleep(60)
+        assert store.size == 0
+        await store.close()
+
+    run_virtual(run())
+
+
+def test_memory_is_bounded(monkeypatch):
+    """Guards against claims that pile up while writing is slow."""
+    monkeypatch.setattr(committer, 'MAX_RESPONSE_BYTES', 1000)
+    table = SimulatedTable()
+
+    async def run() -> None:
+        async with _stores(table) as stores:
+            claim = await _claimed(stores[0], _request())
+            table.gate.faults = Faults(mode=FaultMode.slow, delay_ms=300)
+            await stores[0].record(claim, StoredResponse(200, {}, b'x' * 1000))
+            refused = (ErrorCode.store_unavailable, Outcome.not_run)
+            assert await _code(stores[0].claim(_request('a'))) == refused
+            await asyncio.sleep(1)
+            await stores[0].release(await _claimed(stores[0], _request('a')))
+
+    run_virtual(run())
+
+
+def test_claims_over_http_with_lost_answers():
+    """Guards against a protocol that holds only for the in-memory table."""
+
+    async def run() -> None:
+        async with http_store() as (table, platform):
+            platform.gate.faults = Faults(mode=FaultMode.lose_answers)
+            stores = [
+                ClaimStore(table, LoopClock(), name, lambda: 1) for name in ('a', 'b')
+            ]
+            await asyncio.gather(*(store.start() for store in stores))
+            claim = await _claimed(stores[0], _request('k/1'))
+            resend = asyncio.ensure_future(stores[1].claim(_request('k/1')))
+            await stores[0].record(claim, RESPONSE)
+            assert await resend == RESPONSE
+            platform.gate.faults = Faults()
+            await asyncio.gather(*(store.close(100) for store in stores))
+
+    asyncio.run(run())
--- a/tests/test_http_table.py
+++ b/tests/test_http_table.py
@@ -5,42 +5,26 @@
 from collections.abc import AsyncIterator, Awaitable
 
 import pytest
-from aiohttp import ClientSession, web
+from aiohttp import ClientSession
 
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.settings_models import TableModel
 from gentianmill_node.http_table import HttpTableStore
 from gentianmill_node.table_client import TableStore, TableWrite
+from http_platform import http_store
 from standins.faults import FaultMode, Faults, RateLimit
-from standins.platform import Platform
 from standins.table import MemoryTableStore, SimulatedTable
 
 ODD_KEYS = ('claims/a/b/c', 'a%2Fb', 'a b?c#d&e', 'é%25', '..')
 
 
-@contextlib.asynccontextmanager
-async def _http_store(timeout_ms: int = 2000) -> AsyncIterator[tuple]:
-    platform = Platform()
-    # As with web.run_app, a handler continues after its client has gone.
-    runner = web.AppRunner(platform.application())
-    await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', 0).start()
-    url = f'http://127.0.0.1:{runner.addresses[0][1]}'
-    try:
-        async with ClientSession() as session:
-            settings = TableModel(url=url, timeout_ms=timeout_ms)
-            yield HttpTableStore(settings, session), platform
-    finally:
-        await runner.cleanup()
-
-
 @contextlib.asynccontextmanager
 async def _memory_store() -> AsyncIterator[tuple]:
     table = SimulatedTable()
     yield MemoryTableStore(table), table
 
 
-both_stores = pytest.mark.parametrize('make', [_http_store, _memory_store])
+both_stores = pytest.mark.parametrize('make', [http_store, _memory_store])
 
 
 async def _error_of(operation: Awaitable[object]) -> GentianmillError:
@@ -110,7 +94,7 @@
     """Guards against treating a timed-out write as one that had no effect."""
 
     async def run() -> None:
-        async with _http_store(timeout_ms=50) as (store, platform):
+        async with http_store(timeout_ms=50) as (store, platform):
             platform.gate.faults = Faults(mode=FaultMode.slow, delay_ms=200)
             await _error_of(store.transact([_put('a', 0)]))
             platform.gate.faults = Faults()
@@ -125,7 +109,7 @@
     """Guards against errors of the HTTP library that reach callers."""
 
     async def run() -> None:
-        async with _http_store() as (store, platform):
+        async with http_store() as (store, platform):
             platform.objects['rows'] = b'not msgpack'
             async with ClientSession() as session:
                 base = f'{store._url}/objects'
@@ -154,7 +138,7 @@
     """Guards against a fault switch that is accepted but ignored."""
 
     async def run() -> None:
-        async with _http_store() as (store, platform), ClientSession() as http:
+        async with http_store() as (store, platform), ClientSession() as http:
             url = f'{store._url}/faults'
             for wrong in ({'mode': 'odd'}, {'other': 1}):
                 async with http.post(url, json=wrong) as refused:
@@ -174,7 +158,7 @@
     """Guards against an object store that loses bytes."""
 
     async def run() -> None:
-        async with _http_store() as (store, _), ClientSession() as http:
+        async with http_store() as (store, _), ClientSession() as http:
             url = f'{store._url}/objects/guides/finishing.pdf'
             async with http.get(url) as absent:
                 assert absent.status == 404
