Answer resends from memory until the response is recorded

Change: a call stays joinable until the write of its response took effect. Ruled out: a cache of recorded responses; the table has them, and memory would need another bound.

--- a/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
@@ -45,9 +45,21 @@
     """Write claims, responses and releases; keep trying through outages."""
 
     def __init__(
-        self, table: TableStore, clock: Clock, pause_ms: Callable[[], float]
+        self,
+        table: TableStore,
+        clock: Clock,
+        pause_ms: Callable[[], float],
+        on_done: Callable[[Claim], None],
     ) -> None:
-        """Create a committer; see ``ClaimStore`` for the arguments."""
+        """Create a committer.
+
+        Args:
+            table: The table service.
+            clock: Clock of the deadlines.
+            pause_ms: Returns the pause after each transaction, in ms.
+            on_done: Called with each claim whose last write took effect.
+        """
+        self._on_done = on_done
         self._table = table
         self._clock = clock
         self._pause_ms = pause_ms
@@ -215,6 +227,8 @@
             future = self._decided.get(claim.row.claim_id)
             if future and not future.done() and claim.step not in UNDECIDED:
                 future.set_result(None)
+            if claim.step is ClaimStep.done:
+                self._on_done(claim)
 
     def _set_down(self, error: GentianmillError) -> None:
         if not self._down:
--- a/packages/gentianmill-node/src/gentianmill_node/claim_store.py
+++ b/packages/gentianmill-node/src/gentianmill_node/claim_store.py
@@ -46,9 +46,13 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Call:
-    """A call of this node that others with the same key may join."""
+    """A call of this node that others with the same key may join.
 
-    digest: bytes
+    It is kept until its response is recorded, so that a resend during an
+    outage gets the response instead of ``store_unavailable``.
+    """
+
+    claim: Claim
     end: 'asyncio.Future[StoredResponse | None]'
     """Set to the response, or to None if the key may be claimed again."""
 
@@ -82,7 +86,7 @@
         self._clock = clock
         self._node_id = node_id
         self._unix_s = unix_s
-        self._committer = ClaimCommitter(table, clock, pause_ms)
+        self._committer = ClaimCommitter(table, clock, pause_ms, self._forget)
         self._calls: dict[str, _Call] = {}
 
     @property
@@ -130,7 +134,8 @@
     async def record(self, claim: Claim, response: StoredResponse) -> None:
         """Keep the response of a call that ran; it is written in the background."""
         self._committer.book.record(claim, response)
-        self._finish(claim, response)
+        self._calls[claim.row.row_key].end.set_result(response)
+        self._committer.wake()
 
     async def release(self, claim: Claim) -> None:
         """Give up the claim of a call that certainly did not run."""
@@ -140,7 +145,7 @@
     async def abandon(self, claim: Claim) -> None:
         """Note that a call may have run and that no response will come."""
         self._committer.book.record(claim, None)
-        call = self._calls.pop(claim.row.row_key)
+        call = self._calls[claim.row.row_key]
         call.end.set_exception(_in_progress(claim.row))
         # Retrieved here, since there may be nobody who waits.
         call.end.exception()
@@ -161,7 +166,7 @@
         if len(self._calls) >= MAX_CLAIMS:
             raise _error(ErrorCode.overloaded, 'too many calls wait for claims')
         claim = self._committer.open(row)
-        call = _Call(request.digest, asyncio.get_running_loop().create_future())
+        call = _Call(claim, asyncio.get_running_loop().create_future())
         self._calls[row.row_key] = call
         try:
             response = await self._decide(request, claim)
@@ -183,7 +188,7 @@
         return await self._await_rival(request, claim)
 
     async def _join(self, call: _Call, request: ClaimRequest) -> StoredResponse | None:
-        _require_digest(call.digest, request)
+        _require_digest(call.claim.row.digest, request)
         wait_s = max(0, request.deadline_ms - self._clock.now_ms()) / MS_PER_S
         try:
             return await asyncio.wait_for(asyncio.shield(call.end), wait_s)
@@ -210,7 +215,7 @@
                 raise _in_progress(rival)
             await asyncio.sleep(max(1, min(pause_ms, left_ms)) / MS_PER_S)
             pause_ms = min(pause_ms * 2, LONGEST_POLL_MS)
-            rival = await self._find(rival)
+            rival = await _reread(self._table, rival)
         return None
 
     async def _poll(self, rival: ClaimRow) -> StoredResponse | None:
@@ -222,18 +227,24 @@
             raise _in_progress(rival)
         return None if found is None else found.response
 
-    async def _find(self, rival: ClaimRow) -> ClaimRow | None:
-        try:
-            found, _ = await read_row(self._table, rival.row_key)
-        except GentianmillError:
-            return rival
-        return found
-
     def _finish(self, claim: Claim, response: StoredResponse | None) -> None:
         call = self._calls.pop(claim.row.row_key)
         call.end.set_result(response)
         self._committer.wake()
 
+    def _forget(self, claim: Claim) -> None:
+        call = self._calls.get(claim.row.row_key)
+        if call is not None and call.claim is claim:
+            self._calls.pop(claim.row.row_key)
+
+
+async def _reread(table: TableStore, rival: ClaimRow) -> ClaimRow | None:
+    try:
+        found, _ = await read_row(table, rival.row_key)
+    except GentianmillError:
+        return rival
+    return found
+
 
 def _check_key(key: str, now_unix_ms: float) -> None:
     if not 0 < len(key) <= MAX_KEY_CHARS:
--- a/tests/test_claim_history.py
+++ b/tests/test_claim_history.py
@@ -274,7 +274,7 @@
     world = _run(seed)
     found = _faults_of(world.history)
     assert not any(found.values()), found
-    assert not any(node.store.size for node in world.nodes)
+    assert not any(node.store.size or node.store._calls for node in world.nodes)
 
 
 def test_runs_are_deterministic():
--- a/tests/test_claim_store.py
+++ b/tests/test_claim_store.py
@@ -238,6 +238,7 @@
             table.gate.faults = Faults(mode=FaultMode.down)
             await store.record(claim, RESPONSE)
             async for number in in_turn(range(20)):
+                assert await store.claim(_request()) == RESPONSE
                 assert await _code(store.claim(_request(f'n{number}'))) == refused
                 await asyncio.sleep(0.5)
             assert store.size <= 2
