State when the claim store may be closed

Cause: responses recorded after close are not written; the docstring did not say so. Change: docstring only.

--- a/packages/gentianmill-node/src/gentianmill_node/claim_store.py
+++ b/packages/gentianmill-node/src/gentianmill_node/claim_store.py
@@ -101,6 +101,9 @@
     async def close(self, limit_ms: float = 5000) -> None:
         """Refuse new claims and write what is left.
 
+        Call it after the last running call has ended: what is recorded later
+        is not written.
+
         Args:
             limit_ms: Longest wait, in ms, if the table is unavailable.
         """
