Keep a shared channel open while another call uses it

Cause: a refused call closed its channel, so that other calls to the same peer that shared it failed with connection_lost; found by four concurrent calls with a wrong key. Ruled out: one channel per call (a connection for each probe even in small deployments). Change: a GRPCError is an answer and keeps the channel; other failures take it out of the pool, and its last user closes it. Conclusion: one failed call no longer fails others.

--- a/packages/gentianmill-node/src/gentianmill_node/channel_pool.py
+++ b/packages/gentianmill-node/src/gentianmill_node/channel_pool.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 
 from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
 
 from gentianmill.clock import Clock
 
@@ -24,6 +25,7 @@
     channel: Channel
     used_ms: float
     users: int = 0
+    is_dropped: bool = False
 
 
 class ChannelPool:
@@ -47,9 +49,10 @@
 
     @contextlib.asynccontextmanager
     async def lend(self, address: Address) -> AsyncIterator[Channel]:
-        """Lend a channel; it is closed if the block raises.
+        """Lend a channel.
 
-        Waits while ``MAX_CHANNELS`` calls are running.
+        It is dropped if the block raises anything but a ``GRPCError``, which is
+        an answer of the peer, and closed when its last user has finished. Waits while ``MAX_CHANNELS`` calls are running.
 
         Args:
             address: Host and control port of the peer.
@@ -59,23 +62,27 @@
             entry.users += 1
             try:
                 yield entry.channel
+            except GRPCError:
+                raise
             except BaseException:
-                self._discard(address, entry)
+                self._drop(address, entry)
                 raise
             finally:
                 entry.users -= 1
+                _close_unused(entry)
 
     def close_idle(self) -> None:
         """Close the channels that were not used for ``IDLE_MS``."""
         limit_ms = self._clock.now_ms() - IDLE_MS
         for address, entry in list(self._entries.items()):
-            if not entry.users and entry.used_ms <= limit_ms:
-                self._discard(address, entry)
+            if entry.used_ms <= limit_ms:
+                self._drop(address, entry)
 
     def close(self) -> None:
         """Close all channels."""
-        for address, entry in list(self._entries.items()):
-            self._discard(address, entry)
+        for entry in self._entries.values():
+            entry.channel.close()
+        self._entries.clear()
 
     def _take(self, address: Address) -> _Entry:
         # Re-inserting keeps the entries in the order of their last use.
@@ -92,9 +99,15 @@
         idle = [address for address, entry in self._entries.items() if not entry.users]
         excess = len(self._entries) + 1 - MAX_CHANNELS
         for address in idle[: max(excess, 0)]:
-            self._discard(address, self._entries[address])
+            self._drop(address, self._entries[address])
 
-    def _discard(self, address: Address, entry: _Entry) -> None:
+    def _drop(self, address: Address, entry: _Entry) -> None:
         if self._entries.get(address) is entry:
             self._entries.pop(address)
+        entry.is_dropped = True
+        _close_unused(entry)
+
+
+def _close_unused(entry: _Entry) -> None:
+    if entry.is_dropped and not entry.users:
         entry.channel.close()
