Skip unusable seeds and test outages, seeds and a stopped process

Cause: a seed that is not host:port raised in the announcement step, so that the other seeds were not tried. Ruled out: failing the start; a wrong seed must not keep a node from joining. Change: unusable seeds are logged and skipped. Tests: join through seeds while the table is down, death found while the table is down, a process stopped with SIGSTOP is declared dead and refutes its death after SIGCONT.

--- a/packages/gentianmill-node/src/gentianmill_node/member_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/member_loop.py
@@ -180,7 +180,8 @@
         await self._announcer.refresh()
 
     async def _join_seeds(self) -> None:
-        seeds = set(map(_seed_address, self._settings.membership.seeds))
+        found = map(_seed_address, self._settings.membership.seeds)
+        seeds = {seed for seed in found if seed is not None}
         seeds.discard((self._table.own.host, self._table.own.control_port))
         await asyncio.gather(*[self._exchange.send_sync(seed) for seed in seeds])
 
@@ -218,9 +219,12 @@
         return False
 
 
-def _seed_address(seed: str) -> Address:
+def _seed_address(seed: str) -> Address | None:
     host, _, port = seed.rpartition(':')
-    return (host, int(port))
+    if host and port.isdecimal():
+        return (host, int(port))
+    _log.warning('membership: a seed is not host:port', seed=seed)
+    return None
 
 
 async def _within_close_limit(work: Awaitable[None]) -> None:
--- /dev/null
+++ b/tests/control_node_process.py
@@ -0,0 +1,23 @@
+"""A node in a process of its own, for tests that stop and continue it."""
+
+import asyncio
+import pathlib
+import sys
+
+from memory_table import MemoryTable
+from node_builder import ControlNode
+
+
+async def _run(key_file: str, node_id: str, port: str, seed: str) -> None:
+    table = MemoryTable()
+    table.is_down = True
+    node = ControlNode(
+        pathlib.Path(key_file), table, node_id, port=int(port), seeds=(seed,)
+    )
+    await node.start()
+    # The test ends the process; the limit only ends one that was left over.
+    await asyncio.sleep(60)
+
+
+if __name__ == '__main__':
+    asyncio.run(_run(*sys.argv[1:]))
