--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models that are checked exhaustively."""
