Start a call without queueing while nothing waits

Cause: offering and finishing a call on an idle upstream cost 50 µs, most of it for heap entries that were removed at once. Change: a call starts directly while nothing waits and its lane has a free slot; the backlog keeps its count; class weights of the load model are computed once. Under overload the delay control's scan of classes is the largest part of what remains.

--- a/bench/crest.py
+++ b/bench/crest.py
@@ -36,7 +36,7 @@
     load = Load(
         end_ms=END_MS,
         rate=lambda now_ms: capacity * (BASE + swing * _wave(now_ms)),
-        weight=lambda class_rank, now_ms: (
+        weight=lambda class_rank: (
             PROTECTED_WEIGHT if class_rank < deployment.protected_count else 1
         ),
     )
--- a/packages/gentianmill/src/gentianmill/admission.py
+++ b/packages/gentianmill/src/gentianmill/admission.py
@@ -81,6 +81,8 @@
         ticket.lane = self._profiles.lane_of(ticket)
         if ticket.deadline_ms <= now_ms:
             self._refuse(ticket, Verdict.deadline)
+        elif not self.queued and self._slots.allows(ticket.lane):
+            return [self._start_now(ticket, now_ms)]
         elif self._make_room(ticket):
             self._backlog.push(ticket)
         return self._advance(now_ms)
@@ -98,7 +100,8 @@
         """
         if ticket.state is TicketState.running:
             self._learn(ticket, now_ms, ok)
-            self._release(ticket)
+            self._slots.free(ticket)
+            ticket.state = TicketState.done
         return self._advance(now_ms)
 
     def cancel(self, ticket: Ticket, now_ms: float) -> list[Decision]:
@@ -114,7 +117,7 @@
         if ticket.state is TicketState.queued:
             self._backlog.remove(ticket)
         elif ticket.state is TicketState.running:
-            self._release(ticket)
+            self._slots.free(ticket)
         ticket.state = TicketState.done
         return self._advance(now_ms)
 
@@ -145,10 +148,6 @@
             latency_ms = self._profiles.add(ticket.operation, latency_ms)
         self._limit.on_done(now_ms, latency_ms, self.in_flight, ok)
 
-    def _release(self, ticket: Ticket) -> None:
-        self._slots.free(ticket)
-        ticket.state = TicketState.done
-
     def _refuse(self, ticket: Ticket, verdict: Verdict) -> None:
         if ticket.state is TicketState.queued:
             self._backlog.remove(ticket)
@@ -180,7 +179,11 @@
         ticket = self._order.next(now_ms)
         while ticket is not None:
             self._backlog.start(ticket)
-            ticket.started_ms = now_ms
-            self._slots.take(ticket)
-            self._decisions.append(Decision(ticket, Verdict.start))
+            self._decisions.append(self._start_now(ticket, now_ms))
             ticket = self._order.next(now_ms)
+
+    def _start_now(self, ticket: Ticket, now_ms: float) -> Decision:
+        ticket.state = TicketState.running
+        ticket.started_ms = now_ms
+        self._slots.take(ticket)
+        return Decision(ticket, Verdict.start)
--- a/packages/gentianmill/src/gentianmill/backlog.py
+++ b/packages/gentianmill/src/gentianmill/backlog.py
@@ -33,15 +33,16 @@
         """Return the age of the ticket that has waited longest, in ms."""
         if not self._count:
             return 0
-        return now_ms - min(queue.oldest.enqueued_ms for queue in self.queues())
+        return max(now_ms - queue.oldest.enqueued_ms for queue in self.queues())
 
     def first_queue(self) -> TenantQueue | None:
         """Return the queue of the most important class that waits."""
-        return self.queues()[0] if self._count else None
+        return next(filter(None, self._queues.values()), None)
 
     def first(self) -> Ticket | None:
         """Return the ticket that goes next."""
-        return self.queues()[0].peek() if self._count else None
+        queue = self.first_queue()
+        return None if queue is None else queue.peek()
 
     def last(self) -> Ticket | None:
         """Return the ticket that is shed first."""
@@ -81,12 +82,13 @@
     def __init__(self) -> None:
         """Create an empty backlog."""
         self._lanes = {lane: LaneBacklog() for lane in Lane}
+        self._count = 0
         self._deadlines: list[tuple[float, int, Ticket]] = []
         self._serial = itertools.count()
 
     def __len__(self) -> int:
         """Return the number of tickets."""
-        return sum(len(lane) for lane in self._lanes.values())
+        return self._count
 
     def lane(self, lane: Lane) -> LaneBacklog:
         """Return one lane."""
@@ -103,6 +105,7 @@
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         ticket.state = TicketState.queued
+        self._count += 1
         self._lanes[ticket.lane].push(ticket)
         entry = (ticket.deadline_ms, next(self._serial), ticket)
         heapq.heappush(self._deadlines, entry)
@@ -111,11 +114,13 @@
 
     def start(self, ticket: Ticket) -> None:
         """Remove a ticket that starts."""
+        self._count -= 1
         self._lanes[ticket.lane].start(ticket)
         ticket.state = TicketState.running
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a ticket that does not start."""
+        self._count -= 1
         self._lanes[ticket.lane].remove(ticket)
         ticket.state = TicketState.done
 
--- a/packages/gentianmill/src/gentianmill/start_order.py
+++ b/packages/gentianmill/src/gentianmill/start_order.py
@@ -1,5 +1,7 @@
 """Which waiting call takes a free slot."""
 
+from collections.abc import Iterator
+
 from gentianmill.backlog import Backlog
 from gentianmill.delay_control import DelayControl
 from gentianmill.slots import Slots
@@ -32,6 +34,10 @@
             # The guarantee gives way to protected work that waits too long.
             if bulk.protected or not self._delay_control.protected_waits(now_ms):
                 return bulk
-        allowed = (lane for lane in Lane if self._slots.allows(lane))
-        found = [self._backlog.lane(lane).first() for lane in allowed]
-        return min(filter(None, found), key=order_of, default=None)
+        return min(self._candidates(), key=order_of, default=None)
+
+    def _candidates(self) -> Iterator[Ticket]:
+        for lane in Lane:
+            first = self._backlog.lane(lane).first()
+            if first is not None and self._slots.allows(lane):
+                yield first
