Let long and bulk work use slots that other work leaves unused

Cause: the shares were hard caps. Change: the shares hold beside other work. Beyond them, long and bulk work may use what short work (and for bulk, long work) has not used in the last 10 to 20 s with a margin of one half; at least a tenth of the slots stays free for short work. Ruled out: a larger bulk_share in the sheet; it holds for every service, also for those where short work needs the slots.

--- a/packages/gentianmill/src/gentianmill/admission.py
+++ b/packages/gentianmill/src/gentianmill/admission.py
@@ -185,5 +185,5 @@
     def _start_now(self, ticket: Ticket, now_ms: float) -> Decision:
         ticket.state = TicketState.running
         ticket.started_ms = now_ms
-        self._slots.take(ticket)
+        self._slots.take(ticket, now_ms)
         return Decision(ticket, Verdict.start)
--- a/packages/gentianmill/src/gentianmill/slots.py
+++ b/packages/gentianmill/src/gentianmill/slots.py
@@ -8,8 +8,43 @@
 """Part of the slots that bulk work gets even while other work waits."""
 
 
+SHORT_RESERVE = 0.1
+"""Smallest part of the slots that is kept free of long and bulk work."""
+
+RESERVE_MARGIN = 1.5
+"""Slots kept for a kind of work, relative to those it used lately."""
+
+PEAK_MS = 10000
+"""Time over which the slots used lately are counted."""
+
+
+class _RecentPeak:
+    """Most calls of a lane that ran at once within the last 10 to 20 s."""
+
+    def __init__(self) -> None:
+        self._begin_ms: float = 0
+        self._current = 0
+        self._before = 0
+
+    @property
+    def reserve(self) -> int:
+        return int(RESERVE_MARGIN * max(self._current, self._before))
+
+    def note(self, running: int, now_ms: float) -> None:
+        if now_ms - self._begin_ms > PEAK_MS:
+            self._before = self._current
+            self._current = 0
+            self._begin_ms = now_ms
+        self._current = max(self._current, running)
+
+
 class Slots:
-    """Count running calls and say which lanes may start another."""
+    """Count running calls and say which lanes may start another.
+
+    Long and bulk work may hold their shares of the slots, and beyond these
+    what other work has not used lately, so that a service with only such
+    work is not left idle.
+    """
 
     def __init__(self, limits: LimitsModel, limit: ConcurrencyLimit) -> None:
         """Create slots that are all free.
@@ -23,6 +58,7 @@
         self._running = {lane: 0 for lane in Lane}
         self._unprotected = 0
         self._total = 0
+        self._peaks = {lane: _RecentPeak() for lane in Lane}
 
     @property
     def in_flight(self) -> int:
@@ -34,11 +70,12 @@
         """Return the number of running calls that are not protected."""
         return self._unprotected
 
-    def take(self, ticket: Ticket) -> None:
+    def take(self, ticket: Ticket, now_ms: float) -> None:
         """Count a call that starts."""
         self._total += 1
         self._running[ticket.lane] += 1
         self._unprotected += not ticket.protected
+        self._peaks[ticket.lane].note(self._running[ticket.lane], now_ms)
 
     def free(self, ticket: Ticket) -> None:
         """Count a call that ended."""
@@ -56,16 +93,25 @@
             return False
         if lane is Lane.short:
             return True
-        slow = self._running[Lane.long] + self._running[Lane.bulk]
-        if slow >= self._part(self._limits.long_share):
+        long_running = self._running[Lane.long]
+        bulk_running = self._running[Lane.bulk]
+        slow_part = self._slow_part()
+        if long_running + bulk_running >= slow_part:
             return False
-        is_long = lane is Lane.long
-        return is_long or self._running[lane] < self._part(self._limits.bulk_share)
+        if lane is Lane.long:
+            return True
+        unused_by_long = slow_part - self._peaks[Lane.long].reserve
+        return bulk_running < max(self._part(self._limits.bulk_share), unused_by_long)
 
     def guarantees_bulk(self) -> bool:
         """Return whether bulk work holds less than its guaranteed part."""
         guaranteed = self._part(BULK_GUARANTEE)
         return self.has_free() and self._running[Lane.bulk] < guaranteed
 
+    def _slow_part(self) -> int:
+        """Return the slots that long and bulk work may hold together."""
+        reserve = max(self._part(SHORT_RESERVE), self._peaks[Lane.short].reserve)
+        return max(self._part(self._limits.long_share), self._limit.limit - reserve)
+
     def _part(self, share: float) -> int:
         return max(1, int(share * self._limit.limit))
