Weigh latency by its square in the score

Change: the score uses the square of the latency; the instrument counts hedges per call including the warm-up, since the shares shown before were too high by 10/6.

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -38,7 +38,7 @@
         latencies_ms = sorted(model.latencies_ms)
         rank = math.ceil(0.99 * len(latencies_ms)) - 1
         figures[f'{state}_p99_ms'] = latencies_ms[rank]
-        figures[f'{state}_hedge_share'] = model.hedges / len(latencies_ms)
+        figures[f'{state}_hedge_share'] = model.hedges / model.calls
         figures[f'{state}_slow_share'] = model.slow_copies / model.copies
     figures['ratio'] = figures['slowed_p99_ms'] / figures['none_p99_ms']
     return figures
--- a/bench/tail_model.py
+++ b/bench/tail_model.py
@@ -152,6 +152,7 @@
         self._events: list = []
         self._sequence = 0
         self.latencies_ms: list[float] = []
+        self.calls = 0
         self.hedges = 0
         self.slow_copies = 0
         self.copies = 0
@@ -227,6 +228,7 @@
         key = str(rng.random()) if rng.random() < ONCE_SHARE else None
         work_ms = MEAN_MS * rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
         call = Call(entry, service, key, work_ms, now_ms)
+        self.calls += 1
         entry.throttle.on_call(now_ms)
         self._send(now_ms, call, frozenset())
         if key is None and entry.hedge is not None:
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -14,6 +14,7 @@
 NO_NODES: frozenset[str] = frozenset()
 UNKNOWN_LATENCY_MS = 1.0
 AFFINITY_LOAD = 1.0
+LATENCY_POWER = 2
 AFFINITY_SLOWNESS = 1.5
 
 
@@ -188,7 +189,7 @@
     def _score(self, state: RouteState, now_ms: float) -> float:
         latency_ms = state.expected_ms(now_ms) or self._usual_ms(state)
         weight = state.weight(now_ms, self._limits.slow_start_ms)
-        return (state.load.in_flight(now_ms) + 1) * latency_ms / weight
+        return (state.load.in_flight(now_ms) + 1) * latency_ms**LATENCY_POWER / weight
 
     def _usual_ms(self, state: RouteState) -> float:
         usual_ms = self._tables[state.member.service].normal_ms(state)
