Eject at twice the usual latency after four observations

Cause: members slowed 5 times were ejected late. Ruled out: nothing new. Change: latency ratio 2 instead of 3, 4 observations instead of 5.

--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -7,8 +7,8 @@
 from gentianmill.route_state import RouteState
 
 REVIEW_INTERVAL_MS = 250
-MIN_OBSERVATIONS = 5
-LATENCY_RATIO = 3
+MIN_OBSERVATIONS = 4
+LATENCY_RATIO = 2
 LATENCY_MARGIN_MS = 5
 FAILURE_LIMIT = 0.5
 FAILURE_MARGIN = 0.3
