Let load reports decay over 2.5 s

Cause: with reports up to 1 s old instead of 100 ms, the tail grows. Change: decay constant 2500 ms instead of 1500 ms. Conclusion: kept for the late reports.

--- a/packages/gentianmill/src/gentianmill/route_state.py
+++ b/packages/gentianmill/src/gentianmill/route_state.py
@@ -7,7 +7,7 @@
 from gentianmill.member import Member
 from gentianmill.messages import LoadReport
 
-REPORT_DECAY_MS = 1500
+REPORT_DECAY_MS = 2500
 FIRST_PAUSE_MS = 250
 LONGEST_PAUSE_MS = 30_000
 FAILURE_WEIGHT = 0.05
