Run calls without a task or a future where none is needed

Cause: each call at the guard made a task, and each admission a future, also when the call could start at once. Ruled out: dropping the shield of at-most-once calls, which must end even if nobody waits. Change: calls run in the caller's task and start directly.

--- a/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
@@ -55,9 +55,16 @@
             GentianmillError: With code ``overloaded`` or ``deadline`` if it is
                 refused; it did not run then.
         """
+        decisions = self._queue.offer(ticket, self._clock.now_ms())
+        verdict = self._apply(decisions, ticket)
+        if verdict is None:
+            await self._wait(ticket)
+        elif verdict is not Verdict.start:
+            raise _refusal(verdict)
+
+    async def _wait(self, ticket: Ticket) -> None:
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[id(ticket)] = waiting
-        self._apply(self._queue.offer(ticket, self._clock.now_ms()))
         try:
             await waiting
         except asyncio.CancelledError:
@@ -92,13 +99,21 @@
             return
         self._apply(self._queue.cancel(ticket, self._clock.now_ms()))
 
-    def _apply(self, decisions: Iterable[Decision]) -> None:
+    def _apply(
+        self, decisions: Iterable[Decision], own: Ticket | None = None
+    ) -> Verdict | None:
+        """Settle decisions and return the one on the own ticket, if there is one."""
+        verdict: Verdict | None = None
         for decision in decisions:
-            self._settle(decision)
+            if decision.ticket is own:
+                verdict = decision.verdict
+            else:
+                self._settle(decision)
         now_ms = self._clock.now_ms()
         refused = self._queue.take_protected_refusals() > 0
         self._policy.level.observe(now_ms, self._queue.queue_delay_ms, refused)
         self._set_timer(now_ms)
+        return verdict
 
     def _settle(self, decision: Decision) -> None:
         waiting = self._waiting.pop(id(decision.ticket), None)
--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -52,7 +52,7 @@
         self._parts = parts
         self._draining = False
         self._tasks: set[asyncio.Task[Answer]] = set()
-        self._streams = 0
+        self._active = 0
 
     @property
     def draining(self) -> bool:
@@ -62,7 +62,7 @@
     @property
     def active(self) -> int:
         """Return the number of calls in the queue or on the upstream."""
-        return len(self._tasks) + self._streams
+        return self._active
 
     def start_drain(self) -> None:
         """Refuse new calls from now on; calls already accepted are finished."""
@@ -123,11 +123,11 @@
         A call that runs at most once is finished and recorded even if nobody
         waits for it any more.
         """
-        task = asyncio.ensure_future(self._run_checked(call))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
         try:
-            answer = await (asyncio.shield(task) if call.at_most_once else task)
+            if call.at_most_once:
+                answer = await asyncio.shield(self._start(call))
+            else:
+                answer = await self._run_counted(call)
         except GentianmillError as error:
             answer = Answer.from_error(error)
         answer.load = self.load()
@@ -149,14 +149,14 @@
         self._check(call)
         ticket = self._ticket(call)
         await self._parts.gate.enter(ticket)
-        self._streams += 1
+        self._active += 1
         ok = False
         try:
             async with self._unsuspected(call) as token:
                 yield token
             ok = True
         finally:
-            self._streams -= 1
+            self._active -= 1
             self._parts.gate.leave(ticket, ok)
 
     async def finish_all(self) -> None:
@@ -173,6 +173,19 @@
             return _recorded(claim)
         return await self._run_claimed(call, claim)
 
+    def _start(self, call: Call) -> asyncio.Task[Answer]:
+        task = asyncio.ensure_future(self._run_counted(call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run_counted(self, call: Call) -> Answer:
+        self._active += 1
+        try:
+            return await self._run_checked(call)
+        finally:
+            self._active -= 1
+
     def _check(self, call: Call) -> None:
         if self._draining:
             raise GentianmillError(
