--- a/bench/blocking.py
+++ b/bench/blocking.py
@@ -9,7 +9,15 @@
 import types
 
 from bench.model import Load, Request
-from bench.runs import POLICIES, Job, deployment_of, mean, outcome, run_jobs, simulate
+from bench.runs import (
+    POLICIES_WITH_PREVIOUS,
+    Job,
+    deployment_of,
+    mean,
+    outcome,
+    run_jobs,
+    simulate,
+)
 from bench.workload import DEPLOYMENTS
 
 TARGET = 1.2
@@ -47,8 +55,8 @@
 
 def run(seeds: int) -> dict:
     """Run the measurement."""
-    figures = run_jobs(blocking, seeds, SHARES)
-    by_policy = {policy.name: {} for policy in POLICIES}
+    figures = run_jobs(blocking, seeds, SHARES, POLICIES_WITH_PREVIOUS)
+    by_policy = {policy.name: {} for policy in POLICIES_WITH_PREVIOUS}
     for policy, row in by_policy.items():
         for name in DEPLOYMENTS:
             with_stragglers, without = (
--- a/bench/goodput.py
+++ b/bench/goodput.py
@@ -9,7 +9,15 @@
 import types
 
 from bench.model import Load
-from bench.runs import POLICIES, Job, deployment_of, mean, outcome, run_jobs, simulate
+from bench.runs import (
+    POLICIES_WITH_PREVIOUS,
+    Job,
+    deployment_of,
+    mean,
+    outcome,
+    run_jobs,
+    simulate,
+)
 from bench.workload import DEPLOYMENTS
 
 TARGET = 0.95
@@ -33,8 +41,8 @@
 
 def run(seeds: int) -> dict:
     """Run the measurement."""
-    figures = run_jobs(goodput, seeds, FACTORS)
-    by_policy = {policy.name: {} for policy in POLICIES}
+    figures = run_jobs(goodput, seeds, FACTORS, POLICIES_WITH_PREVIOUS)
+    by_policy = {policy.name: {} for policy in POLICIES_WITH_PREVIOUS}
     for name in DEPLOYMENTS:
         at_capacity = max(
             mean(figures, deployment=name, policy=policy, variant='at_capacity')
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -230,3 +230,6 @@
 NO_CONTROL = Policy('no_control', 'open')
 FIXED_LIMIT = Policy('fixed_limit', 'fifo')
 CURRENT = Policy('current', 'gentianmill')
+
+# Long and bulk work never exceed long_share, also while other work needs no slots.
+PREVIOUS = Policy('previous', 'gentianmill', (('slots.SHORT_RESERVE', 1.0),))
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -8,13 +8,17 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from bench.model import Load, Simulation
-from bench.policies import CURRENT, FIXED_LIMIT, NO_CONTROL, Policy
+from bench.policies import CURRENT, FIXED_LIMIT, NO_CONTROL, PREVIOUS, Policy
 from bench.workload import DEPLOYMENTS, Deployment
 
 # Other work shares the machine.
 WORKERS = min(5, os.cpu_count() or 1)
 
 POLICIES = (NO_CONTROL, FIXED_LIMIT, CURRENT)
+"""Policies of every measurement."""
+
+POLICIES_WITH_PREVIOUS = (NO_CONTROL, FIXED_LIMIT, PREVIOUS, CURRENT)
+"""For measurements that have time left for an earlier version."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
