Revert "Restore the limit when latency falls by more than shrinking explains"

Ruled out: nothing further was examined; the limit of parent calls also sees the latency of the calls that they make, which may be what was restored. Conclusion: the limit still grows back slowly after a short slowdown.

--- a/packages/gentianmill/src/gentianmill/limit.py
+++ b/packages/gentianmill/src/gentianmill/limit.py
@@ -46,12 +46,6 @@
 MIN_LATENCY_MS = 0.001
 """Lower bound of a latency, since ratios of latencies are taken."""
 
-TEMPORARY_POWER = 3
-"""Power of the fall of the limit beyond which latency fell by itself.
-
-Beyond its slots an upstream slows by a power of its load of about 1 to 2.
-"""
-
 DIP_WINDOWS = 20
 """Windows at the limit between two dips that measure the unloaded latency."""
 
@@ -149,11 +143,6 @@
         fall = 1 - limit / self.limit
         return 1 - latency_ms / self.latency_ms >= PROBE_EFFECT * fall
 
-    def was_temporary(self, limit: float, latency_ms: float) -> bool:
-        """Return whether latency fell by more than shrinking explains."""
-        fall = limit / self.limit
-        return latency_ms / self.latency_ms < fall**TEMPORARY_POWER
-
 
 class AdaptiveLimit(ConcurrencyLimit):
     """Follow the concurrency at which latency begins to grow.
@@ -215,12 +204,8 @@
             self._end_dip(self._dip, latency_ms)
             return
         self._follow_baseline(window, latency_ms, error)
-        if self._shrinking is not None:
-            if self._shrinking.was_temporary(self._value, latency_ms):
-                self._set(self._shrinking.limit)
-                self._shrinking = None
-                return
         if not window.is_bound():
+            self._shrinking = None
             return
         ratio = latency_ms / self._baseline_ms
         if ratio > SHRINK_TOLERANCE * math.exp(CONFIDENCE * error):
