--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import statistics
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from gentianmill.route_state import RouteState
 
@@ -45,7 +45,7 @@
         """Return the median latency of members as far away as this one, in ms."""
         return self._normal_ms.get(state.tier > 1) or float('inf')
 
-    def review(self, states: Sequence[RouteState], now_ms: float) -> None:
+    def review(self, states: Collection[RouteState], now_ms: float) -> None:
         """Eject and readmit members; does nothing until a review is due.
 
         Args:
@@ -76,7 +76,7 @@
             state.probing = False
 
     def _eject(
-        self, state: RouteState, states: Sequence[RouteState], now_ms: float
+        self, state: RouteState, states: Collection[RouteState], now_ms: float
     ) -> None:
         out = sum(other.ejected or other.probing for other in states)
         allowed = int(self._ejected_share * len(states))
@@ -103,7 +103,7 @@
     return state.latency.value_ms > LATENCY_RATIO * normal_ms + LATENCY_MARGIN_MS
 
 
-def _normal_latencies(states: Sequence[RouteState]) -> dict[bool, float]:
+def _normal_latencies(states: Collection[RouteState]) -> dict[bool, float]:
     """Return the normal latency inside the own region (False) and beyond (True).
 
     Members beyond the region also show the latency of the link. It is taken to be
--- a/packages/gentianmill/src/gentianmill/route_state.py
+++ b/packages/gentianmill/src/gentianmill/route_state.py
@@ -66,6 +66,7 @@
         'load',
         'member',
         'probing',
+        'takes_calls',
         'tier',
         'unreachable_until_ms',
     )
@@ -80,6 +81,7 @@
                 has no slow start.
         """
         self.member = member
+        self.takes_calls = member.takes_calls
         self.tier = tier
         self.added_ms = added_ms
         self.load = LoadView(member.slots)
@@ -96,14 +98,15 @@
         if member.incarnation > self.member.incarnation:
             self.load.draining = False
         self.member = member
+        self.takes_calls = member.takes_calls
 
     def admissible(self, now_ms: float) -> bool:
         """Return whether calls may be routed to the member now."""
-        if self.ejected or self.load.draining or now_ms < self.unreachable_until_ms:
+        if self.ejected or not self.takes_calls or self.load.draining:
             return False
         if self.probing and self.load.own:
             return False
-        return self.member.takes_calls
+        return now_ms >= self.unreachable_until_ms
 
     def weight(self, now_ms: float, slow_start_ms: float) -> float:
         """Return the share of its normal traffic that a new member gets, 0.1 to 1."""
--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -1,10 +1,12 @@
 """The members of one service, as seen from one entry."""
 
 from gentianmill import rendezvous
-from gentianmill.ejection import OutlierEjector
+from gentianmill.ejection import REVIEW_INTERVAL_MS, OutlierEjector
 from gentianmill.route_state import RouteState
 
 TIERS = 3
+IDLE_REVIEW_MS = 2000
+REVIEW_CALLS = 8
 REFRESH_MS = 20
 LEAVE_LOAD = 0.8
 RETURN_LOAD = 0.6
@@ -30,7 +32,10 @@
         self._ejector = OutlierEjector(ejected_share)
         self._near_hashes: dict[str, int] = {}
         self._widened = [False for _ in range(TIERS)]
-        self._refreshed_ms = float('-inf')
+        self._ended = 0
+        self._reviewed_ms = float('-inf')
+        self._refreshed_ms = [float('-inf') for _ in range(TIERS)]
+        self._tiers: list[list[RouteState]] = [[] for _ in range(TIERS)]
 
     @property
     def states(self) -> dict[str, RouteState]:
@@ -40,12 +45,12 @@
     def add(self, state: RouteState) -> None:
         """Add a member or replace its state."""
         self._states[state.member.node_id] = state
-        self._hash_members()
+        self._arrange()
 
     def remove(self, node_id: str) -> None:
         """Remove a member."""
         self._states.pop(node_id, None)
-        self._hash_members()
+        self._arrange()
 
     def preferred(self, affinity: str) -> str | None:
         """Return the node id that a key prefers, in the own region if it has one."""
@@ -60,6 +65,10 @@
         """Return the usual latency of members as far away as this one, in ms."""
         return self._ejector.normal_ms(state)
 
+    def note_done(self) -> None:
+        """Take note that a call ended, which may change who is an outlier."""
+        self._ended += 1
+
     def candidates(self, now_ms: float, excluded: frozenset[str]) -> list[RouteState]:
         """Return the members among which a call is routed.
 
@@ -70,39 +79,49 @@
         Returns:
             The admissible members of the nearest tiers that can take the call.
         """
-        self._refresh(now_ms)
-        tiers: list[list[RouteState]] = [[] for _ in range(TIERS)]
-        for node_id, state in self._states.items():
-            if node_id not in excluded and state.admissible(now_ms):
-                tiers[state.tier].append(state)
+        self._review(now_ms)
         chosen: list[RouteState] = []
-        for tier, states in enumerate(tiers):
-            chosen.extend(states)
-            if chosen and not self._widened[tier]:
+        for tier, states in enumerate(self._tiers):
+            chosen.extend(
+                state
+                for state in states
+                if state.admissible(now_ms) and state.member.node_id not in excluded
+            )
+            if chosen and not self._is_wide(tier, now_ms):
                 break
         return chosen
 
-    def _hash_members(self) -> None:
+    def _arrange(self) -> None:
         states = self._states.values()
+        for tier in range(TIERS):
+            self._tiers[tier] = [state for state in states if state.tier == tier]
         near = [state.member.node_id for state in states if state.tier <= 1]
         node_ids = near or list(self._states)
         self._near_hashes = dict(
             zip(node_ids, map(rendezvous.hash_text, node_ids), strict=True)
         )
 
-    def _refresh(self, now_ms: float) -> None:
-        if now_ms < self._refreshed_ms + REFRESH_MS:
-            return
-        self._refreshed_ms = now_ms
-        self._ejector.review(list(self._states.values()), now_ms)
-        for tier in range(TIERS - 1):
+    def _review(self, now_ms: float) -> None:
+        waited_ms = now_ms - self._reviewed_ms
+        idle = waited_ms >= IDLE_REVIEW_MS
+        if idle or (self._ended >= REVIEW_CALLS and waited_ms >= REVIEW_INTERVAL_MS):
+            self._reviewed_ms = now_ms
+            self._ended = 0
+            self._ejector.review(self._states.values(), now_ms)
+
+    def _is_wide(self, tier: int, now_ms: float) -> bool:
+        age_ms = now_ms - self._refreshed_ms[tier]
+        if age_ms >= REFRESH_MS and tier < TIERS - 1:
+            self._refreshed_ms[tier] = now_ms
             self._widened[tier] = self._is_overloaded(tier, now_ms)
+        return self._widened[tier]
 
     def _is_overloaded(self, tier: int, now_ms: float) -> bool:
         inside = [
             state
-            for state in self._states.values()
-            if state.tier <= tier and state.admissible(now_ms)
+            for states in self._tiers[: tier + 1]
+            for state in states
+            if state.admissible(now_ms)
         ]
         load_bound = RETURN_LOAD if self._widened[tier] else LEAVE_LOAD
         slow_bound = RETURN_SLOWNESS if self._widened[tier] else LEAVE_SLOWNESS
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -114,6 +114,7 @@
         state = self._states.get(node_id)
         if state is not None:
             state.done(now_ms, latency_ms, ok)
+            self._tables[state.member.service].note_done()
 
     def on_cancelled(self, node_id: str, now_ms: float, elapsed_ms: float) -> None:
         """Take note of a call that was cancelled, such as the loser of a hedge.
@@ -127,6 +128,7 @@
         state = self._states.get(node_id)
         if state is not None:
             state.cancelled(now_ms, elapsed_ms)
+            self._tables[state.member.service].note_done()
 
     def on_load(self, node_id: str, load: LoadReport, now_ms: float) -> None:
         """Take over the load report of a member."""
@@ -179,7 +181,7 @@
     def _best(self, candidates: list[RouteState], now_ms: float) -> RouteState:
         pair = candidates
         if len(candidates) > 2:
-            pair = self._rng.sample(candidates, 2)
+            pair = _two_of(candidates, self._rng)
         best = min(pair, key=lambda state: self._score(state, now_ms))
         own = self._states.get(self._own_node_id)
         if own is None or own is best or own not in candidates:
@@ -194,3 +196,12 @@
     def _usual_ms(self, state: RouteState) -> float:
         usual_ms = self._tables[state.member.service].normal_ms(state)
         return usual_ms if math.isfinite(usual_ms) else UNKNOWN_LATENCY_MS
+
+
+def _two_of(candidates: list[RouteState], rng: random.Random) -> list[RouteState]:
+    """Return two different candidates."""
+    count = len(candidates)
+    first = int(rng.random() * count)
+    step = 1 + int(rng.random() * (count - 1))
+    second = (first + step) % count
+    return [candidates[first], candidates[second]]
