--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -14,7 +14,7 @@
 NO_NODES: frozenset[str] = frozenset()
 UNKNOWN_LATENCY_MS = 1.0
 AFFINITY_LOAD = 1.0
-LATENCY_POWER = 2
+LATENCY_POWER = 3
 AFFINITY_SLOWNESS = 1.5
 
 
