Let affinity leave a member at 1.25 times the usual latency

Cause: calls with affinity can't be hedged, so their first choice decides. Change: bound 1.25 instead of 1.5.

--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -15,7 +15,7 @@
 UNKNOWN_LATENCY_MS = 1.0
 AFFINITY_LOAD = 1.0
 LATENCY_POWER = 3
-AFFINITY_SLOWNESS = 1.5
+AFFINITY_SLOWNESS = 1.25
 
 
 class Router:
