Try pull-based slot tokens in the tail instrument

Change: a baseline in which each upstream's free slots are tokens spread over the entries of its region, with free and immediate token messages.

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -17,13 +17,16 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from baseline_routers import BASELINES  # noqa: E402
+from pull_tokens import TokenMarket  # noqa: E402
 from tail_model import DEPLOYMENTS, Model, current_router  # noqa: E402
 
 NAME = 'tail'
 TARGET = 1.3
 SEEDS = (1, 2, 3)
 WORKERS = 4
-POLICIES = MappingProxyType({'current': current_router, **BASELINES})
+POLICIES = MappingProxyType(
+    {'current': current_router, 'pull_tokens': TokenMarket, **BASELINES}
+)
 
 
 def measure(policy: str, deployment_number: int, seed: int) -> dict[str, float]:
@@ -33,7 +36,8 @@
     hedged = policy == 'current'
     figures: dict[str, float] = {}
     for state in ('none', 'slowed'):
-        model = Model(deployment, factory, seed, state == 'slowed', hedged)
+        maker = factory() if factory is TokenMarket else factory
+        model = Model(deployment, maker, seed, state == 'slowed', hedged)
         model.run()
         latencies_ms = sorted(model.latencies_ms)
         rank = math.ceil(0.99 * len(latencies_ms)) - 1
@@ -54,7 +58,7 @@
     Returns:
         Figures of the current router and of the baselines, averaged over seeds.
     """
-    names = policies or ('current', 'current_no_hedge', *BASELINES)
+    names = policies or ('current', 'current_no_hedge', 'pull_tokens', *BASELINES)
     places = range(len(DEPLOYMENTS))
     jobs = list(itertools.product(names, places, seeds))
     with ProcessPoolExecutor(WORKERS) as pool:
