--- a/bench/tail.py
+++ b/bench/tail.py
@@ -1,6 +1,6 @@
 """Measure the tail with a tenth of the upstreams slowed 5 times.
 
-``.venv/bin/python bench/tail.py`` prints one JSON line. The ratio of a policy is
+``.venv/bin/python bench/tail.py [policies] [seeds]`` prints one JSON line. The ratio of a policy is
 its p99 with slowed upstreams over its own p99 with none slowed; the worse of the
 two deployments counts.
 """
@@ -17,6 +17,7 @@
 sys.path.insert(0, str(Path(__file__).parent))
 
 from baseline_routers import BASELINES  # noqa: E402
+from previous_version import measure_previous  # noqa: E402
 from pull_tokens import TokenMarket  # noqa: E402
 from tail_model import DEPLOYMENTS, Model, current_router  # noqa: E402
 
@@ -67,11 +68,17 @@
     for job, run_figures in zip(jobs, measured, strict=True):
         found[job[0]].append((job[1], run_figures))
     figures = {policy: _summary(runs) for policy, runs in found.items()}
+    if not policies:
+        previous = measure_previous(seeds)
+        if previous is not None:
+            figures['previous'] = previous
     ratio = figures['current']['ratio']
     return {
         'name': NAME,
         'seeds': list(seeds),
-        'baselines': {name: figures[name] for name in names if name != 'current'},
+        'baselines': {
+            policy: runs for policy, runs in figures.items() if policy != 'current'
+        },
         'current': figures['current'],
         'ratio': ratio,
         'target': TARGET,
@@ -95,4 +102,6 @@
 
 
 if __name__ == '__main__':
-    print(json.dumps(run(policies=tuple(sys.argv[1:]))))
+    chosen = tuple(word for word in sys.argv[1:] if not word.isdigit())
+    chosen_seeds = tuple(int(word) for word in sys.argv[1:] if word.isdigit())
+    print(json.dumps(run(chosen_seeds or SEEDS, chosen)))
