Review outliers before affinity and break ties at random

Calls with affinity returned before the review, so an entry with only such calls never ejected anyone; and of two equal members the first was always taken, at all entries. Change: the review comes first, and a pair is put in random order. Tests added: a slow zone, widening between its bounds, the age of waiting calls, cancelled calls, affinity with slow and distant members.

--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -69,6 +69,15 @@
         """Take note that a call ended, which may change who is an outlier."""
         self._ended += 1
 
+    def review(self, now_ms: float) -> None:
+        """Look for outliers once enough calls have ended or enough time has passed."""
+        waited_ms = now_ms - self._reviewed_ms
+        idle = waited_ms >= IDLE_REVIEW_MS
+        if idle or (self._ended >= REVIEW_CALLS and waited_ms >= REVIEW_INTERVAL_MS):
+            self._reviewed_ms = now_ms
+            self._ended = 0
+            self._ejector.review(self._states.values(), now_ms)
+
     def candidates(self, now_ms: float, excluded: frozenset[str]) -> list[RouteState]:
         """Return the members among which a call is routed.
 
@@ -79,7 +88,6 @@
         Returns:
             The admissible members of the nearest tiers that can take the call.
         """
-        self._review(now_ms)
         chosen: list[RouteState] = []
         for tier, states in enumerate(self._tiers):
             chosen.extend(
@@ -101,14 +109,6 @@
             zip(node_ids, map(rendezvous.hash_text, node_ids), strict=True)
         )
 
-    def _review(self, now_ms: float) -> None:
-        waited_ms = now_ms - self._reviewed_ms
-        idle = waited_ms >= IDLE_REVIEW_MS
-        if idle or (self._ended >= REVIEW_CALLS and waited_ms >= REVIEW_INTERVAL_MS):
-            self._reviewed_ms = now_ms
-            self._ended = 0
-            self._ejector.review(self._states.values(), now_ms)
-
     def _is_wide(self, tier: int, now_ms: float) -> bool:
         age_ms = now_ms - self._refreshed_ms[tier]
         if age_ms >= REFRESH_MS and tier < TIERS - 1:
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -88,6 +88,7 @@
         table = self._tables.get(service)
         if table is None:
             return None
+        table.review(now_ms)
         preferred = self._preferred(table, affinity, now_ms)
         if preferred is not None and preferred.member.node_id not in excluded:
             return preferred.member
@@ -180,7 +181,7 @@
 
     def _best(self, candidates: list[RouteState], now_ms: float) -> RouteState:
         pair = candidates
-        if len(candidates) > 2:
+        if len(candidates) >= 2:
             pair = _two_of(candidates, self._rng)
         best = min(pair, key=lambda state: self._score(state, now_ms))
         own = self._states.get(self._own_node_id)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -165,3 +165,69 @@
     assert _chosen(router) == {'node-3'}
     router.on_load('node-3', _report(10), 0)
     assert 'node-3' not in _chosen(router)
+
+
+def _observe(router: Router, node_id: str, latency_ms: float, count: int = 20):
+    for number in range(count):
+        router.on_start(node_id, number)
+        router.on_done(node_id, number + latency_ms, latency_ms, True)
+
+
+def test_slow_zone_adds_the_region():
+    """Guards against a slowed member that is alone in its zone and keeps its calls."""
+    members = [_member(0), *(_member(number, zone='north-2') for number in (1, 2, 3))]
+    router = _router(*members)
+    for member in members[1:]:
+        _observe(router, member.node_id, 10)
+    _observe(router, 'node-0', 18)
+    chosen = [router.choose(SERVICE, 5000).node_id for _ in range(100)]
+    assert chosen.count('node-0') < 25
+
+
+def test_widening_does_not_flap_between_its_bounds():
+    """Guards against calls that swing between tiers with every report."""
+    router = _router(_member(0), _member(1, zone='north-2'))
+    router.on_load('node-0', _report(17), 0)
+    assert _chosen(router, now_ms=0) == {'node-0'}
+    router.on_load('node-0', _report(24), 100)
+    assert 'node-1' in _chosen(router, now_ms=100)
+    router.on_load('node-0', _report(17), 200)
+    router.on_load('node-1', _report(17), 200)
+    assert 'node-1' in _chosen(router, now_ms=200)
+    router.on_load('node-0', _report(5), 300)
+    assert _chosen(router, now_ms=300) == {'node-0'}
+
+
+def test_waiting_calls_show_a_slow_member_before_they_end():
+    """Guards against sending calls to a stuck member until its first call ends."""
+    router = _router(_member(0), _member(1))
+    for node_id in ('node-0', 'node-1'):
+        _observe(router, node_id, 10)
+        for _ in range(3):
+            router.on_start(node_id, 1000 if node_id == 'node-0' else 1295)
+    assert _chosen(router, now_ms=1300) == {'node-1'}
+
+
+def test_cancelled_call_is_no_proof_of_speed():
+    """Guards against a slow member that looks fast because its calls are cancelled."""
+    router = _router(_member(0), _member(1))
+    _observe(router, 'node-0', 100)
+    _observe(router, 'node-1', 50)
+    for number in range(50):
+        router.on_start('node-0', 200 + number)
+        router.on_cancelled('node-0', 201 + number, 1)
+    assert _chosen(router, now_ms=300) == {'node-1'}
+
+
+def test_affinity_leaves_a_slow_member_and_stays_in_the_region():
+    """Guards against at-most-once calls that wait at a slowed or a distant guard."""
+    near = [_member(number) for number in range(4)]
+    far = [_member(number, region='south', zone='s-1') for number in range(4, 8)]
+    router = _router(*near, *far)
+    keys = [str(key) for key in range(40)]
+    picks = {router.choose(SERVICE, 0, affinity=key).node_id for key in keys}
+    assert picks == {member.node_id for member in near}
+    for member in near:
+        _observe(router, member.node_id, 30 if member is near[0] else 10)
+    later = {router.choose(SERVICE, 5000, affinity=key).node_id for key in keys}
+    assert near[0].node_id not in later
