--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -44,6 +44,7 @@
     def __init__(self, arguments: argparse.Namespace) -> None:
         """Create an upstream from command line arguments."""
         self.service = arguments.service
+        self._port = arguments.port
         self.behaviour = Behaviour(latency_ms=arguments.latency_ms)
         self._egress = arguments.egress
         self._calls = json.loads(arguments.calls)
@@ -144,6 +145,9 @@
             'key': request.headers.get('Idempotency-Key', ''),
             'request_id': request.headers.get('X-Request-Id', ''),
             'body_sha256': hashlib.sha256(body).hexdigest(),
+            'context': request.headers.get('X-Call-Context', ''),
+            'outcome': request.headers.get('X-Outcome', ''),
+            'port': self._port,
         }
         with Path(self._log_path).open('a', encoding='utf-8') as log:
             log.write(json.dumps(line) + '\n')
