--- a/bench/control.py
+++ b/bench/control.py
@@ -3,13 +3,14 @@
 The node runs the real loops in this process. The other members are addresses on
 loopback that one counterpart process serves; it answers as they would and sends
 the node the probes and full exchanges that it would receive. The spread of a
-sheet to all nodes is counted in logical rounds. Prints one JSON line.
+sheet to all nodes is counted in logical rounds.
 """
 
 import asyncio
 import contextlib
 import logging
 import multiprocessing
+import os
 import pathlib
 import random
 import resource
@@ -53,6 +54,7 @@
 KEY = 'peer-key'
 OWN_ID = 'm0'
 BYTES_PER_KB = 1024
+SPREAD_RUNS = 5
 TARGETS = types.MappingProxyType(
     {'cpu_share': 0.011, 'memory_bytes': 128_000_000, 'bytes_per_s': 25_000}
 )
@@ -375,7 +377,7 @@
     """Measure all sizes and return the figures.
 
     Args:
-        seeds: Seeds of the model in which a sheet spreads.
+        seeds: Multiplies the runs of the spread of a sheet.
     """
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING),
@@ -391,17 +393,18 @@
 
 def _report(points: list[dict[str, float]], seeds: int) -> dict:
     memory = [{'members': size, 'bytes': table_memory(size)} for size in SIZES]
-    peak_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KB
+    peak_rss_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     largest = points[-1]
     traffic = largest['in_bytes_per_s'] + largest['out_bytes_per_s']
     figures = {
         'cpu_share': largest['cpu_share'],
-        'memory_bytes': peak_bytes,
+        'memory_bytes': peak_rss_kb * BYTES_PER_KB,
         'bytes_per_s': traffic,
     }
     return {
         'name': 'control',
         'rounds': len(points),
+        'load_average': os.getloadavg(),
         'probe_interval_ms': MembershipModel().probe_interval_ms,
         'figures': figures,
         'target': dict(TARGETS),
@@ -409,10 +412,13 @@
         'node': points,
         'sync': [sync_cost(size) for size in SIZES],
         'table_memory': memory,
+        'peak_rss_kb': peak_rss_kb,
         'sheet_spread': [
             {
                 'members': size,
-                'rounds': [spread_rounds(size, seed) for seed in range(seeds)],
+                'rounds': [
+                    spread_rounds(size, seed) for seed in range(SPREAD_RUNS * seeds)
+                ],
             }
             for size in SIZES
         ],
