Cancel the calls of an attempt in a fixed order in the load model

The calls of an attempt were kept in a set, whose order depends on memory addresses, and cancelled in that order. Change: a dict keeps them in the order in which they were sent.

--- a/bench/model.py
+++ b/bench/model.py
@@ -84,7 +84,8 @@
     deadline_ms: float
     alive: bool = True
     retries: int = 0
-    calls: set['Call'] = dataclasses.field(default_factory=set)
+    # A dict keeps the order of insertion; that of a set differs between runs.
+    calls: dict['Call', None] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -309,7 +310,7 @@
         call.endpoint = min(pair, key=lambda endpoint: outstanding[endpoint])
         outstanding[call.endpoint] += 1
         call.state = 'sent'
-        call.attempt.calls.add(call)
+        call.attempt.calls[call] = None
         self.after(HOP_MS, self._offer, call)
 
     def _offer(self, call: Call) -> None:
@@ -358,7 +359,7 @@
     def _cancel(self, call: Call) -> None:
         state = call.state
         call.state = 'done'
-        call.attempt.calls.discard(call)
+        call.attempt.calls.pop(call, None)
         call.node.outstanding[call.endpoint] -= 1
         if state == 'running':
             self._leave(call)
@@ -379,7 +380,7 @@
 
     def _receive(self, call: Call, report: Any) -> None:
         if call in call.attempt.calls:
-            call.attempt.calls.discard(call)
+            call.attempt.calls.pop(call, None)
             call.node.outstanding[call.endpoint] -= 1
         if report is not None:
             call.node.levels.update(
