Readmit ejected members when their service becomes smaller

Cause: the cap was checked only when a member was ejected, so after others left or began to drain all remaining members could be ejected. Change: the cap counts members that take calls and is enforced when one leaves or drains; members that are already being probed are readmitted first. Conclusion: a test with four of six members leaving passes.

--- a/packages/gentianmill/src/gentianmill/ejection.py
+++ b/packages/gentianmill/src/gentianmill/ejection.py
@@ -41,6 +41,18 @@
         self._next_review_ms = float('-inf')
         self._normal_ms: dict[bool, float] = {}
 
+    def release(self, states: Collection[RouteState]) -> None:
+        """Readmit members above the cap after the service has become smaller.
+
+        Args:
+            states: All members of the service that take calls.
+        """
+        out = [state for state in states if state.ejected or state.probing]
+        out.sort(key=lambda state: state.probing)
+        for state in out[int(self._ejected_share * len(states)) :]:
+            state.ejected = False
+            state.probing = False
+
     def normal_ms(self, state: RouteState) -> float:
         """Return the median latency of members as far away as this one, in ms."""
         return self._normal_ms.get(state.tier > 1) or float('inf')
--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -51,6 +51,11 @@
         """Remove a member."""
         self._states.pop(node_id, None)
         self._arrange()
+        self.release()
+
+    def release(self) -> None:
+        """Keep the ejected share below the cap after fewer members take calls."""
+        self._ejector.release(self._taking_calls())
 
     def preferred(self, affinity: str) -> str | None:
         """Return the node id that a key prefers, in the own region if it has one."""
@@ -76,7 +81,7 @@
         if idle or (self._ended >= REVIEW_CALLS and waited_ms >= REVIEW_INTERVAL_MS):
             self._reviewed_ms = now_ms
             self._ended = 0
-            self._ejector.review(self._states.values(), now_ms)
+            self._ejector.review(self._taking_calls(), now_ms)
 
     def candidates(self, now_ms: float, excluded: frozenset[str]) -> list[RouteState]:
         """Return the members among which a call is routed.
@@ -99,6 +104,9 @@
                 break
         return chosen
 
+    def _taking_calls(self) -> list[RouteState]:
+        return [state for state in self._states.values() if state.takes_calls]
+
     def _arrange(self) -> None:
         states = self._states.values()
         for tier in range(TIERS):
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -66,6 +66,7 @@
             self._add(member, now_ms)
         else:
             state.update(member)
+            self._tables[member.service].release()
 
     def choose(
         self,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -231,3 +231,18 @@
         _observe(router, member.node_id, 30 if member is near[0] else 10)
     later = {router.choose(SERVICE, 5000, affinity=key).node_id for key in keys}
     assert near[0].node_id not in later
+
+
+def test_ejected_share_stays_within_the_cap_when_members_leave():
+    """Guards against a service whose last members are all ejected."""
+    members = [_member(number) for number in range(6)]
+    router = _router(*members)
+    for number, member in enumerate(members):
+        _observe(router, member.node_id, 500 if number < 2 else 10)
+    assert _chosen(router, now_ms=5000) <= {f'node-{number}' for number in range(2, 6)}
+    left = dataclasses.replace(members[5], status=MemberStatus.dead)
+    router.member_changed(left, 5001)
+    for member in members[2:5]:
+        draining = dataclasses.replace(member, status=MemberStatus.draining)
+        router.member_changed(draining, 5001)
+    assert _chosen(router, now_ms=5001) == {'node-0', 'node-1'}
