End a drain under a steady stream of callers

Cause: a draining node kept taking new connections of callers until no call was running. Under load that never happened, so each drain ran into its limit, after which running requests are cut. Ruled out: calls held back by the guard or by unfinished claims; the guard was idle, the caller listener was not. Change: after the notice the caller listener takes no connection and closes each open one after its next response. tests/test_process_drain.py stops nodes under load by signal, by an operator and with the table down.

--- a/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
@@ -42,6 +42,7 @@
         """
         self._parts = parts
         self._active = 0
+        self._ends_connections = False
 
     @property
     def active(self) -> int:
@@ -58,12 +59,25 @@
         app.router.add_route('*', '/{path:.*}', self._handle)
         return app
 
+    def end_connections(self) -> None:
+        """Close each connection after its next response."""
+        self._ends_connections = True
+
     @abc.abstractmethod
     async def build(self, request: web.Request) -> Call:
         """Return the call that a request asks for."""
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         self._active += 1
+        try:
+            response = await self._handle_or_refuse(request)
+        finally:
+            self._active -= 1
+        if self._ends_connections:
+            response.force_close()
+        return response
+
+    async def _handle_or_refuse(self, request: web.Request) -> web.StreamResponse:
         try:
             return await self._handle_call(request)
         except GentianmillError as error:
@@ -75,8 +89,6 @@
             )
             self._parts.report.refused(refusal)
             return error_response(refusal, request.headers.get(REQUEST_ID, ''))
-        finally:
-            self._active -= 1
 
     async def _handle_call(self, request: web.Request) -> web.StreamResponse:
         start_ms = self._parts.clock.now_ms()
--- a/packages/gentianmill-node/src/gentianmill_node/drain.py
+++ b/packages/gentianmill-node/src/gentianmill_node/drain.py
@@ -1,7 +1,7 @@
 """Graceful shutdown: no running call is interrupted."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from gentianmill.settings_models import DrainModel
 
@@ -30,17 +30,24 @@
     return not active()
 
 
-async def drain(settings: DrainModel, active: Callable[[], int]) -> None:
+async def drain(
+    settings: DrainModel,
+    active: Callable[[], int],
+    stop_accepting: Callable[[], Awaitable[None]],
+) -> None:
     """Wait for the notice period, then until running calls have ended.
 
     The notice gives the other nodes time to learn of the drain while this node
-    still serves its callers from other upstreams.
+    still serves its callers from other upstreams. Without new connections after
+    it, a steady stream of callers cannot hold the drain up to its limit.
 
     Args:
         settings: Notice and longest wait.
         active: Returns the number of active calls.
+        stop_accepting: Takes no new connection of callers any more.
     """
     await asyncio.sleep(settings.notice_ms / MS_PER_S)
+    await stop_accepting()
     limit_s = settings.limit_ms / MS_PER_S
     if await wait_until_idle(active, limit_s):
         log.info('No call is running.')
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -67,8 +67,7 @@
     async def drain(self) -> None:
         """Refuse new work, finish running calls and write what is pending."""
         self.refuse_new_work()
-        await drain(self._settings.drain, self._active)
-        await self._server.stop_accepting('caller')
+        await drain(self._settings.drain, self._active, self._stop_accepting)
         await self._data.claims.close()
 
     def refuse_new_work(self) -> None:
@@ -99,6 +98,10 @@
     def _active(self) -> int:
         return self._data.guard.active + self._caller.active + self._egress.active
 
+    async def _stop_accepting(self) -> None:
+        self._caller.end_connections()
+        await self._server.stop_accepting('caller')
+
     async def _drain_and_end(self) -> None:
         await self.drain()
         self._on_drained()
--- /dev/null
+++ b/tests/test_process_drain.py
@@ -0,0 +1,223 @@
+"""Tests of a planned stop of nodes under load."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import signal
+from collections import Counter
+from collections.abc import AsyncIterator, Iterator
+
+import aiohttp
+import pytest
+
+from process_places import (
+    SHEET_FILE,
+    group_places,
+    new_session,
+    run_with_session,
+    wait_until,
+)
+from standins.processes import OPERATOR_KEY, Deployment, Pair, http, running
+
+SERVICES = ('tesoreria', 'tesoreria', 'tesoreria', 'catalogo')
+LATENCY_MS = 60
+CALLERS = 8
+MORE_CALLS = 40
+REFUSALS = frozenset(('draining', 'no_member', 'store_unavailable'))
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller and what it was told."""
+
+    entry: str
+    key: str
+    pays: bool
+    outcome: str = ''
+    code: str = ''
+    whole: bool = False
+
+
+class Load:
+    """Callers that send payments and reads without pause to all entries."""
+
+    def __init__(self, deployment: Deployment, run: str) -> None:
+        """Create a load.
+
+        Args:
+            deployment: Where to send.
+            run: Start of the keys, different for each load.
+        """
+        self.attempts: list[Attempt] = []
+        self._entries = [pair.caller_url for pair in deployment.pairs]
+        self._run = run
+        self._numbers = itertools.count()
+        self._pending: set[str] = set()
+        self._stopped = False
+
+    @contextlib.asynccontextmanager
+    async def flowing(self) -> AsyncIterator[None]:
+        """Send while the context is open; then wait for the last responses."""
+        async with new_session() as session:
+            callers = [self._call_on(session) for _ in range(CALLERS)]
+            work = asyncio.gather(*callers)
+            try:
+                yield
+            finally:
+                self._stopped = True
+                await work
+
+    async def more(self, count: int) -> None:
+        """Wait until some more requests were answered."""
+        wanted = len(self.answered) + count
+        await wait_until(lambda: len(self.answered) >= wanted)
+
+    async def finish_pending(self) -> None:
+        """Wait until the requests that are now under way have ended."""
+        pending = frozenset(self._pending)
+        await wait_until(lambda: not pending & self._pending)
+
+    @property
+    def answered(self) -> list[Attempt]:
+        """Return the attempts that were answered."""
+        return [one for one in self.attempts if one.outcome == 'answered']
+
+    async def _call_on(self, session: aiohttp.ClientSession) -> None:
+        while not self._stopped:
+            number = next(self._numbers)
+            entry = self._entries[number % len(self._entries)]
+            attempt = Attempt(entry, f'{self._run}-{number}', number % 3 > 0)
+            self._pending.add(attempt.key)
+            await self._send(session, attempt)
+            self._pending.remove(attempt.key)
+            self.attempts.append(attempt)
+
+    async def _send(self, session: aiohttp.ClientSession, attempt: Attempt) -> None:
+        path = '/cuotas' if attempt.pays else f'/cuotas/{attempt.key}'
+        method = 'POST' if attempt.pays else 'GET'
+        headers = {'Idempotency-Key': attempt.key, 'X-Request-Id': attempt.key}
+        url = f'{attempt.entry}/tesoreria{path}'
+        try:
+            async with session.request(method, url, headers=headers) as response:
+                text = await response.read()
+        except aiohttp.ClientConnectorError:
+            # The listener is closed: the request was not accepted.
+            attempt.outcome = 'closed'
+            await asyncio.sleep(0.01)
+            return
+        except (aiohttp.ClientError, OSError) as error:
+            attempt.outcome = f'interrupted: {error!r}'
+            return
+        attempt.outcome = response.headers.get('X-Outcome', 'missing')
+        attempt.code = response.headers.get('X-Error-Code', '')
+        if attempt.outcome == 'answered':
+            answer = json.loads(text)
+            attempt.whole = answer['request_id'] == attempt.key
+            attempt.whole &= answer['path'] == path
+
+
+@pytest.fixture(scope='module')
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    """Run a deployment with three upstreams for payments."""
+    folder = tmp_path_factory.mktemp('drain')
+    with running(folder, SHEET_FILE, group_places(SERVICES, LATENCY_MS)) as started:
+        yield started
+
+
+def _check(deployment: Deployment, load: Load) -> None:
+    """Check that nobody was interrupted or told something that is not so."""
+    told = Counter((one.outcome, one.code) for one in load.attempts)
+    outcomes = {outcome for outcome, _ in told}
+    assert outcomes <= {'answered', 'not_run', 'closed'}, told
+    assert {code for _, code in told} <= REFUSALS | {''}, told
+    assert all(one.whole for one in load.answered)
+    ran = Counter(run['request_id'] for run in deployment.executions())
+    for one in load.attempts:
+        # A read may be hedged; a payment runs once.
+        most = 1 if one.pays else 2
+        answered = one.outcome == 'answered'
+        assert answered <= ran[one.key] <= answered * most, one
+
+
+def _own_calls(deployment: Deployment, pair: Pair) -> int:
+    return sum(run['port'] == pair.upstream_port for run in deployment.executions())
+
+
+async def _ended_well(deployment: Deployment, pair: Pair) -> None:
+    await wait_until(lambda: pair.node.poll() is not None)
+    assert pair.node.returncode == 0
+    assert 'Calls are still running' not in deployment.node_log(pair)
+
+
+async def _drained_under_load(deployment: Deployment, pair: Pair, load: Load) -> None:
+    """Drain one node and check that its upstream got nothing after the notice."""
+    async with load.flowing():
+        await load.more(MORE_CALLS)
+        pair.node.send_signal(signal.SIGTERM)
+        await wait_until(lambda: _is_announced(deployment, pair))
+        # Calls accepted before the announcement may still start.
+        await load.finish_pending()
+        last = _own_calls(deployment, pair)
+        await load.more(MORE_CALLS)
+        await _ended_well(deployment, pair)
+        await load.more(MORE_CALLS)
+        assert _own_calls(deployment, pair) == last
+    _check(deployment, load)
+
+
+def _is_announced(deployment: Deployment, pair: Pair) -> bool:
+    """Return whether the node itself refuses work for its upstream."""
+    try:
+        _, health = http('GET', f'{pair.operator_url}/health')
+    except OSError:
+        return True
+    return health['state'] == 'draining'
+
+
+def test_a_drain_interrupts_nothing(deployment: Deployment):
+    """Guards against a planned stop that loses, breaks or doubles a request."""
+    pair = deployment.pairs[0]
+    load = Load(deployment, 'drain')
+    run_with_session(_drained_under_load(deployment, pair, load))
+    others = {one.entry for one in load.answered}
+    assert len(others) == len(deployment.pairs)
+
+
+def test_a_drain_does_not_need_the_table(deployment: Deployment):
+    """Guards against a stop that waits for the table or breaks without it."""
+    pair = deployment.pairs[1]
+    load = Load(deployment, 'outage')
+
+    async def stop_during_outage() -> None:
+        async with load.flowing():
+            await load.more(MORE_CALLS)
+            deployment.set_faults(mode='down')
+            pair.node.send_signal(signal.SIGTERM)
+            await _ended_well(deployment, pair)
+            last = _own_calls(deployment, pair)
+            await load.more(MORE_CALLS)
+            assert _own_calls(deployment, pair) == last
+            deployment.set_faults()
+            await load.more(MORE_CALLS)
+
+    run_with_session(stop_during_outage())
+    _check(deployment, load)
+
+
+def test_an_operator_can_drain_a_node(deployment: Deployment):
+    """Guards against a drain by an operator that differs from one by a signal."""
+    pair = deployment.pairs[3]
+    load = Load(deployment, 'operator')
+
+    async def stop_by_operator() -> None:
+        async with load.flowing():
+            await load.more(MORE_CALLS)
+            status, _ = http('POST', f'{pair.operator_url}/v1/drain', key=OPERATOR_KEY)
+            assert status == 202
+            await _ended_well(deployment, pair)
+            await load.more(MORE_CALLS)
+
+    run_with_session(stop_by_operator())
+    _check(deployment, load)
