Measure the CPU time that nodes spend on a call

Added latency on a shared machine varies by more than most changes of the call path gain. scripts/measure call_cpu starts one deployment, sends calls in a closed loop through one node and through two, and prints the CPU microseconds per call of entry and guard, less the CPU time of idle nodes.

--- /dev/null
+++ b/bench/call_cpu.py
@@ -0,0 +1,120 @@
+"""CPU time that nodes spend on a call, on real processes.
+
+Added latency depends on what else the machine runs; CPU time depends on it much
+less, so small changes of the call path are compared by it. Calls are sent in a
+closed loop through the entry whose own upstream serves them, and through two
+nodes. The CPU time of the idle nodes is measured first and subtracted.
+"""
+
+import asyncio
+import os
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+from standins.processes import Deployment, Pair, Place, running
+
+from bench.overhead import SHEET
+
+CALLERS = 4
+CALLS_PER_CALLER = 750
+WARM_UP_CALLS = 100
+ROUNDS_PER_SEED = 2
+IDLE_S = 2
+US_PER_S = 1_000_000
+USER_TIME_FIELD = 11
+SYSTEM_TIME_FIELD = 12
+"""Positions in /proc/<pid>/stat, counted from the field after the command name."""
+
+
+def run(seeds: int) -> dict:
+    """Measure and return the result.
+
+    Args:
+        seeds: Two rounds are run for each.
+    """
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = Path(scratch)
+        sheet_file = folder / 'sheet.yaml'
+        sheet_file.write_text(SHEET)
+        places = [
+            Place('lookup', 'lookup-1', 'north', 'a', latency_ms=0),
+            Place('other', 'other-1', 'north', 'a', latency_ms=0),
+        ]
+        with running(folder, sheet_file, places) as deployment:
+            rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
+    figures = {
+        path: round(statistics.median(one[path] for one in rounds))
+        for path in rounds[0]
+    }
+    return {'name': 'call_cpu', 'rounds': len(rounds), 'us_per_call': figures}
+
+
+async def _rounds(deployment: Deployment, count: int) -> list[dict[str, float]]:
+    async with aiohttp.ClientSession() as session:
+        for pair in deployment.pairs:
+            await _send(session, _url(pair), WARM_UP_CALLS)
+        idle = await _idle_load(deployment.pairs)
+        return [await _round(session, deployment.pairs, idle) for _ in range(count)]
+
+
+async def _round(
+    session: aiohttp.ClientSession, pairs: list[Pair], idle: list[float]
+) -> dict[str, float]:
+    lookup, other = pairs
+    one_node, _ = await _cpu_per_call(session, lookup, pairs, idle)
+    guard, entry = await _cpu_per_call(session, other, pairs, idle)
+    return {
+        'one_node': one_node,
+        'entry': entry,
+        'guard': guard,
+        'two_nodes': entry + guard,
+    }
+
+
+async def _cpu_per_call(
+    session: aiohttp.ClientSession, entry: Pair, pairs: list[Pair], idle: list[float]
+) -> list[float]:
+    begin = time.perf_counter()
+    before = [cpu_s(pair.node.pid) for pair in pairs]
+    await asyncio.gather(
+        *(_send(session, _url(entry), CALLS_PER_CALLER) for _ in range(CALLERS))
+    )
+    after = [cpu_s(pair.node.pid) for pair in pairs]
+    elapsed_s = time.perf_counter() - begin
+    calls = CALLERS * CALLS_PER_CALLER
+    return [
+        (end - start - load * elapsed_s) * US_PER_S / calls
+        for start, end, load in zip(before, after, idle, strict=True)
+    ]
+
+
+async def _idle_load(pairs: list[Pair]) -> list[float]:
+    before = [cpu_s(pair.node.pid) for pair in pairs]
+    await asyncio.sleep(IDLE_S)
+    return [
+        (cpu_s(pair.node.pid) - start) / IDLE_S
+        for pair, start in zip(pairs, before, strict=True)
+    ]
+
+
+async def _send(session: aiohttp.ClientSession, url: str, calls: int) -> None:
+    for _ in range(calls):
+        async with session.get(url) as response:
+            await response.read()
+            response.raise_for_status()
+
+
+def _url(entry: Pair) -> str:
+    return f'{entry.caller_url}/lookup/items/1'
+
+
+def cpu_s(pid: int) -> float:
+    """Return the user and system CPU time of a process so far, in seconds."""
+    # The command name before the last parenthesis may itself contain blanks.
+    _, _, rest = Path(f'/proc/{pid}/stat').read_text().rpartition(')')
+    fields = rest.split()
+    ticks = int(fields[USER_TIME_FIELD]) + int(fields[SYSTEM_TIME_FIELD])
+    return ticks / os.sysconf('SC_CLK_TCK')
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -9,6 +9,7 @@
 MEASUREMENTS = types.MappingProxyType(
     {
         'blocking': 'bench.blocking',
+        'call_cpu': 'bench.call_cpu',
         'crest': 'bench.crest',
         'control': 'bench.control',
         'goodput': 'bench.goodput',
