bench: measure capacity per size, and the loss of a zone and a region link

Cause: docs/CAPACITY.md needs slopes from the real code; bench/control.py covers only the control traffic of one node. Ruled out: running bench.control again inside, which takes 42 s alone; a full hour of a region split on the logical network, which would take hours. Change: bench/capacity.py (claims against a table stand-in with 10 ms write latency, sheets, memory per member, sheet polls over HTTP, decisions) and bench/losses.py (SWIM of 100, 300 and 610 members on the logical network).

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -9,8 +9,10 @@
 MEASUREMENTS = types.MappingProxyType(
     {
         'blocking': 'bench.blocking',
+        'capacity': 'bench.capacity',
         'crest': 'bench.crest',
         'control': 'bench.control',
+        'losses': 'bench.losses',
         'goodput': 'bench.goodput',
         'overhead': 'bench.overhead',
         'recovery': 'bench.recovery',
