--- a/bench/measure.py
+++ b/bench/measure.py
@@ -10,8 +10,10 @@
     {
         'blocking': 'bench.blocking',
         'call_cpu': 'bench.call_cpu',
+        'capacity': 'bench.capacity',
         'crest': 'bench.crest',
         'control': 'bench.control',
+        'losses': 'bench.losses',
         'goodput': 'bench.goodput',
         'overhead': 'bench.overhead',
         'recovery': 'bench.recovery',
--- a/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
@@ -14,9 +14,12 @@
 from gentianmill_node.call_report import CallReport
 from gentianmill_node.dispatch import Dispatcher
 from gentianmill_node.headers import CALL_CONTEXT, REQUEST_ID
-from gentianmill_node.responses import error_response, to_response
+from gentianmill_node.logs import component
+from gentianmill_node.responses import error_response, internal_error, to_response
 from gentianmill_node.running_calls import RunningCalls
 
+log = component('entry')
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -71,6 +74,11 @@
         self._active += 1
         try:
             response = await self._handle_or_refuse(request)
+        except Exception:
+            log.exception('Call failed by a fault in the node.')
+            failure = internal_error()
+            self._parts.report.refused(failure)
+            return error_response(failure, request.headers.get(REQUEST_ID, ''))
         finally:
             self._active -= 1
         if self._ends_connections:
--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -63,6 +63,8 @@
     async def dispatch(self, call: Call) -> Answer:
         """Run a call on some member of its service; errors become answers."""
         self._parts.retries.on_call()
+        if call.depth:
+            self._parts.policy.levels.on_egress(call.service, call.rank)
         now_ms = self._parts.clock.now_ms()
         if call.depth == 0 and not self._parts.policy.levels.admits(
             call.service, call.rank, now_ms
@@ -155,17 +157,16 @@
         parts = self._parts
         start_ms = parts.clock.now_ms()
         parts.policy.router.on_start(member.node_id, start_ms)
-        ok = False
         try:
             answer = await self._run_on(call, member)
-            ok = answer.outcome is Outcome.answered
-        except asyncio.CancelledError:
-            # A cancelled hedge says nothing bad about the member but its latency.
-            ok = True
-            raise
-        finally:
+        except BaseException:
             end_ms = parts.clock.now_ms()
-            parts.policy.router.on_done(member.node_id, end_ms, end_ms - start_ms, ok)
+            elapsed_ms = end_ms - start_ms
+            parts.policy.router.on_cancelled(member.node_id, end_ms, elapsed_ms)
+            raise
+        ok = answer.outcome is Outcome.answered
+        end_ms = parts.clock.now_ms()
+        parts.policy.router.on_done(member.node_id, end_ms, end_ms - start_ms, ok)
         self._learn(call, member, answer, end_ms - start_ms)
         return answer
 
--- a/packages/gentianmill-node/src/gentianmill_node/members.py
+++ b/packages/gentianmill-node/src/gentianmill_node/members.py
@@ -60,7 +60,9 @@
         if member.is_gone:
             self._policy.homes.member_gone(member.node_id, now_ms)
         else:
-            self._policy.homes.member_up(member.node_id, member.region, now_ms)
+            self._policy.homes.member_up(
+                member.node_id, member.region, now_ms, _age_ms(member)
+            )
         if member.region != self._region:
             return
         if member.is_gone:
@@ -68,3 +70,13 @@
         else:
             self._in_region.add(member.node_id)
         self._policy.link.share_among(max(len(self._in_region), 1))
+
+
+def _age_ms(member: Member) -> float:
+    """Return how long ago a member started, in ms.
+
+    Its first incarnation is the time of day of its start; later ones are only a
+    few higher. A difference between the clocks of two machines shifts the moment
+    from which a member may be the home of retry counts.
+    """
+    return max(time.time() * MS_PER_S - member.incarnation, 0)
--- a/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
@@ -18,6 +18,7 @@
 from gentianmill_node.keys import same_key
 from gentianmill_node.logs import component
 from gentianmill_node.peer_client import MAX_MESSAGE_BYTES
+from gentianmill_node.responses import internal_error
 
 log = component('peer')
 
@@ -151,7 +152,11 @@
             task.cancel()
 
     async def _run(self, frame: CallFrame) -> None:
-        answer = await self._handlers.run(frame)
+        try:
+            answer = await self._handlers.run(frame)
+        except Exception:
+            log.exception('Call failed by a fault in the node.')
+            answer = Answer.from_error(internal_error())
         await self._send(answer.to_frame(frame.call_id))
 
     async def _send(self, frame: AnyFrame) -> None:
--- a/packages/gentianmill-node/src/gentianmill_node/policy.py
+++ b/packages/gentianmill-node/src/gentianmill_node/policy.py
@@ -34,6 +34,7 @@
         retry = RetryModel()
         rng = random.Random(node_id)
         region = settings.node.region
+        self._region = region
         self.level = AdmissionLevel(1, 0)
         self.levels = LevelTable(RANKS_PER_CLASS - 1)
         self.router = Router(region, settings.node.zone, self._limits, rng, node_id)
@@ -68,6 +69,18 @@
         self.suspects.configure(self._limits.suspect_window_s * MS_PER_S)
         self._apply_classes(sheet)
 
+    def is_home(self, identity: str, now_ms: float) -> bool:
+        """Return whether this node keeps the retry count of a request.
+
+        Members that disagree about the home, for example after a long pause, would
+        otherwise grant more than the bound together.
+
+        Args:
+            identity: Identity of the request.
+            now_ms: Current time.
+        """
+        return self.homes.home(identity, self._region, now_ms) == self._node_id
+
     def suspect_owner(self, digest: bytes) -> str:
         """Return the guard that alone runs a suspect; empty if there is none."""
         members = self.router.members(self._service)
@@ -89,4 +102,6 @@
         self.level = AdmissionLevel(
             len(classes), protected, self._limits.queue_delay_ms
         )
-        self.levels = LevelTable(len(classes) * RANKS_PER_CLASS - 1)
+        self.levels = LevelTable(
+            len(classes) * RANKS_PER_CLASS - 1, protected * RANKS_PER_CLASS - 1
+        )
--- a/packages/gentianmill-node/src/gentianmill_node/responses.py
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -54,6 +54,12 @@
     return web.Response(status=answer.status, headers=headers, body=answer.body)
 
 
+def internal_error() -> GentianmillError:
+    """Return the error for a fault in the node itself; the work may have run."""
+    message = 'the node failed; see its log'
+    return GentianmillError(ErrorCode.internal, 'node', '', message, Outcome.unknown)
+
+
 def error_response(error: GentianmillError, request_id: str) -> web.Response:
     """Return the HTTP response for an error.
 
--- a/packages/gentianmill-node/src/gentianmill_node/retry_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/retry_gate.py
@@ -37,7 +37,10 @@
 
     def spend(self, identity: str) -> bool:
         """Spend one retry of a request whose home is this node."""
-        return self._policy.ledger.spend(identity, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if not self._policy.is_home(identity, now_ms):
+            return False
+        return self._policy.ledger.spend(identity, now_ms)
 
     async def grant(self, call: Call) -> bool:
         """Return whether the call may be sent once more.
--- a/packages/gentianmill-node/src/gentianmill_node/running_view.py
+++ b/packages/gentianmill-node/src/gentianmill_node/running_view.py
@@ -64,7 +64,12 @@
             limit=self._data_path.gate.limit,
             queue_delay_ms=queue.queue_delay_ms,
             level=policy.level.level,
-            levels=policy.levels.levels(self._control.clock.now_ms()),
+            levels={
+                service: report[0]
+                for service, report in policy.levels.levels(
+                    self._control.clock.now_ms()
+                ).items()
+            },
         )
 
     def drains(self) -> Sequence[DrainReport]:
