--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -111,14 +111,18 @@
             if self._parts.clock.now_ms() >= call.deadline_ms:
                 break
             try:
-                answer = await self._attempt(call, tried)
+                answer = await self._attempt(call, tried, _owner(answer))
             except GentianmillError:
                 # No other member is left, so the last answer stands.
                 break
         return answer
 
-    async def _attempt(self, call: Call, tried: set[str]) -> Answer:
-        member = self.choose(call, frozenset(tried))
+    async def _attempt(
+        self, call: Call, tried: set[str], preferred: str = ''
+    ) -> Answer:
+        member = self._find(call, preferred)
+        if member is None or member.node_id in tried:
+            member = self.choose(call, frozenset(tried))
         tried.add(member.node_id)
         delay_ms = self._hedge_delay(call)
         if delay_ms is None:
@@ -132,6 +136,10 @@
         finally:
             first.cancel()
 
+    def _find(self, call: Call, node_id: str) -> Member | None:
+        members = self._parts.policy.router.members(call.service)
+        return next((one for one in members if one.node_id == node_id), None)
+
     def _hedge_delay(self, call: Call) -> float | None:
         if not call.identity or not call.operation.is_repeatable_read:
             return None
@@ -217,6 +225,13 @@
     return answer.outcome is Outcome.not_run and answer.error_code in _REDIRECTED
 
 
+def _owner(answer: Answer) -> str:
+    """Return the node that alone runs the call, if the answer names it."""
+    if answer.error and answer.error.code is ErrorCode.suspect_elsewhere:
+        return answer.error.peer
+    return ''
+
+
 def _operation_key(call: Call) -> str:
     return f'{call.service}/{call.operation.name}'
 
--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -191,6 +191,8 @@
             raise GentianmillError(
                 ErrorCode.draining, STEP, '', 'the upstream is leaving'
             )
+        # Refuses before a claim is written; the check before the run decides.
+        self._parts.suspects.may_run(call.digest)
         if not self._parts.policy.level.admits(call.rank):
             raise GentianmillError(
                 ErrorCode.overloaded,
--- a/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
@@ -47,16 +47,26 @@
             GentianmillError: With code ``crash_suspect`` if the call is confirmed
                 as the cause of crashes, ``deadline`` if it waited too long.
         """
-        while True:
-            verdict = self._suspects.check(digest, self._clock.now_ms())
-            if verdict is SuspectVerdict.run:
-                self._suspects.start(digest)
-                return
-            if verdict is SuspectVerdict.refuse:
-                raise _refused()
-            if verdict is SuspectVerdict.elsewhere:
-                raise _elsewhere(self._policy.suspect_owner(digest))
+        while not self.may_run(digest):
             await self._wait(deadline_ms)
+        self._suspects.start(digest)
+
+    def may_run(self, digest: bytes) -> bool:
+        """Return whether a call may run now; False if it has to wait.
+
+        Args:
+            digest: Content digest of the call.
+
+        Raises:
+            GentianmillError: With code ``crash_suspect`` or ``suspect_elsewhere`` if
+                the call must not run on this upstream at all.
+        """
+        verdict = self._suspects.check(digest, self._clock.now_ms())
+        if verdict is SuspectVerdict.refuse:
+            raise _refused()
+        if verdict is SuspectVerdict.elsewhere:
+            raise _elsewhere(self._policy.suspect_owner(digest))
+        return verdict is SuspectVerdict.run
 
     def leave(self, digest: bytes, completed: bool) -> None:
         """Report that a call ended without a crash.
--- a/tests/test_claim_history.py
+++ b/tests/test_claim_history.py
@@ -28,8 +28,9 @@
 from standins.faults import FaultMode, Faults
 from standins.table import MemoryTableStore, SimulatedTable
 from virtual_time import LoopClock, run_virtual
+from seeds import seeds
 
-SEEDS = range(60)
+SEEDS = seeds(60)
 NODES = 4
 CALLERS = 24
 KEYS = 8
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -9,6 +9,7 @@
 
 from gentianmill.home import FOUNDING_MS, SETTLING_MS, HomePicker
 from gentianmill.retry import RetryLedger
+from seeds import seeds
 
 WINDOW_MS = 60_000.0
 REGIONS = ('north', 'south', 'west')
@@ -213,7 +214,7 @@
 
 
 @pytest.mark.parametrize('cold', [False, True])
-@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize('seed', seeds(6))
 def test_retries_of_a_request_stay_within_the_bound(seed, cold):
     """Guards against retries that multiply with fan-out, regions and resends."""
     trees = _CallTrees(seed, cold)
--- a/tests/test_sheet_model.py
+++ b/tests/test_sheet_model.py
@@ -18,6 +18,7 @@
 )
 
 from gentianmill.sheet_version import SheetTracker
+from seeds import seeds
 
 MAX_STATES = 200_000
 COUNTEREXAMPLE_STATES = 20_000
@@ -128,7 +129,7 @@
     assert verdict['counterexample']
 
 
-@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('seed', seeds(5))
 def test_long_lived_trackers_follow_random_walks_of_the_model(seed):
     """Guards against a tracker whose answer depends on its past."""
     rng = random.Random(seed)
--- a/tests/test_sheet_version.py
+++ b/tests/test_sheet_version.py
@@ -17,6 +17,7 @@
 )
 from gentianmill.sheet_version import SheetTracker
 from gentianmill_node.table_client import TableWrite
+from seeds import seeds
 
 STEPS = 400
 LOST_SHARE = 0.2
@@ -193,7 +194,7 @@
         await asyncio.gather(*[node.sheet_loop.close() for node in self.nodes])
 
 
-@pytest.mark.parametrize('seed', range(10))
+@pytest.mark.parametrize('seed', seeds(10))
 def test_versions_never_fall_in_random_histories(seed, tmp_path):
     """Guards against reverts by restarts, races, outages and lost answers."""
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gentianmill.suspects import Strike, SuspectList, SuspectVerdict, suspect_owner
+from seeds import seeds
 
 WINDOW_MS = 1000
 
@@ -193,7 +194,7 @@
             guard.warned = guard.warned or strike.digest == POISON
 
 
-@pytest.mark.parametrize('seed', range(20))
+@pytest.mark.parametrize('seed', seeds(20))
 def test_poison_is_stopped_and_innocent_calls_are_served(seed):
     """Guards against a chain of crashes, and against refusing its bystanders.
 
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -11,6 +11,7 @@
 from gentianmill.membership import MemberTable
 from gentianmill.settings_models import MembershipModel
 from gentianmill.swim import Swim
+from seeds import seeds
 
 LIMIT_S = 120
 SEEDS = (1, 2, 3)
@@ -181,7 +182,7 @@
         return self.rng.choice(self.network.running())
 
 
-@pytest.mark.parametrize('seed', range(8))
+@pytest.mark.parametrize('seed', seeds(8))
 def test_random_faults_end_in_agreement(seed):
     """Guards against combinations of faults after which views stay different."""
     faults = _Faults(seed)
