Hold slot and running call in class contexts at the guard

Cause: a profile of a node (cProfile, closed loop) showed the generator of asynccontextmanager around each call at the guard. Ruled out: joining the two contexts into one function, which would repeat the cleanup for bulk calls. Change: SlotHold and RunningHold are context manager classes, used for short and bulk calls alike.

--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -14,6 +14,7 @@
 from gentianmill_node.admission_gate import AdmissionGate
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.claim_store import Claim, ClaimRequest, ClaimStore, StoredResponse
+from gentianmill_node.guard_holds import RunningHold, SlotHold
 from gentianmill_node.policy import Policy
 from gentianmill_node.running_calls import RunningCalls
 from gentianmill_node.sheet_source import SheetSource
@@ -147,17 +148,15 @@
             GentianmillError: If the call is refused; it did not run then.
         """
         self._check(call)
-        ticket = self._ticket(call)
-        await self._parts.gate.enter(ticket)
-        self._active += 1
-        ok = False
-        try:
-            async with self._unsuspected(call) as token:
-                yield token
-            ok = True
-        finally:
-            self._active -= 1
-            self._parts.gate.leave(ticket, ok)
+        async with SlotHold(self._parts.gate, self._ticket(call)):
+            self._active += 1
+            try:
+                async with RunningHold(
+                    self._parts.suspects, self._parts.running, call
+                ) as token:
+                    yield token
+            finally:
+                self._active -= 1
 
     async def finish_all(self) -> None:
         """Wait until no call is in the queue or on the upstream."""
@@ -220,28 +219,11 @@
         return answer
 
     async def _run_admitted(self, call: Call) -> Answer:
-        ticket = self._ticket(call)
-        await self._parts.gate.enter(ticket)
-        ok = False
-        try:
-            async with self._unsuspected(call) as token:
-                answer = await self._run_upstream(call, token)
-            ok = True
-        finally:
-            self._parts.gate.leave(ticket, ok)
-        return answer
-
-    @contextlib.asynccontextmanager
-    async def _unsuspected(self, call: Call) -> AsyncIterator[str]:
-        await self._parts.suspects.enter(call.digest, call.deadline_ms)
-        token = self._parts.running.add(call)
-        completed = False
-        try:
-            yield token
-            completed = True
-        finally:
-            self._parts.running.remove(token)
-            self._parts.suspects.leave(call.digest, completed)
+        async with SlotHold(self._parts.gate, self._ticket(call)):
+            async with RunningHold(
+                self._parts.suspects, self._parts.running, call
+            ) as token:
+                return await self._run_upstream(call, token)
 
     async def _run_upstream(self, call: Call, token: str) -> Answer:
         left_ms = call.deadline_ms - self._parts.clock.now_ms()
