--- a/packages/gentianmill-node/src/gentianmill_node/responses.py
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -19,6 +19,7 @@
 )
 
 MS_PER_S = 1000
+RETRY_AFTER_MS = 1000
 
 _STATUS: Mapping[ErrorCode, int] = types.MappingProxyType(
     {
@@ -77,14 +78,14 @@
         ERROR_STEP: error.step,
         ERROR_PEER: error.peer,
     }
-    if error.retry_after_ms:
-        headers[RETRY_AFTER] = str(math.ceil(error.retry_after_ms / MS_PER_S))
+    status = _STATUS.get(error.code, fallback)
+    if status == _STATUS_NOT_RUN:
+        pause_ms = error.retry_after_ms or RETRY_AFTER_MS
+        headers[RETRY_AFTER] = str(math.ceil(pause_ms / MS_PER_S))
     body = {
         'code': error.code.value,
         'step': error.step,
         'peer': error.peer,
         'message': error.message,
     }
-    return web.json_response(
-        body, status=_STATUS.get(error.code, fallback), headers=headers
-    )
+    return web.json_response(body, status=status, headers=headers)
