--- a/packages/gentianmill-node/src/gentianmill_node/call_builder.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call_builder.py
@@ -68,6 +68,7 @@
         key = _key(request, target.operation)
         identity = _identity(tenant, target.service, key or request_id)
         request_id = request_id or secrets.token_hex(REQUEST_ID_BYTES)
+        home = self._policy.homes.home(identity, self._region, self._clock.now_ms())
         body = await request.read()
         return Call(
             service=target.service,
@@ -79,7 +80,7 @@
             tenant=tenant,
             request_id=request_id,
             identity=identity,
-            home=self._home(identity),
+            home=home or '' if identity else '',
             depth=0,
             rank=rank_of(target.operation.work_class, identity or request_id),
             deadline_ms=self._deadline(request, target.operation),
@@ -115,12 +116,6 @@
         call.home = ''
         return call
 
-    def _home(self, identity: str) -> str:
-        if not identity:
-            return ''
-        now_ms = self._clock.now_ms()
-        return self._policy.homes.home(identity, self._region, now_ms) or ''
-
     def _target(self, request: web.Request) -> _Target:
         sheet = self._sheets.required()
         service, slash, rest = request.raw_path.lstrip('/').partition('/')
