Take refusals of bulk calls by the upstream as not run

Cause: a 503 of an upstream that refused a download before it ran was passed to the caller as an answer; other calls already became upstream_refused.

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -49,8 +49,13 @@
     return figures
 
 
-def run(seeds: tuple[int, ...] = SEEDS, policies: tuple[str, ...] = ()) -> dict:
-    """Run all policies.
+def run(seeds: int) -> dict:
+    """Run all policies with the first seeds, starting at 1."""
+    return compare(tuple(range(1, seeds + 1)))
+
+
+def compare(seeds: tuple[int, ...], policies: tuple[str, ...] = ()) -> dict:
+    """Run policies.
 
     Args:
         seeds: Seeds of the runs.
@@ -104,4 +109,4 @@
 if __name__ == '__main__':
     chosen = tuple(word for word in sys.argv[1:] if not word.isdigit())
     chosen_seeds = tuple(int(word) for word in sys.argv[1:] if word.isdigit())
-    print(json.dumps(run(chosen_seeds or SEEDS, chosen)))
+    print(json.dumps(compare(chosen_seeds or SEEDS, chosen)))
--- a/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
@@ -64,6 +64,7 @@
                 async with self._upstream.request(
                     call, token, left_ms, extra
                 ) as response:
+                    self._upstream.raise_refusal(response)
                     yield open_source(response)
             except aiohttp.ClientConnectorError as error:
                 message = f'no connection to the upstream: {error!r}'
--- a/packages/gentianmill-node/src/gentianmill_node/health_watch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/health_watch.py
@@ -63,11 +63,6 @@
         if self._task:
             self._task.cancel()
 
-    def take_crash(self) -> None:
-        """Take the upstream out of service at once; polls bring it back."""
-        self._failures = FAILURES_BEFORE_DOWN
-        self._set(UpstreamState.unreachable)
-
     async def _poll(self) -> None:
         while True:
             await asyncio.sleep(self._interval_s)
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -108,6 +108,20 @@
             ),
         )
 
+    def raise_refusal(self, response: aiohttp.ClientResponse) -> None:
+        """Raise if the upstream says that it refused the call before it ran.
+
+        Raises:
+            GentianmillError: With code ``upstream_refused``.
+        """
+        if response.headers.get(OUTCOME) == Outcome.not_run.value:
+            raise GentianmillError(
+                ErrorCode.upstream_refused,
+                STEP,
+                self.name,
+                'the upstream refused the call before it ran',
+            )
+
     async def run(self, call: Call, token: str, time_left_ms: float) -> Answer:
         """Run a call and read the whole response.
 
@@ -171,13 +185,7 @@
             body = await response.read()
             if len(body) > self._max_body_bytes:
                 raise ValueError('the response body is larger than the limit')
-            if response.headers.get(OUTCOME) == Outcome.not_run.value:
-                raise GentianmillError(
-                    ErrorCode.upstream_refused,
-                    STEP,
-                    self.name,
-                    'the upstream refused the call before it ran',
-                )
+            self.raise_refusal(response)
             return Answer(
                 outcome=Outcome.answered,
                 status=response.status,
