Resume cut downloads: read the entity tag whatever its case, and count bulk calls

Cause: a download that broke off was never resumed. The entity tag was looked up as ETag in a plain dict while aiohttp gives Etag, so it was always empty; bulk calls also were not counted by the retry throttle, so it never granted one, and a draining member's refusal needed a grant. Ruled out: the home of the retry count (the gate was never asked). Change: the tag is read from the case-insensitive headers, bulk calls are counted, refusals are redirected as for other calls.

--- a/packages/gentianmill-node/src/gentianmill_node/bulk.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk.py
@@ -15,7 +15,7 @@
 from gentianmill_node.bulk_source import BulkSource
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.call_report import CallReport
-from gentianmill_node.dispatch import Dispatcher
+from gentianmill_node.dispatch import MAX_REDIRECTS, Dispatcher, is_redirected
 from gentianmill_node.headers import OUTCOME, REQUEST_ID
 from gentianmill_node.policy import Policy
 from gentianmill_node.responses import error_response
@@ -63,6 +63,7 @@
             call: The call to run.
         """
         start_ms = self._parts.clock.now_ms()
+        self._parts.retries.on_call()
         download = _Download(request, call)
         error = await self._fetch(download)
         answer = _summary(error)
@@ -76,11 +77,14 @@
 
     async def _fetch(self, download: '_Download') -> GentianmillError | None:
         tried: set[str] = set()
+        redirects = 0
         while True:
             error = await self._fetch_part(download, tried)
             if error is None or not download.may_go_on(error):
                 return error
-            if not await self._parts.retries.grant(download.call):
+            free = redirects < MAX_REDIRECTS and is_redirected(error)
+            redirects += free
+            if not free and not await self._parts.retries.grant(download.call):
                 return error
 
     async def _fetch_part(
--- a/packages/gentianmill-node/src/gentianmill_node/bulk_source.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk_source.py
@@ -32,12 +32,14 @@
     """An open bulk response.
 
     ``span`` is None if the length of the body is not known; such a body cannot be
-    checked for completeness by its length, nor resumed.
+    checked for completeness by its length, nor resumed. ``etag`` is the strong
+    entity tag, or an empty string.
     """
 
     status: int
     headers: dict[str, str]
     span: ByteRange | None
+    etag: str
     chunks: AsyncIterator[bytes]
 
     @property
@@ -45,12 +47,6 @@
         """Return whether the response carries the body or a part of it."""
         return self.status in {STATUS_OK, STATUS_PARTIAL}
 
-    @property
-    def etag(self) -> str:
-        """Return the strong entity tag, or an empty string."""
-        tag = self.headers.get('ETag', '')
-        return '' if tag.startswith('W/') else tag
-
 
 def open_source(response: aiohttp.ClientResponse) -> BulkSource:
     """Return the source that reads a response in chunks."""
@@ -58,10 +54,15 @@
         status=response.status,
         headers=end_to_end(response.headers),
         span=_span(response),
+        etag=_strong_tag(response.headers.get('ETag', '')),
         chunks=response.content.iter_chunked(CHUNK_BYTES),
     )
 
 
+def _strong_tag(tag: str) -> str:
+    return '' if tag.startswith('W/') else tag
+
+
 def _span(response: aiohttp.ClientResponse) -> ByteRange | None:
     match = _CONTENT_RANGE.match(response.headers.get('Content-Range', ''))
     if match and response.status == STATUS_PARTIAL:
--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -104,7 +104,7 @@
         redirects = 0
         answer = await self._attempt(call, tried)
         while _may_repeat(call, answer):
-            free = redirects < MAX_REDIRECTS and _is_redirected(answer)
+            free = redirects < MAX_REDIRECTS and is_redirected(answer.error)
             redirects += free
             if not free and not await self._parts.retries.grant(call):
                 break
@@ -221,8 +221,11 @@
     return answer.error_code in _REPEATED
 
 
-def _is_redirected(answer: Answer) -> bool:
-    return answer.outcome is Outcome.not_run and answer.error_code in _REDIRECTED
+def is_redirected(error: GentianmillError | None) -> bool:
+    """Return whether a refused call goes to another member without a grant."""
+    if error is None or error.outcome is not Outcome.not_run:
+        return False
+    return error.code in _REDIRECTED
 
 
 def _owner(answer: Answer) -> str:
