Notice a crash of the upstream that is restarted at once

Cause: a call whose connection was lost counted as a crash only if the upstream did not accept a new connection; a supervisor that restarts it within milliseconds hid the crash, so no suspect was recorded. Ruled out: the health poll, which is slower than a restart. Change: an idle connection is held, which ends with the process.

--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -120,7 +120,9 @@
         control: The control parts.
     """
     running = RunningCalls()
-    upstream = UpstreamClient(settings.upstream, settings.listeners.max_body_bytes)
+    upstream = UpstreamClient(
+        settings.upstream, settings.listeners.max_body_bytes, control.clock
+    )
     strikes = StrikeSender(control.members.table, control.peers)
     suspects = SuspectGate(control.policy, control.clock, strikes.send)
     pace = CommitPace(control.members.table, control.tracker, control.policy)
--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -242,7 +242,7 @@
             raise
 
     async def _note_crash(self) -> None:
-        if not await self._parts.upstream.reachable():
+        if await self._parts.upstream.crashed():
             self._parts.suspects.crash()
 
     def _ticket(self, call: Call) -> Ticket:
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import yarl
+from gentianmill.clock import Clock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.outcome import Outcome
 from gentianmill.settings_models import UpstreamModel
@@ -18,6 +19,7 @@
     TENANT,
     end_to_end,
 )
+from gentianmill_node.liveness import LivenessConnection
 
 CONNECT_TIMEOUT_S = 1.0
 MS_PER_S = 1000
@@ -47,17 +49,21 @@
 class UpstreamClient:
     """Run calls on the own upstream."""
 
-    def __init__(self, settings: UpstreamModel, max_body_bytes: int) -> None:
+    def __init__(
+        self, settings: UpstreamModel, max_body_bytes: int, clock: Clock
+    ) -> None:
         """Create a client; call ``start`` before use.
 
         Args:
             settings: Address and limits of the upstream.
             max_body_bytes: Longest response body that is not a bulk body.
+            clock: Clock of the node.
         """
         self._settings = settings
         self._max_body_bytes = max_body_bytes
         self._base = f'http://{settings.host}:{settings.port}'
         self._session: aiohttp.ClientSession | None = None
+        self._liveness = LivenessConnection(str(settings.host), settings.port, clock)
 
     @property
     def name(self) -> str:
@@ -67,9 +73,11 @@
     async def start(self) -> None:
         """Open the session."""
         self._session = new_session(self._settings.connections)
+        await self._liveness.start()
 
     async def close(self) -> None:
         """Close all connections."""
+        await self._liveness.close()
         if self._session:
             await self._session.close()
 
@@ -152,8 +160,12 @@
                 ErrorCode.connection_lost, error, Outcome.unknown
             ) from error
 
-    async def reachable(self) -> bool:
-        """Return whether the upstream accepts a new connection."""
+    async def crashed(self) -> bool:
+        """Return whether the process died under a call whose connection was lost."""
+        reachable = await self._reachable()
+        return not reachable or self._liveness.lost_recently()
+
+    async def _reachable(self) -> bool:
         address = (str(self._settings.host), self._settings.port)
         try:
             _, writer = await asyncio.wait_for(
