Notice each crash of an upstream and confirm strikes before callers are answered

Cause: one content crashed 3 or 4 upstreams where 2 are allowed. Strikes were also sent after the caller was answered, calls lost in one crash recorded it twice, and each could miss the other's publication. Ruled out: membership views and the owner rule (the second guard had the strike).

--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -234,16 +234,17 @@
             raise GentianmillError(
                 ErrorCode.deadline, STEP, '', message, Outcome.expired
             )
+        epoch = self._parts.suspects.epoch
         try:
             return await self._parts.upstream.run(call, token, left_ms)
         except GentianmillError as error:
             if error.code is ErrorCode.connection_lost:
-                await self._note_crash()
+                await self._note_crash(epoch)
             raise
 
-    async def _note_crash(self) -> None:
+    async def _note_crash(self, epoch: int) -> None:
         if await self._parts.upstream.crashed():
-            self._parts.suspects.crash()
+            await self._parts.suspects.crash(epoch)
 
     def _ticket(self, call: Call) -> Ticket:
         sheet = self._parts.sheets.required()
--- a/packages/gentianmill-node/src/gentianmill_node/guard_holds.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard_holds.py
@@ -87,4 +87,4 @@
     ) -> None:
         """End the call; an exception means that it did not complete."""
         self._running.remove(self._token)
-        self._suspects.leave(self._call.digest, exc_type is None)
+        await self._suspects.leave(self._call.digest, exc_type is None)
--- a/packages/gentianmill-node/src/gentianmill_node/peer_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 import aiohttp
+import msgspec
 from gentianmill.clock import Clock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.member import Member
@@ -85,6 +86,12 @@
         reply = await self._exchange(call_id, frame, SPEND_TIMEOUT_S)
         return isinstance(reply, GrantFrame) and reply.granted
 
+    async def send_strike(self, strike: StrikeFrame) -> None:
+        """Tell a guard about a crash suspect and wait until it has taken it over."""
+        call_id = next(self._numbers)
+        frame = msgspec.structs.replace(strike, call_id=call_id)
+        await self._exchange(call_id, frame, SPEND_TIMEOUT_S)
+
     async def send(self, frame: AnyFrame) -> None:
         """Send a frame that has no reply."""
         self._last_used_ms = self._clock.now_ms()
@@ -244,7 +251,7 @@
         try:
             connection = await self._connection(member)
             for strike in strikes:
-                await connection.send(strike)
+                await connection.send_strike(strike)
         except (GentianmillError, ConnectionError, aiohttp.ClientError):
             return
 
--- a/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
@@ -140,6 +140,7 @@
             await self._send(GrantFrame(call_id=frame.call_id, granted=granted))
         elif isinstance(frame, StrikeFrame):
             self._handlers.strike(frame)
+            await self._send(GrantFrame(call_id=frame.call_id, granted=True))
 
     def _start(self, frame: CallFrame) -> None:
         task = asyncio.ensure_future(self._run(frame))
--- a/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/suspect_gate.py
@@ -1,16 +1,19 @@
 """Hold crash suspects back so that at most one runs on the upstream."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from gentianmill.clock import Clock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.outcome import Outcome
 from gentianmill.suspects import Strike, SuspectVerdict
 
+from gentianmill_node.logs import component
 from gentianmill_node.policy import Policy
 
 MS_PER_S = 1000
+
+log = component('suspect')
 STEP = 'suspect'
 
 
@@ -21,7 +24,7 @@
         self,
         policy: Policy,
         clock: Clock,
-        publish: Callable[[Sequence[Strike]], None],
+        publish: Callable[[Sequence[Strike]], Awaitable[None]],
     ) -> None:
         """Create a gate.
 
@@ -35,6 +38,11 @@
         self._clock = clock
         self._publish = publish
         self._changed = asyncio.Event()
+        self._epoch = 0
+        self._published: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._published.set_result(None)
 
     async def enter(self, digest: bytes, deadline_ms: float) -> None:
         """Wait until a call may run and register it as running.
@@ -68,7 +76,12 @@
             raise _elsewhere(self._policy.suspect_owner(digest))
         return verdict is SuspectVerdict.run
 
-    def leave(self, digest: bytes, completed: bool) -> None:
+    @property
+    def epoch(self) -> int:
+        """Return the number of crashes seen so far."""
+        return self._epoch
+
+    async def leave(self, digest: bytes, completed: bool) -> None:
         """Report that a call ended without a crash.
 
         Args:
@@ -79,12 +92,27 @@
         strike = self._suspects.finish(digest, self._clock.now_ms(), completed)
         self._wake()
         if strike:
-            self._publish((strike,))
+            await self._publish((strike,))
 
-    def crash(self) -> None:
-        """Report that the upstream crashed with all running calls."""
-        self._publish(self._suspects.crash(self._clock.now_ms()))
-        self._wake()
+    async def crash(self, epoch: int) -> None:
+        """Report that the upstream crashed with all running calls.
+
+        Args:
+            epoch: The epoch in which the call that was lost started. The other
+                calls lost in the same crash report it too; calls that started
+                since then have no part in it.
+        """
+        if epoch == self._epoch:
+            self._epoch += 1
+            strikes = self._suspects.crash(self._clock.now_ms())
+            self._wake()
+            convicted = [strike.digest.hex() for strike in strikes if strike.convicted]
+            log.warning(
+                'Upstream crashed.', calls=len(strikes), refused_content=convicted
+            )
+            self._published = asyncio.ensure_future(self._publish(strikes))
+        # All calls of the crash wait, since any of them may be the cause.
+        await asyncio.shield(self._published)
 
     def merge(self, strike: Strike) -> None:
         """Take over a strike of another guard."""
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -22,6 +22,9 @@
 from gentianmill_node.liveness import LivenessConnection
 
 CONNECT_TIMEOUT_S = 1.0
+EXIT_GRACE_S = 0.05
+"""An exiting process may close a call's connection some ms before its listener."""
+
 MS_PER_S = 1000
 STEP = 'run'
 
@@ -162,6 +165,12 @@
 
     async def crashed(self) -> bool:
         """Return whether the process died under a call whose connection was lost."""
+        if await self._looks_dead():
+            return True
+        await asyncio.sleep(EXIT_GRACE_S)
+        return await self._looks_dead()
+
+    async def _looks_dead(self) -> bool:
         reachable = await self._reachable()
         return not reachable or self._liveness.lost_recently()
 
--- a/packages/gentianmill/src/gentianmill/messages.py
+++ b/packages/gentianmill/src/gentianmill/messages.py
@@ -125,7 +125,7 @@
 
 class GrantFrame(Frame):
     """
-    Answers a SpendFrame.
+    Answers a SpendFrame, or confirms a StrikeFrame.
     """
 
     call_id: int
@@ -137,6 +137,9 @@
     Tells a guard of the same service about a crash suspect.
     """
 
+    call_id: Annotated[
+        int, Meta(description='Number of the GrantFrame that confirms it.')
+    ]
     service: str
     digest: bytes
     convicted: bool
