Build TLS contexts and the deployment of measurements in one place

Cause: the control listener and the other listeners each built TLS contexts, and two measurements each started the same deployment.

--- a/bench/call_cpu.py
+++ b/bench/call_cpu.py
@@ -9,14 +9,14 @@
 import asyncio
 import os
 import statistics
-import tempfile
 import time
 from pathlib import Path
 
 import aiohttp
-from standins.processes import Deployment, Pair, Place, running
+from standins.processes import Deployment, Pair
+
+from bench.two_services import two_services
 
-from bench.overhead import SHEET
 
 CALLERS = 4
 CALLS_PER_CALLER = 750
@@ -35,16 +35,8 @@
     Args:
         seeds: Two rounds are run for each.
     """
-    with tempfile.TemporaryDirectory() as scratch:
-        folder = Path(scratch)
-        sheet_file = folder / 'sheet.yaml'
-        sheet_file.write_text(SHEET)
-        places = [
-            Place('lookup', 'lookup-1', 'north', 'a', latency_ms=0),
-            Place('other', 'other-1', 'north', 'a', latency_ms=0),
-        ]
-        with running(folder, sheet_file, places) as deployment:
-            rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
+    with two_services() as deployment:
+        rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
     figures = {
         path: round(statistics.median(one[path] for one in rounds))
         for path in rounds[0]
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import statistics
-import tempfile
 import time
-from pathlib import Path
 
 import aiohttp
-from standins.processes import Deployment, Place, running
+from standins.processes import Deployment
+
+from bench.two_services import two_services
 
 TARGET_MS = 0.38
 CALLS_PER_S = 44
@@ -22,19 +22,6 @@
 ROUNDS_PER_SEED = 3
 P50 = 50
 P99 = 99
-SHEET = """
-deployment: overhead
-regions: [north]
-classes: [{name: lookups}]
-services:
-  lookup:
-    operations:
-      - {name: read, method: GET, path: '/items/{id}', class: lookups}
-  other:
-    operations:
-      - {name: read, method: GET, path: '/items/{id}', class: lookups}
-"""
-
 Samples = dict[str, list[float]]
 
 
@@ -44,16 +31,8 @@
     Args:
         seeds: Three rounds are run for each.
     """
-    with tempfile.TemporaryDirectory() as name:
-        folder = Path(name)
-        sheet_file = folder / 'sheet.yaml'
-        sheet_file.write_text(SHEET)
-        places = [
-            Place('lookup', 'lookup-1', 'north', 'a', latency_ms=0),
-            Place('other', 'other-1', 'north', 'a', latency_ms=0),
-        ]
-        with running(folder, sheet_file, places) as deployment:
-            rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
+    with two_services() as deployment:
+        rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
     return _report(rounds)
 
 
--- a/packages/gentianmill-node/src/gentianmill_node/member_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/member_loop.py
@@ -15,12 +15,13 @@
 from gentianmill.swim import Probe, Swim
 from gentianmill_node.announcer import Announcer
 from gentianmill_node.channel_pool import Address
-from gentianmill_node.control_auth import client_context, read_key, server_context
+from gentianmill_node.control_auth import GRPC_PROTOCOLS, read_key
 from gentianmill_node.control_client import ControlClient
 from gentianmill_node.control_service import ControlService
 from gentianmill_node.member_exchange import MemberExchange
 from gentianmill_node.sheet_gossip import NoSheets, SheetGossip
 from gentianmill_node.table_client import TableStore
+from gentianmill_node.tls import client_context, server_context
 
 MS_PER_S = 1000
 RETRY_MS = 5000
@@ -73,7 +74,7 @@
         self._announcer = Announcer(clock, table_store, self._table)
         peer_key = read_key(settings.keys.peer_key_file)
         self._client = ControlClient(
-            clock, peer_key, client_context(settings.listeners)
+            clock, peer_key, client_context(settings.listeners, GRPC_PROTOCOLS)
         )
         self._exchange = MemberExchange(
             clock,
@@ -101,7 +102,7 @@
         await self._server.start(
             str(listeners.host),
             listeners.control_port,
-            ssl=server_context(listeners),
+            ssl=server_context(listeners, GRPC_PROTOCOLS),
         )
         membership = self._settings.membership
         self._spawn(self._probe_forever())
--- a/packages/gentianmill-node/src/gentianmill_node/tls.py
+++ b/packages/gentianmill-node/src/gentianmill_node/tls.py
@@ -1,27 +1,49 @@
 """TLS contexts from the settings."""
 
 import ssl
+from collections.abc import Sequence
 
 from gentianmill.settings_models import ListenersModel
 
 
-def server_context(settings: ListenersModel) -> ssl.SSLContext | None:
-    """Return the context of the listeners, or None if TLS is off."""
+def server_context(
+    settings: ListenersModel, protocols: Sequence[str] = ()
+) -> ssl.SSLContext | None:
+    """Return the context of the listeners, or None if TLS is off.
+
+    Args:
+        settings: Names the certificate files.
+        protocols: Protocols to offer by ALPN, such as ``h2`` for gRPC.
+    """
     if not settings.certificate_file:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(settings.certificate_file, settings.certificate_key_file)
-    return context
+    return _with_protocols(context, protocols)
 
 
-def client_context(settings: ListenersModel) -> ssl.SSLContext | None:
+def client_context(
+    settings: ListenersModel, protocols: Sequence[str] = ()
+) -> ssl.SSLContext | None:
     """Return the context for connections to other nodes, or None if TLS is off.
 
     Nodes are addressed by IP number, so the certificate is checked against the
     authority of the settings and not against a host name.
+
+    Args:
+        settings: Names the certificate files.
+        protocols: Protocols to offer by ALPN, such as ``h2`` for gRPC.
     """
     if not settings.certificate_file:
         return None
     context = ssl.create_default_context(cafile=settings.authority_file)
     context.check_hostname = False
+    return _with_protocols(context, protocols)
+
+
+def _with_protocols(
+    context: ssl.SSLContext, protocols: Sequence[str]
+) -> ssl.SSLContext:
+    if protocols:
+        context.set_alpn_protocols(list(protocols))
     return context
