--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 
 import aiohttp
+import structlog
 import yaml
 from standins.faults import FaultMode, Faults
 from standins.processes import wait_for
@@ -37,7 +38,7 @@
 from gentianmill.sheet import WorkClass
 from gentianmill.sheet_file import load_sheet
 from gentianmill.sheet_models import LimitsModel
-from gentianmill.sheet_record import SHEET_KEY, SheetRecord, encode_record
+from gentianmill.sheet_record import SHEET_KEY, VERSION_KEY, SheetRecord, encode_record
 from gentianmill.sheet_version import SheetTracker
 from gentianmill.ticket import Ticket
 from gentianmill_node.claim_store import ClaimRequest, ClaimStore, StoredResponse
@@ -45,7 +46,7 @@
 from gentianmill_node.http_table import HttpTableStore
 from gentianmill_node.policy import Policy
 from gentianmill_node.sheet_loop import SheetLoop
-from gentianmill_node.table_client import TableWrite
+from gentianmill_node.table_client import TableRow, TableWrite
 
 MEMBER_COUNTS = (100, 300, 610)
 SERVICES = 54
@@ -118,6 +119,7 @@
     Args:
         seeds: Multiplies the decisions that are timed.
     """
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
     load_before = os.getloadavg()
     claims = [asyncio.run(claim_point(*load)) for load in CLAIM_LOADS]
     sheets = [sheet_point(count) for count in OPERATIONS_PER_SERVICE]
@@ -125,7 +127,7 @@
     decisions = [decision_point(count, seeds) for count in MEMBER_COUNTS]
     polls = poll_points()
     return {
-        'bench': 'capacity',
+        'name': 'capacity',
         'load_average': [load_before, os.getloadavg()],
         'write_latency_ms': WRITE_LATENCY_MS,
         'claims': claims,
@@ -408,15 +410,36 @@
         return probe.connect_ex((HOST, port)) == 0
 
 
+class CountingStore(HttpTableStore):
+    """A table client that counts the bytes of the rows that it reads."""
+
+    def __init__(self, settings: TableModel, session: aiohttp.ClientSession) -> None:
+        """Create a client that has read nothing yet."""
+        super().__init__(settings, session)
+        self.read_bytes = 0
+
+    async def read(self, key: str) -> TableRow | None:
+        """Read one row and count its value."""
+        row = await super().read(key)
+        self.read_bytes += len(row.value) if row else 0
+        return row
+
+
 async def poll_point(port: int, per_service: int) -> Point:
     """Poll a sheet that does not change, many times, and return the cost of one."""
     async with aiohttp.ClientSession() as session:
-        table = HttpTableStore(TableModel(url=f'http://{HOST}:{port}'), session)
+        table = CountingStore(TableModel(url=f'http://{HOST}:{port}'), session)
         value = encode_record(SheetRecord(1, sheet_text(per_service), 'bench', 0))
-        await table.transact([TableWrite(SHEET_KEY, value, None)])
+        await table.transact(
+            [
+                TableWrite(SHEET_KEY, value, None),
+                TableWrite(VERSION_KEY, b'1', None),
+            ]
+        )
         tracker = SheetTracker()
         loop = SheetLoop(settings(), MonotonicClock(), table, tracker, str)
         await loop.poll()
+        table.read_bytes = 0
         started = time.process_time()
         for _ in range(POLLS):
             await loop.poll()
@@ -425,5 +448,5 @@
         'operations': SERVICES * per_service,
         'poll_cpu_ms': poll_ms,
         'cpu_share': poll_ms / MS_PER_S / POLL_S,
-        'value_bytes_per_s': len(value) / POLL_S,
+        'value_bytes_per_s': table.read_bytes / POLLS / POLL_S,
     }
