Record the queue delay of each class and test the admission gate

Cause: the histogram of the queue delay existed but nothing fed it. Conclusion: the gate reports each started call; waits, cancellations and passed deadlines now have tests.

--- a/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
+++ b/packages/gentianmill-node/src/gentianmill_node/admission_gate.py
@@ -1,7 +1,7 @@
 """The admission queue with waiting calls: futures and timers around it."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from gentianmill.admission import AdmissionQueue
 from gentianmill.clock import Clock
@@ -20,18 +20,26 @@
 class AdmissionGate:
     """Let calls wait until the admission queue starts or refuses them."""
 
-    def __init__(self, policy: Policy, limit: ConcurrencyLimit, clock: Clock) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        limit: ConcurrencyLimit,
+        clock: Clock,
+        on_delay: Callable[[str, float], None],
+    ) -> None:
         """Create a gate.
 
         Args:
             policy: Holds the limits of the sheet and the admission level.
             limit: Number of calls that may run at once.
             clock: Clock of the node.
+            on_delay: Told the class and the queue delay in ms of each started call.
         """
         self._queue = AdmissionQueue(policy.limits, limit)
         self._policy = policy
         self._limit = limit
         self._clock = clock
+        self._on_delay = on_delay
         self._waiting: dict[int, asyncio.Future[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -61,6 +69,8 @@
             await self._wait(ticket)
         elif verdict is not Verdict.start:
             raise _refusal(verdict)
+        delay_ms = ticket.started_ms - ticket.enqueued_ms
+        self._on_delay(ticket.work_class.name, delay_ms)
 
     async def _wait(self, ticket: Ticket) -> None:
         waiting = asyncio.get_running_loop().create_future()
--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -129,7 +129,12 @@
     claims = ClaimStore(
         control.table, control.clock, control.own.node_id, pace.pause_ms
     )
-    gate = AdmissionGate(control.policy, _limit(settings), control.clock)
+    gate = AdmissionGate(
+        control.policy,
+        _limit(settings),
+        control.clock,
+        control.metrics.on_queue_delay,
+    )
     guard = Guard(
         GuardParts(
             service=control.own.service,
--- /dev/null
+++ b/tests/test_admission_gate.py
@@ -0,0 +1,109 @@
+"""Tests of calls that wait at the admission gate."""
+
+import asyncio
+
+import pytest
+from gentianmill_node.admission_gate import AdmissionGate
+
+from gentianmill.clock import ManualClock
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.limit import FixedLimit
+from gentianmill.outcome import Outcome
+from gentianmill.sheet import WorkClass
+from gentianmill.sheet_models import LimitsModel
+from gentianmill.ticket import Ticket
+
+
+class _Level:
+    """A level that takes observations and admits everything."""
+
+    def observe(self, now_ms, queue_delay_ms, refused) -> None:
+        """Do nothing."""
+
+
+class _Policy:
+    """What the gate reads of the policy."""
+
+    def __init__(self) -> None:
+        """Hold default limits."""
+        self.limits = LimitsModel()
+        self.level = _Level()
+
+
+class _Bench:
+    """A gate with one slot, its clock and the delays that it reported."""
+
+    def __init__(self) -> None:
+        """Create the gate."""
+        self.clock = ManualClock()
+        self.delays: list[tuple[str, float]] = []
+        self.gate = AdmissionGate(
+            _Policy(),
+            FixedLimit(1),
+            self.clock,
+            lambda *delay: self.delays.append(delay),
+        )
+
+    def ticket(self, deadline_ms: float = 10_000) -> Ticket:
+        """Return a new ticket."""
+        return Ticket(
+            work_class=WorkClass('billing', 0, protected=True),
+            tenant='a',
+            share=1,
+            size='short',
+            rank=1,
+            deadline_ms=deadline_ms,
+            operation='deposit',
+        )
+
+
+def test_a_waiting_call_starts_when_a_slot_is_free():
+    """Guards against calls that wait for ever, and delays that are not recorded."""
+
+    async def run() -> list[tuple[str, float]]:
+        bench = _Bench()
+        first = bench.ticket()
+        await bench.gate.enter(first)
+        second = asyncio.ensure_future(bench.gate.enter(bench.ticket()))
+        await asyncio.sleep(0)
+        assert not second.done()
+        bench.clock.advance(7)
+        bench.gate.leave(first, ok=True)
+        await second
+        bench.gate.close()
+        return bench.delays
+
+    assert asyncio.run(run()) == [('billing', 0), ('billing', 7)]
+
+
+def test_a_cancelled_wait_gives_its_place_back():
+    """Guards against slots lost to callers that went away."""
+
+    async def run() -> int:
+        bench = _Bench()
+        first = bench.ticket()
+        await bench.gate.enter(first)
+        second = asyncio.ensure_future(bench.gate.enter(bench.ticket()))
+        await asyncio.sleep(0)
+        second.cancel()
+        await asyncio.gather(second, return_exceptions=True)
+        bench.gate.leave(first, ok=True)
+        await bench.gate.enter(bench.ticket())
+        bench.gate.close()
+        return bench.gate.queue.in_flight + bench.gate.queue.queued
+
+    assert asyncio.run(run()) == 1
+
+
+def test_a_passed_deadline_is_a_certain_outcome():
+    """Guards against work that starts although nobody can use its result."""
+
+    async def run() -> None:
+        bench = _Bench()
+        bench.clock.advance(5)
+        await bench.gate.enter(bench.ticket(deadline_ms=1))
+
+    with pytest.raises(GentianmillError) as caught:
+        asyncio.run(run())
+    assert caught.value.code is ErrorCode.deadline
+    assert caught.value.outcome is Outcome.expired
