--- a/tests/standins/demo.py
+++ b/tests/standins/demo.py
@@ -138,7 +138,7 @@
         ends = Counter(one.outcome for one in part)
         times = sorted(one.latency_ms for one in part)
         lines.append(
-            f'{name:10}{work_class:14}{len(part):6}{ends["answered"]:10}'
+            f'{name:12}{work_class:14}{len(part):6}{ends["answered"]:10}'
             f'{ends["not_run"]:9}{ends["unknown"]:9}'
             f'{times[len(times) // 2]:9.1f}{times[int(len(times) * 0.99)]:9.1f}'
         )
@@ -158,7 +158,7 @@
             results = asyncio.run(surge(deployment, name))
             lines += table(name, results)
             faults += find_faults(deployment, results)
-    head = f'{"deployment":10}{"class":14}{"sent":>6}{"answered":>10}'
+    head = f'{"deployment":12}{"class":14}{"sent":>6}{"answered":>10}'
     print(head + f'{"not run":>9}{"unknown":>9}{"p50 ms":>9}{"p99 ms":>9}')
     print('\n'.join(lines))
     print('\n'.join(faults) or 'Nothing was lost, doubled or cut short.')
