Use a node that nobody knows in the test of a start without a table

The node restarted without seeds under an address that its peers still probed, as they probe dead members to find them after a split; on a slow machine it learned the sheet from them before the test read its reason. The log of the restarted node shows 'sheet: in force' with source 'peer'. Ruled out: a taken port (the node was up), a lost reason in /health. Change: two tests. A node restarted without seeds must get the sheet from the peers that know its address; a node under a new address, which nobody knows, must say that the table is the cause and serve nothing. The watch of versions looks at all nodes once before and after a test, since on a slow machine it had not seen the first nodes before they were replaced.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -108,7 +108,9 @@
         self._sheet_file = sheet_file
         (folder / 'peer.key').write_text(PEER_KEY)
         (folder / 'operator.key').write_text(OPERATOR_KEY)
-        self.pairs = [self._prepare(place) for place in places]
+        self.pairs: list[Pair] = []
+        for place in places:
+            self.add(place)
 
     @property
     def platform_url(self) -> str:
@@ -128,6 +130,12 @@
         for pair in self.pairs:
             self.wait_until_ready(pair)
 
+    def add(self, place: Place) -> Pair:
+        """Prepare a pair that is not started yet and that no node knows."""
+        pair = self._prepare(place)
+        self.pairs.append(pair)
+        return pair
+
     def wait_until_ready(self, pair: Pair) -> None:
         """Wait until a node is ready and knows all members."""
         wait_for(lambda: self._knows_all(pair), self._reason(pair))
--- a/tests/test_process_sheet.py
+++ b/tests/test_process_sheet.py
@@ -11,12 +11,13 @@
 import pytest
 import yaml
 
-from process_places import SHEET_FILE, group_places
+from process_places import REGION, SHEET_FILE, group_places
 from standins.processes import (
     HOST,
     OPERATOR_KEY,
     Deployment,
     Pair,
+    Place,
     http,
     running,
     wait_for,
@@ -34,6 +35,7 @@
         self._deployment = deployment
         self._seen: dict[str, list[int]] = {}
         self._stopped = threading.Event()
+        self._look_at_all()
         self._thread = threading.Thread(target=self._watch)
         self._thread.start()
 
@@ -41,12 +43,16 @@
         """Stop and return the versions seen at each start of a node."""
         self._stopped.set()
         self._thread.join()
+        self._look_at_all()
         return self._seen
 
     def _watch(self) -> None:
         while not self._stopped.wait(WATCH_S):
-            for pair in self._deployment.pairs:
-                self._look_at(pair)
+            self._look_at_all()
+
+    def _look_at_all(self) -> None:
+        for pair in self._deployment.pairs:
+            self._look_at(pair)
 
     def _look_at(self, pair: Pair) -> None:
         health = _health(pair)
@@ -156,25 +162,46 @@
     deployment.start_node(pair)
 
 
-def test_a_start_during_an_outage(deployment: Deployment):
-    """Guards against a node that serves without a sheet or hides why it does not."""
-    lone, seeded, seed = deployment.pairs[:3]
-    version = _version(seed)
+@pytest.fixture
+def outage(deployment: Deployment) -> Iterator[int]:
+    """Switch the table off and return the version in force before."""
+    version = _version(deployment.pairs[-1])
     deployment.set_faults(mode='down')
+    yield version
+    deployment.set_faults()
+    wait_for(
+        lambda: all(_is_ready(pair, version) for pair in deployment.pairs),
+        'the end of the outage',
+    )
+
+
+def test_a_restart_during_an_outage(deployment: Deployment, outage: int):
+    """Guards against a restarted node that waits for the table to get its sheet.
+
+    One node has a seed. The other has none and is found by the peers that still
+    probe its address.
+    """
+    found, seeded, seed = deployment.pairs[:3]
     _restart(deployment, seeded, [f'{HOST}:{seed.ports["control"]}'])
-    _restart(deployment, lone, [])
-    wait_for(lambda: _version(seeded) == version, 'the sheet from the seed')
-    wait_for(lambda: 'table' in _reason(lone), 'the reason of the node without a seed')
+    _restart(deployment, found, [])
+    wait_for(lambda: _version(seeded) == outage, 'the sheet from the seed')
+    wait_for(lambda: _version(found) == outage, 'the sheet from a peer')
+
+
+def test_a_first_start_during_an_outage(deployment: Deployment, outage: int):
+    """Guards against a node that serves without a sheet or hides why it does not.
+
+    No node knows the new one, so nobody can give it the sheet.
+    """
+    lone = deployment.add(Place('catalogo', 'catalogo-new', REGION, f'{REGION}-a'))
+    deployment.start_upstream(lone)
+    deployment.start_node(lone)
+    wait_for(lambda: 'table' in _reason(lone), 'the reason of the new node')
     status, health = http('GET', f'{lone.operator_url}/health')
     assert (status, health['ready'], health['sheet_version']) == (503, False, 0)
     status, answer = http('GET', f'{lone.caller_url}/tesoreria/cuotas/m1')
     assert (status, answer['code']) == (503, 'no_sheet')
     assert 'table' in answer['message']
-    deployment.set_faults()
-    wait_for(
-        lambda: all(_is_ready(pair, version) for pair in deployment.pairs),
-        'the end of the outage',
-    )
 
 
 def _is_ready(pair: Pair, version: int) -> bool:
