Delete expired claim rows in small batches

Cause: claim rows were kept for ever, 5.6 TB in 35 days at the design size. The table's scan returns all rows of a prefix with their values, so it could not be used to find the expired ones.

The name of a row depends on the key alone, so a resend finds it. Nodes that build the earlier names must not run beside these.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,9 +10,7 @@
 import os
 import pathlib
 import random
-import socket
 import statistics
-import subprocess
 import sys
 import time
 import tracemalloc
@@ -22,10 +20,10 @@
 import structlog
 import yaml
 from standins.faults import FaultMode, Faults
-from standins.processes import wait_for
 from standins.table import MemoryTableStore, SimulatedTable
 
 from bench import control
+from bench.platform import HOST, platform_port
 from gentianmill.admission import AdmissionQueue
 from gentianmill.clock import MonotonicClock
 from gentianmill.home import HomePicker
@@ -70,7 +68,6 @@
 ESTABLISHED_MS = 2 * WINDOW_MS
 """Time at which members that are up from 0 keep counts of retries."""
 
-HOST = '127.0.0.1'
 MS_PER_S = 1000
 US_PER_S = 1_000_000
 P99 = 98
@@ -391,23 +388,8 @@
 
 def poll_points() -> list[Point]:
     """Measure sheet polls over HTTP against the stand-in platform."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port = probe.getsockname()[1]
-    command = [sys.executable, '-m', 'standins.platform', '--port', str(port)]
-    platform = subprocess.Popen(command)
-    try:
-        wait_for(lambda: is_open(port), 'the platform')
+    with platform_port() as port:
         return [asyncio.run(poll_point(port, n)) for n in OPERATIONS_PER_SERVICE]
-    finally:
-        platform.terminate()
-        platform.wait()
-
-
-def is_open(port: int) -> bool:
-    """Return whether a loopback port accepts connections."""
-    with socket.socket() as probe:
-        return probe.connect_ex((HOST, port)) == 0
 
 
 class CountingStore(HttpTableStore):
--- a/bench/control.py
+++ b/bench/control.py
@@ -104,6 +104,10 @@
         """Return the announcements."""
         return self._rows
 
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return no keys; there are no claims."""
+        return []
+
     async def transact(self, writes: list[TableWrite]) -> tuple[str, ...]:
         """Accept all writes."""
         return ()
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -11,6 +11,7 @@
         'blocking': 'bench.blocking',
         'call_cpu': 'bench.call_cpu',
         'capacity': 'bench.capacity',
+        'claim_sweep': 'bench.claim_sweep',
         'control': 'bench.control',
         'crest': 'bench.crest',
         'goodput': 'bench.goodput',
--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -17,6 +17,7 @@
 from gentianmill_node.call_report import CallReport
 from gentianmill_node.caller_listener import ListenerParts
 from gentianmill_node.claim_store import ClaimStore
+from gentianmill_node.claim_sweeper import ClaimSweeper, sweep_turn
 from gentianmill_node.commit_pace import CommitPace
 from gentianmill_node.dispatch import Dispatcher, DispatchParts
 from gentianmill_node.guard import Guard, GuardParts
@@ -63,6 +64,7 @@
     upstream: UpstreamClient
     suspects: SuspectGate
     claims: ClaimStore
+    sweeper: ClaimSweeper
     guard: Guard
     gate: AdmissionGate
     bulk_guard: BulkGuard
@@ -157,6 +159,7 @@
         upstream=upstream,
         suspects=suspects,
         claims=claims,
+        sweeper=_sweeper(control, pace),
         guard=guard,
         gate=gate,
         bulk_guard=bulk_guard,
@@ -165,6 +168,16 @@
     )
 
 
+def _sweeper(control: Control, pace: CommitPace) -> ClaimSweeper:
+    members = control.members.table
+    return ClaimSweeper(
+        control.table,
+        control.clock,
+        control.own.service,
+        lambda: sweep_turn(members, control.own, pace.pause_ms()),
+    )
+
+
 def _listener_parts(
     settings: NodeSettingsModel,
     control: Control,
--- a/packages/gentianmill-node/src/gentianmill_node/http_table.py
+++ b/packages/gentianmill-node/src/gentianmill_node/http_table.py
@@ -68,6 +68,13 @@
         self._expect(status, HTTP_OK)
         return [TableRow(*entry) for entry in self._decode(body, _Rows)]
 
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return the first keys with a prefix in key order, at most ``limit``."""
+        target = f'/keys?prefix={quote(prefix, safe="")}&limit={limit}'
+        status, _, body = await self._send('GET', target)
+        self._expect(status, HTTP_OK)
+        return self._decode(body, list[str])
+
     async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
         """Apply all writes, or none of them; see the base class."""
         payload = msgspec.msgpack.encode(
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -57,6 +57,7 @@
         await self._data.upstream.start()
         await self._control.peers.start()
         await self._data.claims.start()
+        await self._data.sweeper.start()
         await self._control.sheet_loop.start()
         await self._start_listeners()
         await self._control.members.start()
@@ -85,6 +86,7 @@
         for task in self._tasks:
             task.cancel()
         await self._health.close()
+        await self._data.sweeper.close()
         await self._control.sheet_loop.close()
         await self._control.members.close()
         await self._data.claims.close()
--- a/packages/gentianmill-node/src/gentianmill_node/table_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/table_client.py
@@ -38,6 +38,10 @@
     async def scan(self, prefix: str) -> list[TableRow]:
         """Read all rows whose key starts with a prefix."""
 
+    @abc.abstractmethod
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return the first keys with a prefix in key order, at most ``limit``."""
+
     @abc.abstractmethod
     async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
         """Apply all writes, or none of them.
--- a/packages/gentianmill/src/gentianmill/claim_rows.py
+++ b/packages/gentianmill/src/gentianmill/claim_rows.py
@@ -3,6 +3,9 @@
 A claim row reserves a key; its response is a second row under the claim id.
 The response row is inserted, never changed, so recording needs no revision
 and a claim that lost its row cannot answer for the claim that replaced it.
+
+Rows of keys that carry a date are grouped by day, oldest first in key order, so
+that expired rows are found without reading the others.
 """
 
 import enum
@@ -11,7 +14,14 @@
 
 import msgspec
 
-RETENTION_MS = 35 * 24 * 3600 * 1000
+DAY_MS = 24 * 3600 * 1000
+RETENTION_MS = 35 * DAY_MS
+DAY_MARK = '@'
+"""First character of the part with the day; quoted parts never contain it."""
+
+DAY_DIGITS = 7
+"""The date of a UUIDv7 has 48 bits of milliseconds, 3,257,812 days."""
+
 UUID_VERSION = 7
 UUID_TIME_SHIFT = 80
 
@@ -52,9 +62,8 @@
 
     @property
     def row_key(self) -> str:
-        """Return the key of the claim row; parts are quoted, so none collide."""
-        parts = (self.service, self.tenant, self.key)
-        return '/'.join(['claims', *map(_quote, parts)])
+        """Return the key of the claim row; see ``claim_row_key``."""
+        return claim_row_key(self.service, self.tenant, self.key)
 
     @property
     def response_key(self) -> str:
@@ -66,15 +75,39 @@
         return msgspec.msgpack.encode(self)
 
 
+def claim_row_key(service: str, tenant: str, key: str) -> str:
+    """Return the key of the row of a claim.
+
+    It depends on nothing but the arguments, so that each resend finds the row.
+    Parts are quoted, so that no two claims share a row.
+    """
+    made_ms = _key_unix_ms(key)
+    if made_ms is None:
+        return f'claims/{_quote(service)}/{_quote(tenant)}/{_quote(key)}'
+    day = f'{made_ms // DAY_MS:0{DAY_DIGITS}}'
+    return f'{dated_prefix(service)}{day}/{_quote(tenant)}/{_quote(key)}'
+
+
+def dated_prefix(service: str) -> str:
+    """Return the prefix of all rows of a service whose keys carry a date."""
+    return f'claims/{_quote(service)}/{DAY_MARK}'
+
+
 def key_expired(key: str, now_unix_ms: float) -> bool:
     """Return whether a key is a UUIDv7 older than the retention of its row."""
+    made_ms = _key_unix_ms(key)
+    return made_ms is not None and now_unix_ms - made_ms > RETENTION_MS
+
+
+def _key_unix_ms(key: str) -> int | None:
+    """Return the date in a UUIDv7 as Unix time in ms; None for other keys."""
     try:
         parsed = uuid.UUID(key)
     except ValueError:
-        return False
+        return None
     if parsed.version != UUID_VERSION:
-        return False
-    return now_unix_ms - (parsed.int >> UUID_TIME_SHIFT) > RETENTION_MS
+        return None
+    return parsed.int >> UUID_TIME_SHIFT
 
 
 def _quote(part: str) -> str:
--- a/tests/memory_table.py
+++ b/tests/memory_table.py
@@ -26,6 +26,11 @@
         self._check()
         return [row for key, row in self.rows.items() if key.startswith(prefix)]
 
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return the first keys with a prefix in key order."""
+        self._check()
+        return sorted(key for key in self.rows if key.startswith(prefix))[:limit]
+
     async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
         """Apply all writes, or none."""
         self._check()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -50,6 +50,7 @@
             [
                 web.get('/rows/{key}', self.read_row),
                 web.get('/scan', self.scan_rows),
+                web.get('/keys', self.list_keys),
                 web.post('/transact', self.transact),
                 web.get('/objects/{key:.+}', self.read_object),
                 web.put('/objects/{key:.+}', self.write_object),
@@ -72,6 +73,11 @@
         rows = await self.table.scan(request.query.get('prefix', ''))
         return _packed([_entry(row) for row in rows])
 
+    async def list_keys(self, request: web.Request) -> web.Response:
+        """Answer with the first keys under a prefix."""
+        limit = int(request.query['limit'])
+        return _packed(await self.table.first_keys(request.query['prefix'], limit))
+
     async def transact(self, request: web.Request) -> web.Response:
         """Apply a transaction; 409 with the failed keys if it is refused."""
         entries = msgspec.msgpack.decode(await request.read(), type=_Writes)
--- a/tests/standins/table.py
+++ b/tests/standins/table.py
@@ -1,6 +1,7 @@
 """The simulated table service, without a transport and as a ``TableStore``."""
 
 import asyncio
+import heapq
 from collections.abc import Awaitable, Sequence
 from typing import TypeVar
 
@@ -35,6 +36,12 @@
         await self.gate.enter(writes=False)
         return [self.rows[key] for key in sorted(self.rows) if key.startswith(prefix)]
 
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return the first keys with a prefix in key order, at most ``limit``."""
+        await self.gate.enter(writes=False)
+        keys = (key for key in self.rows if key.startswith(prefix))
+        return heapq.nsmallest(limit, keys)
+
     async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
         """Apply all writes or none; return the keys whose condition failed."""
         await self.gate.enter(writes=True)
@@ -81,6 +88,10 @@
         """Read all rows whose key starts with a prefix."""
         return await _send(self._table.scan(prefix))
 
+    async def first_keys(self, prefix: str, limit: int) -> list[str]:
+        """Return the first keys with a prefix in key order, at most ``limit``."""
+        return await _send(self._table.first_keys(prefix, limit))
+
     async def transact(self, writes: Sequence[TableWrite]) -> tuple[str, ...]:
         """Apply all writes, or none of them; see the base class."""
         return await _send(self._table.transact(tuple(writes)))
--- a/tests/test_http_table.py
+++ b/tests/test_http_table.py
@@ -49,6 +49,8 @@
         assert [row.key for row in rows] == list(ODD_KEYS)
         assert [row.value.decode() for row in rows] == list(ODD_KEYS)
         assert [row.key for row in await store.scan('a')] == ['a b?c#d&e', 'a%2Fb']
+        assert await store.first_keys('a', 1) == ['a b?c#d&e']
+        assert await store.first_keys('claims/a/', 9) == ['claims/a/b/c']
         assert await store.read('absent') is None
 
     _run(make, scenario)
@@ -80,6 +82,7 @@
             owner.gate.faults = Faults(mode=FaultMode.down)
             await _error_of(store.read('a'))
             await _error_of(store.scan('a'))
+            await _error_of(store.first_keys('a', 1))
             await _error_of(store.transact([_put('a', 0)]))
             owner.gate.faults = Faults()
             assert await store.read('a') is None
