Settle claims that stay unknown with gentianmillctl settle

Change: the command marks the claim row settled and writes the result into the row under the claim id, in one transaction on condition of the revisions read, with the operator's name. Run: resends get the status with an empty body. Not run: resends get 422 settled_not_run. Refused for a claim with a response and while the holder's announcement changes within 150 s; the transaction also fails if the announcement changed. A claim that its holder abandoned is settled without this check, since that holder never runs it. A holder that reads its row back and finds it settled does not hold it.

Ruled out: deleting the claim when the work did not run. In the model a paused holder then runs beside a resend (variant settle_by_deleting). Settling while the holder may run breaks "not run means no execution" (variant settle_while_holder_may_run), though not at-most-once, because the row stays.

Limit: a holder that confirmed its claim, was paused for over 150 s and then continues is kept from running only by the call's deadline.

--- a/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
@@ -17,6 +17,7 @@
     print_error,
     print_result,
 )
+from gentianmill_ctl.settle import ClaimName, Settlement, Verdict
 from gentianmill_ctl.submit import Submission, new_sheet
 from gentianmill_ctl.table_access import TableAccess
 
@@ -63,6 +64,23 @@
         return await Submission(access, model, new_sheet(text, expect, by)).send()
 
 
+async def settle_claim(
+    name: ClaimName, table: str, verdict: Verdict, key_file: str
+) -> Result:
+    """Settle a claim whose outcome is unknown.
+
+    Raises:
+        GentianmillError: With the code that decides the exit code.
+    """
+    if not is_http_url(table):
+        raise _usage(table, '--table is not an http or https URL')
+    if not verdict.by.strip():
+        raise _usage(verdict.by, '--by is empty')
+    key = _read_key(key_file) if key_file else ''
+    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        return await Settlement(TableAccess(table, session, key), name, verdict).send()
+
+
 async def ask_node(ask: Ask, node: str, key_file: str) -> Result:
     """Ask a node for a report.
 
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -4,10 +4,17 @@
 
 import defopt
 
-from gentianmill_ctl._actions import ask_node, checked, run_command, submit_file
+from gentianmill_ctl._actions import (
+    ask_node,
+    checked,
+    run_command,
+    settle_claim,
+    submit_file,
+)
 from gentianmill_ctl.check import check_settings_file, check_sheet_file
 from gentianmill_ctl.drain import start_drain
 from gentianmill_ctl.result import EXIT_CODE_HELP
+from gentianmill_ctl.settle import ClaimName, Verdict
 from gentianmill_ctl.show import (
     drain_report,
     limit_report,
@@ -58,6 +65,35 @@
     return run_command(submit_file(file, table, expect, by, key_file), json)
 
 
+def settle(
+    claim: tuple[str, str, str],
+    *,
+    table: str,
+    status: int,
+    by: str,
+    key_file: str = '',
+    json: bool = False,
+) -> int:
+    """Settle a claim whose outcome is unknown, after a look into the books.
+
+    Refused if a response exists, and while the claim's holder may still run the
+    work. This takes up to 150 s if the holder's announcement is still there.
+
+    Args:
+        claim: Service, tenant and idempotency key of the call; the tenant is
+            ``default`` if the call named none.
+        table: URL of the platform's table service.
+        status: HTTP status that later resends get, 200 to 599, if the work ran; 0
+            if it did not run, which refuses the key.
+        by: Name of the operator, kept with the claim.
+        key_file: File with the key of the table service.
+        json: Print JSON.
+    """
+    name = ClaimName(*claim)
+    verdict = Verdict(status, by)
+    return run_command(settle_claim(name, table, verdict, key_file), json)
+
+
 def show_sheet(*, node: str, key_file: str, json: bool = False) -> int:
     """Show the sheet in force at a node.
 
@@ -117,6 +153,7 @@
     check_settings,
     check_sheet,
     submit,
+    settle,
     show_sheet,
     members,
     limits,
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/result.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/result.py
@@ -29,7 +29,7 @@
 
 EXIT_CODE_HELP = (
     'Exit codes: 0 success; 1 refused by checks; 2 usage, also an unreadable file; '
-    '3 conflict with another submission; 4 table or node unreachable or unavailable; '
+    '3 conflict with another change; 4 table or node unreachable or unavailable; '
     '5 key missing or wrong.'
 )
 
@@ -39,6 +39,8 @@
         ErrorCode.bad_settings: ExitCode.refused,
         ErrorCode.bad_request: ExitCode.usage,
         ErrorCode.version_conflict: ExitCode.conflict,
+        ErrorCode.settlement_refused: ExitCode.refused,
+        ErrorCode.settlement_conflict: ExitCode.conflict,
         ErrorCode.unauthorised: ExitCode.unauthorised,
     }
 )
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/table_access.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/table_access.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from urllib.parse import quote
 
 import aiohttp
@@ -11,6 +11,8 @@
 
 from gentianmill.errors import ErrorCode, GentianmillError
 
+RowWrite = tuple[str, bytes | None, int | None]
+
 REVISION_HEADER = 'X-Revision'
 _OK = 200
 _NOT_FOUND = 404
@@ -35,7 +37,7 @@
 
 
 class TableAccess:
-    """Read one row, and replace it on condition of its revision."""
+    """Read one row, and write rows on condition of their revisions."""
 
     def __init__(self, url: str, session: aiohttp.ClientSession, key: str = '') -> None:
         """Use a table service.
@@ -81,8 +83,24 @@
             GentianmillError: With code ``store_unavailable`` if it is not known
                 whether the row was written.
         """
-        writes: list[list[object]] = [[key, row.value, row.revision]]
-        writes += [[other, value, None] for other, value in (with_rows or {}).items()]
+        writes: list[RowWrite] = [(key, row.value, row.revision)]
+        writes += [(other, value, None) for other, value in (with_rows or {}).items()]
+        return await self.transact(writes)
+
+    async def transact(self, writes: Sequence[RowWrite]) -> bool:
+        """Write all rows, or none of them.
+
+        Args:
+            writes: Key, new value and expected revision of each row. A value of
+                None deletes it; revision 0 means no row, None no condition.
+
+        Returns:
+            Whether the rows were written.
+
+        Raises:
+            GentianmillError: With code ``store_unavailable`` if it is not known
+                whether the rows were written.
+        """
         body = msgspec.msgpack.encode(writes)
         answer = await self._send('POST', f'{self._url}/transact', body)
         if answer.status == _NOT_FOUND:
--- a/packages/gentianmill-node/src/gentianmill_node/claim_store.py
+++ b/packages/gentianmill-node/src/gentianmill_node/claim_store.py
@@ -119,8 +119,8 @@
 
         Raises:
             GentianmillError: ``key_reused``, ``key_expired``, ``bad_request``,
-                ``store_unavailable`` and ``deadline`` if this call did not run
-                and never will; ``in_progress`` if another call with the key
+                ``settled_not_run``, ``store_unavailable`` and ``deadline`` if
+                this call did not run and never will; ``in_progress`` if another call with the key
                 may run or have run.
         """
         _check_key(request.key, self._unix_s() * MS_PER_S)
@@ -228,6 +228,12 @@
             return None
         if found is not None and found.state is ClaimState.abandoned:
             raise _in_progress(rival)
+        if found is not None and found.state is ClaimState.not_run:
+            raise _error(
+                ErrorCode.settled_not_run,
+                f'the call with key {rival.key!r} did not run, as an operator found; '
+                'use a new key',
+            )
         return None if found is None else found.response
 
     def _finish(self, claim: Claim, response: StoredResponse | None) -> None:
--- a/packages/gentianmill-node/src/gentianmill_node/responses.py
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -31,6 +31,7 @@
         ErrorCode.body_too_large: 413,
         ErrorCode.key_reused: 422,
         ErrorCode.key_expired: 422,
+        ErrorCode.settled_not_run: 422,
         ErrorCode.crash_suspect: 422,
         ErrorCode.deadline: 504,
         ErrorCode.in_progress: 504,
--- a/packages/gentianmill/src/gentianmill/claim_rows.py
+++ b/packages/gentianmill/src/gentianmill/claim_rows.py
@@ -34,6 +34,12 @@
     abandoned = 'abandoned'
     """The work may have run; no response will be recorded."""
 
+    settled = 'settled'
+    """An operator decided; the row under the claim id says how."""
+
+    not_run = 'not_run'
+    """An operator found that the work did not run; the key stays refused."""
+
 
 class StoredResponse(msgspec.Struct, frozen=True, array_like=True):
     """A complete response of the upstream."""
@@ -54,6 +60,8 @@
     holder: str
     state: ClaimState = ClaimState.claimed
     response: StoredResponse | None = None
+    settled_by: str = ''
+    """Name of the operator who settled the claim; empty if nobody did."""
 
     @classmethod
     def decode(cls, content: bytes) -> 'ClaimRow':
--- a/packages/gentianmill/src/gentianmill/claims.py
+++ b/packages/gentianmill/src/gentianmill/claims.py
@@ -223,6 +223,9 @@
             now_ms: Current time in ms.
         """
         own = row is not None and row.claim_id == claim.row.claim_id
+        if own and row.state is ClaimState.settled:
+            # An operator told the caller how the call ended, so it must not run.
+            own = False
         if claim.step is ClaimStep.releasing:
             if own:
                 claim.revision = revision
--- a/tests/models/claim_model.py
+++ b/tests/models/claim_model.py
@@ -26,6 +26,8 @@
     'run_after_not_run_answer': 2,
     'delete_without_fencing': 3,
     'not_run_although_running': 2,
+    'settle_while_holder_may_run': 2,
+    'settle_by_deleting': 2,
 }
 """Known-bad protocols, and the calls that it takes to refute them."""
 
@@ -134,6 +136,16 @@
     return hold(told) if call.step == ClaimStep.held else told
 
 
+def settlement_steps(row: int, call: Call, me: int) -> Steps:
+    """Yield how an operator settles a claim whose holder is gone.
+
+    The row stays, so the key is refused; the books tell what ran.
+    """
+    gone = call.step == CRASHED and row == me
+    if gone and not call.ran and not call.told_not_run:
+        yield 'operator_settles', row, call.put(told_not_run=True)
+
+
 def release_steps(row: int, call: Call, me: int) -> Steps:
     """Yield the steps that delete the row of a released claim."""
     again = call.put(step=ClaimStep.releasing)
@@ -159,6 +171,11 @@
         yield variant, row, run
     if variant == 'delete_without_fencing' and call.step == ClaimStep.releasing:
         yield variant, NO_ROW, call.put(step=ClaimStep.done)
+    may_run = call.step in {ClaimStep.held, ClaimStep.running} and not call.ran
+    if variant == 'settle_while_holder_may_run' and row == me and may_run:
+        yield variant, row, call.put(told_not_run=True)
+    if variant == 'settle_by_deleting' and row == me and may_run:
+        yield variant, NO_ROW, call
     if variant == 'not_run_although_running' and call.ran:
         yield variant, row, call.put(told_not_run=True)
 
@@ -194,6 +211,7 @@
                 *claim_steps(row, call, me),
                 *run_steps(row, call),
                 *release_steps(row, call, me),
+                *settlement_steps(row, call, me),
                 *bad_steps(variant, state, me),
             ):
                 after = (new_row, (*calls[: me - 1], new_call, *calls[me:]))
--- a/tests/row_table.py
+++ b/tests/row_table.py
@@ -19,6 +19,7 @@
         self.lost_answers = 0
         self.transactions = 0
         self.required_key = ''
+        self.before_read: Callable[[], object] | None = None
         self.before_write: Callable[[], None] | None = None
         self.after_lost_write: Callable[[], None] | None = None
         self._revision = 0
@@ -48,6 +49,8 @@
 
     async def _read(self, request: web.Request) -> web.Response:
         key = unquote(request.match_info['key'])
+        if self.before_read:
+            self.before_read()
         if key not in self.rows:
             return web.Response(status=404)
         value, revision = self.rows[key]
@@ -67,7 +70,10 @@
         if failed:
             return web.Response(status=409, body=msgspec.msgpack.encode(failed))
         for key, value, _ in writes:
-            self.put(key, value)
+            if value is None:
+                self.rows.pop(key, None)
+            else:
+                self.put(key, value)
         if self.lost_answers:
             self.lost_answers -= 1
             if self.after_lost_write:
--- a/tests/test_claim_model.py
+++ b/tests/test_claim_model.py
@@ -2,10 +2,17 @@
 
 from collections import deque
 
+import msgspec
 import pytest
 from minicheck import check_safety
 
-from gentianmill.claims import ClaimBook, ClaimRow, ClaimStep, StoredResponse
+from gentianmill.claims import (
+    ClaimBook,
+    ClaimRow,
+    ClaimState,
+    ClaimStep,
+    StoredResponse,
+)
 from models.claim_model import CRASHED, IDLE, VARIANTS, State, claim_protocol
 
 MAX_STATES = 200_000
@@ -37,6 +44,20 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('variant', 'property_name'),
+    [
+        ('settle_while_holder_may_run', 'not_run_means_no_execution'),
+        ('settle_by_deleting', 'at_most_once'),
+    ],
+)
+def test_a_wrong_settlement_breaks_one_property_only(variant, property_name):
+    """Guards against a settled row that would not even keep a second call away."""
+    found = _check(2, variant)['properties']
+    refuted = [name for name, entry in found.items() if entry['holds'] is False]
+    assert refuted == [property_name]
+
+
 class _Guard:
     """A ``ClaimBook`` with one claim, driven by the labels of the model."""
 
@@ -74,6 +95,12 @@
     def _crash(self) -> None:
         """Nothing is done by a crashed guard."""
 
+    def _operator_settles(self) -> None:
+        """Mark the row as ``gentianmillctl settle`` does."""
+        self._table[self.row.row_key] = msgspec.structs.replace(
+            self.row, state=ClaimState.settled
+        )
+
     def _answer_applied(self) -> None:
         self.book.on_applied(self.batch, self.now_ms)
 
