Announce listeners.advertised_host instead of the bound address

Cause: a node announced the address that it binds, so nothing could stand between two nodes, and a node that binds 0.0.0.0 announced 0.0.0.0, an address at which every other node reaches itself. Change: the optional setting advertised_host in the schema, used for the own member; settings that would announce 0.0.0.0 are refused with the line.

--- a/packages/gentianmill-node/src/gentianmill_node/members.py
+++ b/packages/gentianmill-node/src/gentianmill_node/members.py
@@ -26,7 +26,7 @@
         node_id=node.id or f'{upstream.endpoint}-{secrets.token_hex(ID_BYTES)}',
         incarnation=int(time.time() * MS_PER_S),
         status=MemberStatus.draining,
-        host=str(listeners.host),
+        host=str(listeners.advertised_host or listeners.host),
         peer_port=listeners.peer_port,
         control_port=listeners.control_port,
         region=node.region,
--- a/packages/gentianmill/src/gentianmill/settings_file.py
+++ b/packages/gentianmill/src/gentianmill/settings_file.py
@@ -12,6 +12,7 @@
 
 Fields = dict[str, Any]
 
+_ANY_HOST = '0.0.0.0'  # noqa: S104
 _DEFAULT_EGRESS_HOST = '127.0.0.1'
 _LISTENERS = ('caller', 'egress', 'peer', 'control', 'operator')
 _CERTIFICATE_PAIRS = (
@@ -48,6 +49,7 @@
     if isinstance(file.data, dict):
         model = check_model(file, NodeSettingsModel)
         _check_ports(file, _fields(file.data, 'listeners'))
+        _check_advertised_host(file, _fields(file.data, 'listeners'))
         _check_certificate(file, _fields(file.data, 'listeners'))
         _check_table(file, _fields(file.data, 'table'))
         _check_seeds(file, _fields(file.data, 'membership'))
@@ -76,6 +78,17 @@
             )
 
 
+def _check_advertised_host(file: YamlFile, listeners: Fields) -> None:
+    host = listeners.get('advertised_host', listeners.get('host'))
+    # Other nodes would connect to themselves.
+    if host == _ANY_HOST:
+        file.add_problem(
+            ('listeners', 'advertised_host'),
+            'an address that other nodes can connect to',
+            show_value(host),
+        )
+
+
 def _check_certificate(file: YamlFile, listeners: Fields) -> None:
     for field, other in _CERTIFICATE_PAIRS:
         if field in listeners and other not in listeners:
--- a/packages/gentianmill/src/gentianmill/settings_models.py
+++ b/packages/gentianmill/src/gentianmill/settings_models.py
@@ -53,6 +53,12 @@
         extra='forbid',
     )
     host: Annotated[IPv4Address, Field(description='Address of this VM.')]
+    advertised_host: Annotated[
+        IPv4Address | None,
+        Field(
+            description='Address under which other nodes reach this VM; the listener address if absent.'
+        ),
+    ] = None
     egress_host: Annotated[
         IPv4Address,
         Field(description='Address on which the own upstream reaches this node.'),
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -6,6 +6,7 @@
 
 from gentianmill.errors import ErrorCode
 from gentianmill.settings_file import SettingsFileError, load_settings
+from gentianmill_node.members import own_member
 
 GOOD = """\
 node: {region: puget, zone: puget-a}
@@ -52,6 +53,19 @@
     assert listeners.host == IPv4Address('127.0.0.1')
 
 
+@pytest.mark.parametrize(
+    ('lines', 'announced'),
+    [
+        ('host: 127.0.0.1', '127.0.0.1'),
+        ('host: 0.0.0.0\n  advertised_host: 127.0.0.2', '127.0.0.2'),
+    ],
+)
+def test_announces_the_advertised_host(lines: str, announced: str):
+    """Guards against a node that announces an address where it is not reached."""
+    text = GOOD.replace('host: 127.0.0.1\n  caller_port', f'{lines}\n  caller_port')
+    assert own_member(load_settings(text, 'node.yaml')).host == announced
+
+
 def test_lists_all_problems_with_their_lines():
     """Guards against an operator who finds one problem per start."""
     text = GOOD.replace('slots: 70', 'slots: 0').replace(
@@ -84,6 +98,16 @@
             'caller_port: 8001\n  certificate_file: x.pem',
             (9, 'listeners.certificate_key_file'),
         ),
+        (
+            'caller_port: 8001',
+            'caller_port: 8001\n  advertised_host: 0.0.0.0',
+            (12, 'listeners.advertised_host'),
+        ),
+        (
+            'host: 127.0.0.1\n  caller_port',
+            'host: 0.0.0.0\n  caller_port',
+            (9, 'listeners.advertised_host'),
+        ),
         ('slots: 70', 'slots: 070', (7, 'upstream.slots')),
         ('table:\n', 'table:\n  key_file: no\n', (18, 'table.key_file')),
     ],
