Give each port of a deployment out once

Cause: 3 of 12 runs of the features under work failed at the start with 'no success within 60 s: the node of tesoreria-a'. The ports of each upstream are chosen before anything listens, and separately from those of the others, so two listeners could get the same port: 7.2% of all deployments with 55 ports of 20,000 (calculated).

Ruled out: a slow start on the busy machine; the other starts took 9 to 14 s, the failing ones ended at the limit of 60 s.

Change: free_ports remembers the ports that it gave out.

--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -25,18 +25,24 @@
 them took a port between its choice here and the start of the listener."""
 
 LISTENERS = ('caller', 'egress', 'peer', 'control', 'operator')
+_given_ports: set[int] = set()
 PEER_KEY = 'peer-key-for-tests-0123456789'
 OPERATOR_KEY = 'operator-key-for-tests-0123456789'
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports of the loopback address that are free now."""
-    ports: set[int] = set()
+    """Return TCP ports of the loopback address that are free now.
+
+    Nothing listens at them yet, so none is given out twice: among the 55 ports of
+    nine upstreams two were the same in 7% of all deployments (calculated).
+    """
+    ports: list[int] = []
     while len(ports) < count:
         port = random.choice(PORTS)
-        if _is_free(port):
-            ports.add(port)
-    return list(ports)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            ports.append(port)
+    return ports
 
 
 def _is_free(port: int) -> bool:
