Describe what 'not run' promises in the users' words

Cause: invariant 4 was proved for the claim store and for faults at random times, but no feature said it for each reason that a caller can be given.

Refused payments are resent with the same key and must be answered and run once.

--- a/features/callers.py
+++ b/features/callers.py
@@ -9,7 +9,7 @@
 from http import client as http_client
 from urllib.parse import urlsplit
 
-from standins.processes import Deployment
+from standins.processes import Deployment, wait_for
 
 LIMIT_S = 60
 THREADS = 64
@@ -92,6 +92,16 @@
         connection.close()
 
 
+def send_until_answered(entry: str, work: Work) -> Reply:
+    """Resend work as long as the caller is told that it did not run."""
+    replies = _Resends(entry, work)
+    try:
+        wait_for(replies.are_settled, f'an answer to {work.request_id}')
+    except TimeoutError as error:
+        raise AssertionError(f'refused to the end: {replies.last}') from error
+    return replies.last
+
+
 def send_all(pairs: Iterable[tuple[str, Work]]) -> list[Reply]:
     """Send work to entries at the same time and wait for all replies."""
     with ThreadPoolExecutor(THREADS) as pool:
@@ -104,5 +114,17 @@
     return [run for run in log if run['request_id'] == work.request_id]
 
 
+class _Resends:
+    def __init__(self, entry: str, work: Work) -> None:
+        self.last = Reply(work, 0, {}, b'')
+        self._entry = entry
+        self._work = work
+
+    def are_settled(self) -> bool:
+        """Send the work once more and return whether it was not refused."""
+        self.last = send(self._entry, self._work)
+        return self.last.outcome != 'not_run'
+
+
 def _header_names(headers: dict[str, str]) -> dict[str, str]:
     return {name.replace('_', '-'): text for name, text in headers.items()}
