Count the retries of a failing chain at its upstreams

Cause: the retry bound was proved for the decision code only.

The simulated upstream can fail after it ran and pass the failure of its own calls on.

--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -21,6 +21,8 @@
 CRASH_MARK = b'crash-upstream'
 CRASH_EXIT_CODE = 70
 NOT_RUN = {'X-Outcome': 'not_run'}
+STATUS_OK = 200
+STATUS_FAILED = 503
 BLOCK_BYTES = 64 * 1024
 FORWARDED = ('X-Call-Context', 'X-Deadline-Ms')
 
@@ -36,6 +38,11 @@
     queue_limit: int = 10_000
     cut_after_bytes: int = 0
     file_bytes: int = 300_000
+    fails: bool = False
+    """Answer 503 to each call after it ran."""
+
+    pass_failures: bool = False
+    """Answer 503 if a call of its own was not answered with 200."""
 
 
 class Upstream:
@@ -114,15 +121,20 @@
         )
         answers = await self._call_others(request)
         return web.json_response(
-            {
+            status=self._status(answers),
+            data={
                 'service': self.service,
                 'path': request.raw_path,
                 'request_id': request.headers.get('X-Request-Id', ''),
                 'body_sha256': hashlib.sha256(body).hexdigest(),
                 'calls': answers,
-            }
+            },
         )
 
+    def _status(self, answers: list[int]) -> int:
+        failed = self.behaviour.pass_failures and set(answers) - {STATUS_OK}
+        return STATUS_FAILED if failed or self.behaviour.fails else STATUS_OK
+
     async def _call_others(self, request: web.Request) -> list[int]:
         targets = self._calls.get(request.path, ())
         headers = {
