--- a/packages/gentianmill-node/src/gentianmill_node/bulk.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk.py
@@ -52,7 +52,7 @@
         """
         self._parts = parts
 
-    async def serve(self, request: web.Request, call: Call) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         """Stream the response of a bulk call to the caller.
 
         The connection is cut if the body cannot be completed, so a caller never
@@ -135,7 +135,7 @@
 class _Download:
     """One bulk response to a caller and how far it has come."""
 
-    def __init__(self, request: web.Request, call: Call) -> None:
+    def __init__(self, request: web.BaseRequest, call: Call) -> None:
         self.call = call
         self.response: web.StreamResponse | None = None
         self._request = request
--- a/packages/gentianmill-node/src/gentianmill_node/call_builder.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call_builder.py
@@ -53,7 +53,7 @@
         self._sheets = sheets
         self._policy = policy
 
-    async def new_request(self, request: web.Request) -> Call:
+    async def new_request(self, request: web.BaseRequest) -> Call:
         """Return the first call of a new request.
 
         Args:
@@ -89,7 +89,7 @@
             at_most_once=target.operation.at_most_once,
         )
 
-    async def sub_call(self, request: web.Request, parent: Call) -> Call:
+    async def sub_call(self, request: web.BaseRequest, parent: Call) -> Call:
         """Return a call that the own upstream makes for a call it now runs.
 
         It keeps the rank, tenant and retry count of the whole request and never
@@ -109,14 +109,14 @@
         call.deadline_ms = min(call.deadline_ms, parent.deadline_ms)
         return call
 
-    async def orphan_call(self, request: web.Request) -> Call:
+    async def orphan_call(self, request: web.BaseRequest) -> Call:
         """Return a call of the own upstream without a valid context: no retries."""
         call = await self.new_request(request)
         call.identity = ''
         call.home = ''
         return call
 
-    def _target(self, request: web.Request) -> _Target:
+    def _target(self, request: web.BaseRequest) -> _Target:
         sheet = self._sheets.required()
         service, slash, rest = request.raw_path.lstrip('/').partition('/')
         path = slash + rest
@@ -128,7 +128,7 @@
             raise _refused(ErrorCode.unknown_operation, message)
         return _Target(service, path, operation)
 
-    def _deadline(self, request: web.Request, operation: Operation) -> float:
+    def _deadline(self, request: web.BaseRequest, operation: Operation) -> float:
         limit_ms = operation.deadline_ms
         text = request.headers.get(DEADLINE_MS)
         if text is not None:
@@ -136,7 +136,7 @@
         return self._clock.now_ms() + limit_ms
 
 
-def _key(request: web.Request, operation: Operation) -> str:
+def _key(request: web.BaseRequest, operation: Operation) -> str:
     key = _text(request, IDEMPOTENCY_KEY)
     if operation.at_most_once and not key:
         message = f'operation {operation.name!r} needs the header {IDEMPOTENCY_KEY}'
@@ -148,7 +148,7 @@
     return f'{tenant}/{service}/{name}' if name else ''
 
 
-def _text(request: web.Request, name: str) -> str:
+def _text(request: web.BaseRequest, name: str) -> str:
     text = request.headers.get(name, '')
     if len(text) > MAX_TEXT_LENGTH or not text.isprintable():
         message = f'header {name} is longer than {MAX_TEXT_LENGTH} or not printable'
--- a/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
@@ -2,7 +2,6 @@
 
 import abc
 import dataclasses
-from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from gentianmill.clock import Clock
@@ -12,6 +11,7 @@
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.call_builder import CallBuilder
 from gentianmill_node.call_report import CallReport
+from gentianmill_node.direct_server import direct_server
 from gentianmill_node.dispatch import Dispatcher
 from gentianmill_node.headers import CALL_CONTEXT, REQUEST_ID
 from gentianmill_node.logs import component
@@ -20,8 +20,6 @@
 
 log = component('entry')
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListenerParts:
@@ -52,25 +50,23 @@
         """Return the number of calls that were not answered yet."""
         return self._active
 
-    def app(self, max_body_bytes: int) -> web.Application:
-        """Return the web application of the listener.
+    def server(self, max_body_bytes: int) -> web.Server:
+        """Return the HTTP server of the listener; call it in the running loop.
 
         Args:
             max_body_bytes: Longest body of a request.
         """
-        app = web.Application(client_max_size=max_body_bytes)
-        app.router.add_route('*', '/{path:.*}', self._handle)
-        return app
+        return direct_server(self._handle, max_body_bytes)
 
     def end_connections(self) -> None:
         """Close each connection after its next response."""
         self._ends_connections = True
 
     @abc.abstractmethod
-    async def build(self, request: web.Request) -> Call:
+    async def build(self, request: web.BaseRequest) -> Call:
         """Return the call that a request asks for."""
 
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._active += 1
         try:
             response = await self._handle_or_refuse(request)
@@ -85,7 +81,7 @@
             response.force_close()
         return response
 
-    async def _handle_or_refuse(self, request: web.Request) -> web.StreamResponse:
+    async def _handle_or_refuse(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await self._handle_call(request)
         except GentianmillError as error:
@@ -98,7 +94,7 @@
             self._parts.report.refused(refusal)
             return error_response(refusal, request.headers.get(REQUEST_ID, ''))
 
-    async def _handle_call(self, request: web.Request) -> web.StreamResponse:
+    async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
         start_ms = self._parts.clock.now_ms()
         call = await self.build(request)
         if call.operation.is_bulk:
@@ -114,7 +110,7 @@
 class CallerListener(CallListener):
     """Take the calls of callers; each starts a new request."""
 
-    async def build(self, request: web.Request) -> Call:
+    async def build(self, request: web.BaseRequest) -> Call:
         """Return the first call of a new request."""
         return await self._parts.builder.new_request(request)
 
@@ -132,7 +128,7 @@
         super().__init__(parts)
         self._running = running
 
-    async def build(self, request: web.Request) -> Call:
+    async def build(self, request: web.BaseRequest) -> Call:
         """Return a call with the context of the call that it serves."""
         token = request.headers.get(CALL_CONTEXT, '')
         parent = self._running.find(token)
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -113,10 +113,10 @@
         start = self._server.start
         await start('peer', self._peer.app(), host, listeners.peer_port)
         await start('operator', self._operator_app(), host, listeners.operator_port)
-        await start('caller', self._caller.app(limit), host, listeners.caller_port)
+        await start('caller', self._caller.server(limit), host, listeners.caller_port)
         await start(
             'egress',
-            self._egress.app(limit),
+            self._egress.server(limit),
             str(listeners.egress_host),
             listeners.egress_port,
             tls=False,
--- a/packages/gentianmill-node/src/gentianmill_node/web_server.py
+++ b/packages/gentianmill-node/src/gentianmill_node/web_server.py
@@ -8,7 +8,7 @@
 
 
 class WebServer:
-    """Serve web applications on their addresses."""
+    """Serve web applications and servers on their addresses."""
 
     def __init__(self, tls: ssl.SSLContext | None) -> None:
         """Create a server without listeners.
@@ -17,26 +17,26 @@
             tls: TLS context of the listeners, or None without TLS.
         """
         self._tls = tls
-        self._runners: dict[str, web.AppRunner] = {}
+        self._runners: dict[str, web.BaseRunner] = {}
 
     async def start(
-        self, name: str, app: web.Application, host: str, port: int, tls: bool = True
+        self,
+        name: str,
+        served: web.Application | web.Server,
+        host: str,
+        port: int,
+        tls: bool = True,
     ) -> None:
         """Start a listener.
 
         Args:
             name: Name of the listener, used to stop it.
-            app: What it serves.
+            served: Application or server that takes the requests.
             host: Address to listen on.
             port: TCP port.
             tls: Whether the listener uses TLS if the settings give certificates.
         """
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
+        runner = _runner(served)
         await runner.setup()
         context = self._tls if tls else None
         site = web.TCPSite(
@@ -62,3 +62,14 @@
         """Stop all listeners."""
         for name in tuple(self._runners):
             await self.stop(name)
+
+
+def _runner(served: web.Application | web.Server) -> web.BaseRunner:
+    if isinstance(served, web.Server):
+        return web.ServerRunner(served, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    return web.AppRunner(
+        served,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    )
