--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -20,6 +20,7 @@
     end_to_end,
 )
 from gentianmill_node.liveness import LivenessConnection
+from gentianmill_node.upstream_request import UpstreamRequest
 
 CONNECT_TIMEOUT_S = 1.0
 EXIT_GRACE_S = 0.05
@@ -42,7 +43,7 @@
         connector=aiohttp.TCPConnector(limit=connections, use_dns_cache=False),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        request_class=UpstreamRequest,
         timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
     )
     session._retry_connection = False  # noqa: SLF001
