Refuse calls at the guard while the upstream itself drains

Cause: an upstream that reports 'draining' while its node runs on was taken out of the members' routing by gossip (also with the table down), but its own guard kept admitting calls of nodes that had not heard yet.

Ruled out: a change of membership or routing; on nine real processes no call went to the leaving upstream once the others knew, with the table up and down.

Change: the node tells the guard what the health watch sees; the guard then refuses with 'draining' before it writes a claim, callers are redirected without a grant, and load reports say so as well. Guard.end_drain had no caller and goes.

--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -52,6 +52,7 @@
         """
         self._parts = parts
         self._draining = False
+        self._upstream_draining = False
         self._tasks: set[asyncio.Task[Answer]] = set()
         self._active = 0
 
@@ -69,9 +70,9 @@
         """Refuse new calls from now on; calls already accepted are finished."""
         self._draining = True
 
-    def end_drain(self) -> None:
-        """Accept calls again."""
-        self._draining = False
+    def note_upstream(self, draining: bool) -> None:
+        """Refuse new calls while the upstream drains although the node runs on."""
+        self._upstream_draining = draining
 
     def load(self) -> LoadReport:
         """Return the load that responses carry."""
@@ -81,7 +82,7 @@
             limit=self._parts.gate.limit,
             queue_delay_ms=queue.queue_delay_ms,
             level=self._parts.policy.level.level,
-            draining=self._draining,
+            draining=self._draining or self._upstream_draining,
             levels_below=self._parts.policy.levels.levels(self._parts.clock.now_ms()),
         )
 
@@ -186,7 +187,7 @@
             self._active -= 1
 
     def _check(self, call: Call) -> None:
-        if self._draining:
+        if self._draining or self._upstream_draining:
             raise GentianmillError(
                 ErrorCode.draining, STEP, '', 'the upstream is leaving'
             )
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -142,7 +142,9 @@
             self._data.suspects.merge(to_strike(frame))
 
     def _upstream_changed(self, state: UpstreamState) -> None:
-        if self._data.guard.draining:
+        guard = self._data.guard
+        guard.note_upstream(state is UpstreamState.draining)
+        if guard.draining:
             return
         ready = state is UpstreamState.ready
         status = MemberStatus.alive if ready else MemberStatus.draining
