--- a/features/deployments.py
+++ b/features/deployments.py
@@ -103,10 +103,16 @@
         deployment.start_upstream(pair)
     defaults = dataclasses.asdict(Behaviour(latency_ms=LATENCY_MS))
     deployment.behave(pair, **defaults)
+    wait_for(lambda: _is_settled(pair), f'{pair.place.endpoint} to be ready or to end')
     if pair.node.poll() is not None:
         deployment.start_node(pair)
 
 
+def _is_settled(pair: Pair) -> bool:
+    """Return whether a node is ready, or has ended after a drain."""
+    return pair.node.poll() is not None or state_of(pair) == 'ready'
+
+
 def _places(name: str) -> list[Place]:
     return list(_each_place(name, REGIONS[name]))
 
