Describe planned stops under load in the users' words

Cause: invariant 7 was shown for nodes only; the stop of an upstream beside a running node was not proved.

Every reply must be 'answered' (whole and its own), 'not_run' (and did not run) or come from a closed listener.

Seen to fail: a node that neither refuses nor waits for running calls gives connection_lost to a lookup; an upstream killed instead of stopped gives connection_lost to a payment (both planted).

--- /dev/null
+++ b/features/steps/planned_stop.py
@@ -0,0 +1,102 @@
+"""Steps of the feature of planned stops."""
+
+import itertools
+import signal
+import threading
+
+from behave import given, then, when
+from callers import lookup, payment, send
+from deployments import pairs_of, state_of, wait_for_idle
+from standins.processes import wait_for
+
+CALLERS = 6
+MORE = 30
+LATENCY_MS = 60
+ALLOWED = frozenset(('answered', 'not_run', 'closed'))
+
+
+class Flow:
+    """Callers that pay and look up at all entries without pause."""
+
+    def __init__(self, entries):
+        """Create callers that do not call yet."""
+        self.replies = []
+        self._entries = itertools.cycle(entries)
+        self._stopped = threading.Event()
+        self._threads = [threading.Thread(target=self._call) for _ in range(CALLERS)]
+
+    def start(self):
+        """Start calling."""
+        for thread in self._threads:
+            thread.start()
+        self.more()
+
+    def more(self):
+        """Wait until some more requests were answered."""
+        wanted = self._answered() + MORE
+        wait_for(lambda: self._answered() >= wanted, 'more answers')
+
+    def stop(self):
+        """Let each caller finish its request."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _answered(self):
+        return sum(reply.outcome == 'answered' for reply in tuple(self.replies))
+
+    def _call(self):
+        while not self._stopped.is_set():
+            for work in (payment('/tesoreria/cuotas'), lookup('/tesoreria/cuotas/m1')):
+                self.replies.append(send(next(self._entries), work))
+
+
+@given('workshops pay dues and look them up without pause')
+def given_flow(context):
+    context.deployment = context.deployments.get('guild')
+    context.treasury = pairs_of(context.deployment, 'tesoreria')
+    for each in context.treasury:
+        context.deployment.behave(each, latency_ms=LATENCY_MS)
+    entries = [pair.caller_url for pair in context.deployment.pairs]
+    context.flow = Flow(entries)
+    context.add_cleanup(context.flow.stop)
+    context.flow.start()
+
+
+@when('a node of the treasury is told to stop and has ended')
+def when_node_stops(context):
+    node = context.treasury[1].node
+    node.send_signal(signal.SIGTERM)
+    wait_for(lambda: node.poll() is not None, 'the node to end')
+    assert node.returncode == 0, node.returncode
+    context.flow.more()
+    context.flow.stop()
+
+
+@when('an upstream of the treasury drains, stops and starts again')
+def when_upstream_stops(context):
+    pair = context.treasury[2]
+    context.deployment.behave(pair, state='draining')
+    wait_for(lambda: state_of(pair) == 'draining', 'the node to notice')
+    wait_for_idle(pair)
+    pair.upstream.send_signal(signal.SIGTERM)
+    pair.upstream.wait()
+    context.flow.more()
+    context.deployment.start_upstream(pair)
+    wait_for(lambda: state_of(pair) == 'ready', 'the node to notice the start')
+    context.flow.more()
+    context.flow.stop()
+
+
+@then("no request was interrupted, and each answer is whole and its caller's own")
+def then_whole(context):
+    for reply in context.flow.replies:
+        assert reply.outcome in ALLOWED, reply
+        assert reply.outcome != 'answered' or reply.is_own(), reply
+
+
+@then('nobody was told "not run" of work that ran')
+def then_not_run(context):
+    ran = {run['request_id'] for run in context.deployment.executions()}
+    for reply in context.flow.replies:
+        assert reply.outcome == 'answered' or reply.work.request_id not in ran, reply
