--- a/packages/gentianmill-node/src/gentianmill_node/metrics.py
+++ b/packages/gentianmill-node/src/gentianmill_node/metrics.py
@@ -69,10 +69,11 @@
             registry=self._registry,
         )
         # aioprometheus encodes the labels of each observation as JSON. Outcomes
-        # are therefore added up until they are rendered, and the histogram of a
-        # pair of labels is looked up once.
+        # are therefore added up until they are rendered, and the histogram of
+        # each label or pair of labels is looked up once.
         self._ended: collections.Counter[tuple[str, str, str]] = collections.Counter()
         self._histograms: dict[tuple[str, str], LabelledHistogram] = {}
+        self._delays: dict[str, LabelledHistogram] = {}
         self._in_flight = self._gauge('in_flight', 'Calls running at the upstream.')
         self._limit = self._gauge('limit', 'Concurrency limit of the guard.')
         self._level = self._gauge('level', 'Admission level of the guard.')
@@ -115,7 +116,14 @@
 
     def on_queue_delay(self, work_class: str, delay_ms: float) -> None:
         """Record how long a call waited in the queue, in ms."""
-        self._queue_delay.observe({'class': work_class}, delay_ms / MS_PER_S)
+        delay_s = delay_ms / MS_PER_S
+        histogram = self._delays.get(work_class)
+        if histogram is None:
+            labels = {'class': work_class}
+            self._queue_delay.observe(labels, delay_s)
+            self._delays[work_class] = self._queue_delay.get_value(labels)
+        else:
+            histogram.observe(delay_s)
 
     def on_load(self, in_flight: int, limit: int, level: int) -> None:
         """Record the calls in flight, the concurrency limit and the admission level."""
