--- a/packages/gentianmill-node/src/gentianmill_node/call_builder.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call_builder.py
@@ -120,7 +120,7 @@
         sheet = self._sheets.required()
         service, slash, rest = request.raw_path.lstrip('/').partition('/')
         path = slash + rest
-        if service not in sheet.services:
+        if not sheet.has_service(service):
             raise _refused(ErrorCode.unknown_service, f'no service {service!r}')
         operation = sheet.find_operation(service, request.method, path)
         if operation is None:
--- a/packages/gentianmill/src/gentianmill/sheet.py
+++ b/packages/gentianmill/src/gentianmill/sheet.py
@@ -45,8 +45,7 @@
         """Return whether a method and the segments of a path belong here."""
         if method != self.method or len(segments) != len(self.segments):
             return False
-        pairs = zip(self.segments, segments, strict=True)
-        return all(_segment_matches(want, have) for want, have in pairs)
+        return all(map(_segment_matches, self.segments, segments))
 
 
 class Sheet:
@@ -68,6 +67,7 @@
             entry.name: WorkClass(entry.name, rank, entry.protected)
             for rank, entry in enumerate(model.classes)
         }
+        self._ranked = tuple(self._classes.values())
         self._operations = {
             name: tuple(self._operation(name, entry) for entry in service.operations)
             for name, service in model.services.items()
@@ -99,8 +99,8 @@
         Args:
             rank: Admission rank; ranks beyond the last class belong to it.
         """
-        last = len(self._classes) - 1
-        return tuple(self._classes.values())[min(rank // RANKS_PER_CLASS, last)]
+        last = len(self._ranked) - 1
+        return self._ranked[min(rank // RANKS_PER_CLASS, last)]
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -127,6 +127,10 @@
         """Return the retries that the home node of one region may grant."""
         return self._model.retry.bound // len(self._model.regions)
 
+    def has_service(self, name: str) -> bool:
+        """Return whether the sheet lists a service."""
+        return name in self._operations
+
     def operations(self, service: str) -> tuple[Operation, ...]:
         """Return the operations of a service; empty if it is unknown."""
         return self._operations.get(service, ())
