Compare the load model with real processes of a small shape

Cause: the load model decides between policies, but nothing compared it with nodes and upstreams that run as processes.

Change: scripts/measure processes runs a shape of two services with three endpoints each in the model and replays the same requests against six nodes and upstreams. It prints goodput at capacity and at twice capacity, shedding by class, short work with 1% stragglers, one upstream slowed 5 times and the time after the overload, and names the figures that lie outside the model's runs. The simulated upstream gets a spread of service times and stragglers, both off by default. A deployment of the model names its number of endpoints.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -16,6 +16,7 @@
         'goodput': 'bench.goodput',
         'losses': 'bench.losses',
         'overhead': 'bench.overhead',
+        'processes': 'bench.processes',
         'recovery': 'bench.recovery',
         'tail': 'bench.tail',
     }
--- a/bench/model.py
+++ b/bench/model.py
@@ -17,7 +17,6 @@
 
 from bench.policies import Policy, level_table, work_classes
 from bench.workload import (
-    ENDPOINTS,
     HOP_MS,
     Deployment,
     RequestType,
@@ -45,7 +44,8 @@
     """Demand and disturbances as functions of the time.
 
     ``rate`` gives requests per second, ``slowdown`` the factor on the service
-    times of a service, ``weight`` the factor on the weight of a class.
+    times of a service, ``weight`` the factor on the weight of a class and
+    ``slowed_endpoint`` the factor on those of one endpoint of the busiest service.
     """
 
     end_ms: float
@@ -53,6 +53,7 @@
     slowdown: Callable[[str, float], float] = lambda service, now_ms: 1
     weight: Callable[[int], float] = lambda class_rank: 1
     straggler_share: float = 0
+    slowed_endpoint: float = 1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -106,6 +107,7 @@
     """What a node knows as entry and egress."""
 
     def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
         self.outstanding: Counter[Endpoint] = Counter()
         self.levels = level_table(deployment)
         self.retry_tokens: float = RETRY_BURST
@@ -121,6 +123,7 @@
         self.in_flight = 0
         self.unprotected = 0
         self.slowdown: float = 1
+        self.constant_slowdown: float = 1
         self.guard = simulation.policy.guard(simulation, self)
 
 
@@ -148,12 +151,14 @@
         ]
         self._classes = work_classes(deployment)
         self._endpoints = {
-            name: [Endpoint(self, name, service) for _ in range(ENDPOINTS)]
+            name: [Endpoint(self, name, service) for _ in range(deployment.endpoints)]
             for name, service in deployment.services.items()
         }
         self._all_endpoints = list(
             itertools.chain.from_iterable(self._endpoints.values())
         )
+        slowed = self._endpoints[deployment.busiest_service()][0]
+        slowed.constant_slowdown = load.slowed_endpoint
 
     @property
     def endpoints(self) -> dict[str, list[Endpoint]]:
@@ -188,6 +193,7 @@
         endpoint.unprotected += not call.attempt.request.work_class.protected
         crowding = max(1, endpoint.in_flight / endpoint.service.slots) ** GROWTH
         slowdown = self._load.slowdown(endpoint.name, self.now_ms)
+        slowdown *= endpoint.constant_slowdown
         noise = self._rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
         time_ms = call.step.mean_ms * crowding * slowdown * endpoint.slowdown * noise
         if call.step.size == 'short' and self._straggles():
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
-from bench.workload import ENDPOINTS
 from gentianmill.admission import AdmissionQueue
 from gentianmill.level import AdmissionLevel
 from gentianmill.level_table import LevelTable
@@ -67,7 +66,7 @@
         """Return whether a refused call goes to another endpoint."""
         if not self.controls:
             return len(call.tried) <= PLAIN_RETRIES
-        if len(call.tried) == ENDPOINTS:
+        if len(call.tried) == node.deployment.endpoints:
             return False
         if call.attempt.retries >= RETRY_BOUND or node.retry_tokens < 1:
             return False
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -72,11 +72,12 @@
     protected_count: int
     services: Mapping[str, Service]
     requests: tuple[RequestType, ...]
+    endpoints: int = ENDPOINTS
 
     def capacity_per_s(self) -> float:
         """Return the requests per second that fill the busiest service."""
         busiest = self.busiest_service()
-        slots = ENDPOINTS * self.services[busiest].slots
+        slots = self.endpoints * self.services[busiest].slots
         return 1000 * slots / self._demand_ms()[busiest]
 
     def busiest_service(self) -> str:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import time
 from pathlib import Path
@@ -33,10 +34,22 @@
     reported_state: str = ''
     latency_ms: float = 2.0
     slow_factor: float = 1.0
+    spread: float = 0
+    straggler_share: float = 0
+    straggler_factor: float = 30.0
     queue_limit: int = 10_000
     cut_after_bytes: int = 0
     file_bytes: int = 300_000
 
+    def sample_ms(self) -> float:
+        """Return a service time; log-normal with sigma ``spread`` and mean latency."""
+        time_ms = self.latency_ms * self.slow_factor
+        if self.spread:
+            time_ms *= random.lognormvariate(-(self.spread**2) / 2, self.spread)
+        if random.random() < self.straggler_share:
+            time_ms *= self.straggler_factor
+        return time_ms
+
 
 class Upstream:
     """Serve any path; files under /files, its own calls as configured."""
@@ -109,9 +122,8 @@
         self._record(request, body)
         if CRASH_MARK in body:
             os._exit(CRASH_EXIT_CODE)
-        await asyncio.sleep(
-            self.behaviour.latency_ms * self.behaviour.slow_factor / 1000
-        )
+        work_ms = self.behaviour.sample_ms()
+        await asyncio.sleep(work_ms / 1000)
         answers = await self._call_others(request)
         return web.json_response(
             {
@@ -119,6 +131,7 @@
                 'path': request.raw_path,
                 'request_id': request.headers.get('X-Request-Id', ''),
                 'body_sha256': hashlib.sha256(body).hexdigest(),
+                'work_ms': work_ms,
                 'calls': answers,
             }
         )
