--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -48,6 +48,9 @@
     pass_failures: bool = False
     """Answer 503 if a call of its own was not answered with 200."""
 
+    lose_answers: bool = False
+    """Break the connection of each call after it ran."""
+
     def sample_ms(self) -> float:
         """Return a service time; log-normal with sigma ``spread`` and mean latency."""
         time_ms = self.latency_ms * self.slow_factor
@@ -132,6 +135,8 @@
         work_ms = self.behaviour.sample_ms()
         await asyncio.sleep(work_ms / 1000)
         answers = await self._call_others(request)
+        if self.behaviour.lose_answers:
+            request.transport.abort()
         return web.json_response(
             status=self._status(answers),
             data={
