Refuse frames between nodes that were damaged on the way

Cause: the digest of an answer covers its body only. A byte changed in the call id, the status, a header or an error field gave another valid frame; on real nodes a response with a changed content type reached its caller as answered with status 200. Ruled out: a digest over more fields of the answer. It would leave calls, grants and strikes unprotected, and the call id can be checked only together with the frame. CRC-32 detects each change of up to 32 adjacent bits; TLS is the protection against changes on purpose. The relay changes a byte of body, header or outcome, or cuts the end off. A byte changed inside a bulk download is still not noticed without TLS: bulk bodies are checked by length only.

--- a/packages/gentianmill-node/src/gentianmill_node/frames.py
+++ b/packages/gentianmill-node/src/gentianmill_node/frames.py
@@ -1,4 +1,10 @@
-"""Encoding of the frames between nodes."""
+"""Encoding of the frames between nodes.
+
+A checksum ends each message: a byte changed on the way could otherwise give an
+answer to another call, or another status, and still be a valid frame.
+"""
+
+import zlib
 
 import msgspec
 from gentianmill.errors import ErrorCode, GentianmillError
@@ -13,28 +19,40 @@
 
 AnyFrame = AnswerFrame | CallFrame | CancelFrame | GrantFrame | SpendFrame | StrikeFrame
 
+CHECKSUM_BYTES = 4
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyFrame)
 
 
 def encode(frame: AnyFrame) -> bytes:
-    """Return the msgpack form of a frame."""
-    return _encoder.encode(frame)
+    """Return the msgpack form of a frame and its CRC-32, high byte first."""
+    content = _encoder.encode(frame)
+    return content + _checksum(content)
 
 
 def decode(message: bytes, peer: str) -> AnyFrame:
     """Return the frame in a message.
 
     Args:
-        message: The msgpack form.
+        message: The msgpack form and its checksum.
         peer: Sender, for the error.
 
     Raises:
         GentianmillError: With code ``protocol`` if the message is no valid frame.
     """
+    content = message[:-CHECKSUM_BYTES]
+    if message[-CHECKSUM_BYTES:] != _checksum(content):
+        raise GentianmillError(
+            ErrorCode.protocol, 'peer', peer, 'invalid frame: wrong checksum'
+        )
     try:
-        return _decoder.decode(message)
+        return _decoder.decode(content)
     except msgspec.MsgspecError as error:
         raise GentianmillError(
             ErrorCode.protocol, 'peer', peer, f'invalid frame: {error}'
         ) from error
+
+
+def _checksum(content: bytes) -> bytes:
+    return zlib.crc32(content).to_bytes(CHECKSUM_BYTES)
--- a/packages/gentianmill-node/src/gentianmill_node/peer_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_client.py
@@ -21,6 +21,7 @@
 
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.frames import AnyFrame, decode, encode
+from gentianmill_node.logs import component
 
 CONNECT_TIMEOUT_S = 1.0
 SPEND_TIMEOUT_S = 0.5
@@ -31,6 +32,8 @@
 
 Reply = AnswerFrame | GrantFrame
 
+log = component('peer')
+
 
 class PeerConnection:
     """One WebSocket to a node, shared by all calls to it."""
@@ -151,7 +154,8 @@
                 if message.type is not aiohttp.WSMsgType.BINARY:
                     break
                 self._take(decode(message.data, self._node_id))
-        except GentianmillError:
+        except GentianmillError as error:
+            log.warning('Connection closed.', error=str(error))
             await self._socket.close()
         finally:
             self._fail_pending()
--- a/tests/test_process_cuts.py
+++ b/tests/test_process_cuts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import operator
 from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -19,7 +20,7 @@
 )
 from relayed_deployment import relayed
 from standins.processes import OPERATOR_KEY, Deployment, Pair, http, wait_for
-from standins.relay import TABLE, Relay
+from standins.relay import PEER, TABLE, Chunk, Relay
 
 WEST = ('tesoreria', 'catalogo', 'catalogo')
 EAST = ('tesoreria', 'catalogo', 'registro')
@@ -242,3 +243,43 @@
     wait_for(lambda: all_have([lone]), 'the new sheet at the node that was cut off')
     all_have(others)
     assert all(one == sorted(one) for one in seen.values()), seen
+
+
+def _change(chunk: bytes, mark: bytes) -> bytes:
+    place = chunk.index(mark)
+    return chunk[:place] + b'~' + chunk[place + 1 :]
+
+
+def _cut_end(chunk: bytes, mark: bytes) -> bytes:
+    return chunk[: chunk.index(mark)]
+
+
+DAMAGE: dict[str, tuple[Callable[[bytes, bytes], bytes], bytes]] = {
+    'body changed': (_change, b'body_sha256'),
+    'header changed': (_change, b'application/json'),
+    'outcome changed': (_change, b'answered'),
+    'end cut off': (_cut_end, b'body_sha256'),
+}
+
+
+@pytest.mark.parametrize('damage', list(DAMAGE))
+def test_a_damaged_response_is_not_passed_on(network: Network, damage: str):
+    """Guards against a response that was damaged between nodes and looks whole."""
+    entry = network.west[0]
+    alter, mark = DAMAGE[damage]
+    damaged: list[Chunk] = []
+
+    def damage_answer(chunk: Chunk) -> bytes:
+        is_answer = chunk.listener == PEER and chunk.way[1] == entry.place.endpoint
+        if not is_answer or mark not in chunk.content:
+            return chunk.content
+        damaged.append(chunk)
+        return alter(chunk.content, mark)
+
+    wait_for(lambda: _read(entry, ELSEWHERE) == ANSWERED, 'a call between the nodes')
+    network.relay.alter = damage_answer
+    status, code = _read(entry, ELSEWHERE)
+    network.relay.alter = operator.attrgetter('content')
+    assert damaged
+    assert (status, bool(code)) == (502, True)
+    wait_for(lambda: _read(entry, ELSEWHERE) == ANSWERED, 'calls after the damage')
