Ask connecting nodes for a certificate when the settings name an authority

Cause: with certificates in the settings, a node checked the certificate of the node that it connects to, but presented none itself and asked none of a connecting node. Whoever had the peer key could send calls and read members and the sheet without any certificate, or with one of a foreign authority. Ruled out: a certificate required by all listeners; callers, operators and metrics scrapers have none. Change: nodes present their certificate; the peer and control listeners require one of the authority in authority_file. Without authority_file nothing changes. Each listener is given its own TLS context. Not measured: latency.

--- a/packages/gentianmill-node/src/gentianmill_node/member_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/member_loop.py
@@ -21,7 +21,7 @@
 from gentianmill_node.member_exchange import MemberExchange
 from gentianmill_node.sheet_gossip import NoSheets, SheetGossip
 from gentianmill_node.table_client import TableStore
-from gentianmill_node.tls import client_context, server_context
+from gentianmill_node.tls import client_context, node_server_context
 
 MS_PER_S = 1000
 RETRY_MS = 5000
@@ -102,7 +102,7 @@
         await self._server.start(
             str(listeners.host),
             listeners.control_port,
-            ssl=server_context(listeners, GRPC_PROTOCOLS),
+            ssl=node_server_context(listeners, GRPC_PROTOCOLS),
         )
         membership = self._settings.membership
         self._spawn(self._probe_forever())
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -19,7 +19,7 @@
 from gentianmill_node.operator_listener import operator_app
 from gentianmill_node.peer_listener import PeerHandlers, PeerListener
 from gentianmill_node.strikes import to_strike
-from gentianmill_node.tls import server_context
+from gentianmill_node.tls import node_server_context, server_context
 from gentianmill_node.web_server import WebServer
 
 HOUSEKEEPING_S = 1.0
@@ -49,7 +49,7 @@
         self._health = HealthWatch(
             settings.upstream, self._data.upstream, self._upstream_changed
         )
-        self._server = WebServer(server_context(settings.listeners))
+        self._server = WebServer()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -111,15 +111,24 @@
         host = str(listeners.host)
         limit = listeners.max_body_bytes
         start = self._server.start
-        await start('peer', self._peer.app(), host, listeners.peer_port)
-        await start('operator', self._operator_app(), host, listeners.operator_port)
-        await start('caller', self._caller.app(limit), host, listeners.caller_port)
+        tls = server_context(listeners)
+        operator = self._operator_app()
+        caller = self._caller.app(limit)
+        await start(
+            'peer',
+            self._peer.app(),
+            host,
+            listeners.peer_port,
+            node_server_context(listeners),
+        )
+        await start('operator', operator, host, listeners.operator_port, tls)
+        await start('caller', caller, host, listeners.caller_port, tls)
         await start(
             'egress',
             self._egress.app(limit),
             str(listeners.egress_host),
             listeners.egress_port,
-            tls=False,
+            tls=None,
         )
 
     def _operator_app(self) -> web.Application:
--- a/packages/gentianmill-node/src/gentianmill_node/tls.py
+++ b/packages/gentianmill-node/src/gentianmill_node/tls.py
@@ -22,12 +22,30 @@
     return _with_protocols(context, protocols)
 
 
+def node_server_context(
+    settings: ListenersModel, protocols: Sequence[str] = ()
+) -> ssl.SSLContext | None:
+    """Return the context of the listeners for nodes, or None if TLS is off.
+
+    If the settings name an authority, a client needs a certificate from it.
+
+    Args:
+        settings: Names the certificate files.
+        protocols: Protocols to offer by ALPN, such as ``h2`` for gRPC.
+    """
+    context = server_context(settings, protocols)
+    if context and settings.authority_file:
+        context.load_verify_locations(settings.authority_file)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
 def client_context(
     settings: ListenersModel, protocols: Sequence[str] = ()
 ) -> ssl.SSLContext | None:
     """Return the context for connections to other nodes, or None if TLS is off.
 
-    Nodes are addressed by IP number, so the certificate is checked against the
+    The node presents its own certificate. Nodes are addressed by IP number, so the certificate is checked against the
     authority of the settings and not against a host name.
 
     Args:
@@ -37,6 +55,7 @@
     if not settings.certificate_file:
         return None
     context = ssl.create_default_context(cafile=settings.authority_file)
+    context.load_cert_chain(settings.certificate_file, settings.certificate_key_file)
     context.check_hostname = False
     return _with_protocols(context, protocols)
 
--- a/packages/gentianmill-node/src/gentianmill_node/web_server.py
+++ b/packages/gentianmill-node/src/gentianmill_node/web_server.py
@@ -10,17 +10,17 @@
 class WebServer:
     """Serve web applications on their addresses."""
 
-    def __init__(self, tls: ssl.SSLContext | None) -> None:
-        """Create a server without listeners.
-
-        Args:
-            tls: TLS context of the listeners, or None without TLS.
-        """
-        self._tls = tls
+    def __init__(self) -> None:
+        """Create a server without listeners."""
         self._runners: dict[str, web.AppRunner] = {}
 
     async def start(
-        self, name: str, app: web.Application, host: str, port: int, tls: bool = True
+        self,
+        name: str,
+        app: web.Application,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None,
     ) -> None:
         """Start a listener.
 
@@ -29,7 +29,7 @@
             app: What it serves.
             host: Address to listen on.
             port: TCP port.
-            tls: Whether the listener uses TLS if the settings give certificates.
+            tls: TLS context of the listener, or None without TLS.
         """
         runner = web.AppRunner(
             app,
@@ -38,9 +38,8 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await runner.setup()
-        context = self._tls if tls else None
         site = web.TCPSite(
-            runner, host, port, ssl_context=context, reuse_address=True, backlog=1024
+            runner, host, port, ssl_context=tls, reuse_address=True, backlog=1024
         )
         await site.start()
         self._runners[name] = runner
--- a/packages/gentianmill/src/gentianmill/settings_models.py
+++ b/packages/gentianmill/src/gentianmill/settings_models.py
@@ -74,7 +74,7 @@
     certificate_key_file: str | None = None
     authority_file: Annotated[
         str | None,
-        Field(description='PEM bundle used to check the certificates of other nodes.'),
+        Field(description='PEM bundle used to check the certificates of other nodes'),
     ] = None
     max_body_bytes: Annotated[
         int,
