--- a/packages/gentianmill-node/src/gentianmill_node/claim_store.py
+++ b/packages/gentianmill-node/src/gentianmill_node/claim_store.py
@@ -120,8 +120,8 @@
         Raises:
             GentianmillError: ``key_reused``, ``key_expired``, ``bad_request``,
                 ``settled_not_run``, ``store_unavailable`` and ``deadline`` if
-                this call did not run and never will; ``in_progress`` if another call with the key
-                may run or have run.
+                this call did not run and never will; ``in_progress`` if another
+                call with the key may run or have run.
         """
         _check_key(request.key, self._unix_s() * MS_PER_S)
         row_key = self._row(request).row_key
--- a/packages/gentianmill-node/src/gentianmill_node/web_server.py
+++ b/packages/gentianmill-node/src/gentianmill_node/web_server.py
@@ -10,13 +10,8 @@
 class WebServer:
     """Serve web applications and servers on their addresses."""
 
-    def __init__(self, tls: ssl.SSLContext | None) -> None:
-        """Create a server without listeners.
-
-        Args:
-            tls: TLS context of the listeners, or None without TLS.
-        """
-        self._tls = tls
+    def __init__(self) -> None:
+        """Create a server without listeners."""
         self._runners: dict[str, web.BaseRunner] = {}
 
     async def start(
@@ -25,7 +20,7 @@
         served: web.Application | web.Server,
         host: str,
         port: int,
-        tls: bool = True,
+        tls: ssl.SSLContext | None,
     ) -> None:
         """Start a listener.
 
@@ -34,13 +29,12 @@
             served: Application or server that takes the requests.
             host: Address to listen on.
             port: TCP port.
-            tls: Whether the listener uses TLS if the settings give certificates.
+            tls: TLS context of the listener, or None without TLS.
         """
         runner = _runner(served)
         await runner.setup()
-        context = self._tls if tls else None
         site = web.TCPSite(
-            runner, host, port, ssl_context=context, reuse_address=True, backlog=1024
+            runner, host, port, ssl_context=tls, reuse_address=True, backlog=1024
         )
         await site.start()
         self._runners[name] = runner
