Describe whole answers to the right caller in the users' words

Cause: invariant 3 was shown for kills, stops and cut downloads, not for answers that overtake each other or come after the caller gave up.

Change: three scenarios on nine nodes: later lookups answered before earlier ones, answers that come after the deadline while other callers ask on the same connections between nodes, and manuals that break off and go on from another upstream.

Seen to fail: answers given to the oldest waiting call fail the first two scenarios; a resumption from one byte too early fails the third (planted).

--- /dev/null
+++ b/features/whole_answers.feature
@@ -0,0 +1,19 @@
+Feature: Each caller receives the whole answer to its own request
+  Answers may come late and out of order, and downloads may break off.
+
+  Scenario: Later lookups are answered before earlier ones
+    Given dues lookups take long
+    When workshops look up their dues, and others once lookups are fast again
+    Then later lookups were answered before earlier ones
+    And each workshop gets the whole answer to its own lookup
+
+  Scenario: An answer comes after its caller gave up
+    Given dues lookups take long
+    When workshops look up their dues with little time left
+    And others once lookups are fast again
+    Then the first are told "unknown"
+    And each other workshop gets the whole answer to its own lookup
+
+  Scenario: A finishing manual breaks off on the way
+    When makers fetch manuals until one broke off and went on from another upstream
+    Then every manual that looks complete is complete
