Name the node that refused a call in X-Error-Peer

Cause: X-Error-Peer was empty for calls refused at the entry, and for refusals of a guard that name no peer, so a caller could not tell which node to look at.

Ruled out: setting the peer where each error arises; decision code and gates do not know the node id.

Change: the entry gives its own node id for an error that names no peer; an answer frame without a peer gets the id of the node that sent it, so that the entry is not blamed for another node's refusal. Between nodes bulk responses stay as they were, since the receiver adds the sender's id already.

Seen to fail: without the two changes both tests find an empty peer.

--- a/packages/gentianmill-node/src/gentianmill_node/assembly.py
+++ b/packages/gentianmill-node/src/gentianmill_node/assembly.py
@@ -204,6 +204,7 @@
         bulk=bulk,
         report=report,
         clock=control.clock,
+        own_id=control.own.node_id,
     )
 
 
--- a/packages/gentianmill-node/src/gentianmill_node/bulk.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk.py
@@ -71,7 +71,7 @@
         if error is None:
             return await download.finish()
         if download.response is None:
-            return error_response(error, call.request_id)
+            return error_response(error, call.request_id, self._parts.own.node_id)
         download.cut()
         return download.response
 
--- a/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
@@ -77,7 +77,7 @@
         try:
             call = self._guard.call_from(_frame(request))
         except GentianmillError as error:
-            return error_response(error, '')
+            return error_response(error, '', '')
         extra = {
             name: request.headers[name]
             for name in _RANGE_HEADERS
@@ -96,7 +96,7 @@
                 async for chunk in source.chunks:
                     await response.write(chunk)
         except GentianmillError as error:
-            return error_response(error, call.request_id)
+            return error_response(error, call.request_id, '')
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Cuts the connection: the other node must see an incomplete body.
             if request.transport is not None:
--- a/packages/gentianmill-node/src/gentianmill_node/call.py
+++ b/packages/gentianmill-node/src/gentianmill_node/call.py
@@ -161,7 +161,7 @@
             answer.error = GentianmillError(
                 ErrorCode(frame.error_code),
                 frame.error_step,
-                frame.error_peer,
+                frame.error_peer or peer,
                 frame.error_message,
                 answer.outcome,
                 frame.retry_after_ms,
--- a/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/caller_listener.py
@@ -32,6 +32,7 @@
     bulk: BulkEntry
     report: CallReport
     clock: Clock
+    own_id: str
 
 
 class CallListener(abc.ABC):
@@ -77,8 +78,7 @@
         except Exception:
             log.exception('Call failed by a fault in the node.')
             failure = internal_error()
-            self._parts.report.refused(failure)
-            return error_response(failure, request.headers.get(REQUEST_ID, ''))
+            return self._refusal(request, failure)
         finally:
             self._active -= 1
         if self._ends_connections:
@@ -89,14 +89,12 @@
         try:
             return await self._handle_call(request)
         except GentianmillError as error:
-            self._parts.report.refused(error)
-            return error_response(error, request.headers.get(REQUEST_ID, ''))
+            return self._refusal(request, error)
         except web.HTTPRequestEntityTooLarge as error:
             refusal = GentianmillError(
                 ErrorCode.body_too_large, 'request', '', error.text or 'body too large'
             )
-            self._parts.report.refused(refusal)
-            return error_response(refusal, request.headers.get(REQUEST_ID, ''))
+            return self._refusal(request, refusal)
 
     async def _handle_call(self, request: web.Request) -> web.StreamResponse:
         start_ms = self._parts.clock.now_ms()
@@ -105,7 +103,12 @@
             return await self._parts.bulk.serve(request, call)
         answer = await self._parts.dispatcher.dispatch(call)
         self._done(call, answer, start_ms)
-        return to_response(answer, call.request_id)
+        return to_response(answer, call.request_id, self._parts.own_id)
+
+    def _refusal(self, request: web.Request, error: GentianmillError) -> web.Response:
+        self._parts.report.refused(error)
+        request_id = request.headers.get(REQUEST_ID, '')
+        return error_response(error, request_id, self._parts.own_id)
 
     def _done(self, call: Call, answer: Answer, start_ms: float) -> None:
         self._parts.report.done(call, answer, self._parts.clock.now_ms() - start_ms)
--- a/packages/gentianmill-node/src/gentianmill_node/responses.py
+++ b/packages/gentianmill-node/src/gentianmill_node/responses.py
@@ -40,15 +40,16 @@
 _STATUS_UNKNOWN = 502
 
 
-def to_response(answer: Answer, request_id: str) -> web.Response:
+def to_response(answer: Answer, request_id: str, own_id: str) -> web.Response:
     """Return the HTTP response for an answer.
 
     Args:
         answer: How the call ended.
         request_id: Id of the request, returned to the caller.
+        own_id: Node id of this node, for errors that arose here.
     """
     if answer.error:
-        return error_response(answer.error, request_id)
+        return error_response(answer.error, request_id, own_id)
     headers = dict(answer.headers)
     headers[OUTCOME] = answer.outcome.value
     headers[REQUEST_ID] = request_id
@@ -61,22 +62,26 @@
     return GentianmillError(ErrorCode.internal, 'node', '', message, Outcome.unknown)
 
 
-def error_response(error: GentianmillError, request_id: str) -> web.Response:
+def error_response(
+    error: GentianmillError, request_id: str, own_id: str
+) -> web.Response:
     """Return the HTTP response for an error.
 
     Args:
         error: What failed, with the outcome of the call.
         request_id: Id of the request; empty if none was given.
+        own_id: Node id of this node, given as the peer if the error names none.
     """
     unsure = error.outcome is Outcome.unknown
     outcome = Outcome.unknown if unsure else Outcome.not_run
     fallback = _STATUS_UNKNOWN if unsure else _STATUS_NOT_RUN
+    peer = error.peer or own_id
     headers = {
         OUTCOME: outcome.value,
         REQUEST_ID: request_id,
         ERROR_CODE: error.code.value,
         ERROR_STEP: error.step,
-        ERROR_PEER: error.peer,
+        ERROR_PEER: peer,
     }
     status = _STATUS.get(error.code, fallback)
     if status == _STATUS_NOT_RUN:
@@ -85,7 +90,7 @@
     body = {
         'code': error.code.value,
         'step': error.step,
-        'peer': error.peer,
+        'peer': peer,
         'message': error.message,
     }
     return web.json_response(body, status=status, headers=headers)
--- /dev/null
+++ b/tests/test_responses.py
@@ -0,0 +1,22 @@
+"""Tests of what callers are told of an error."""
+
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill_node.call import Answer
+from gentianmill_node.responses import error_response
+
+
+def test_a_refusal_of_the_entry_names_the_entry():
+    """Guards against an error that does not tell which node to look at."""
+    error = GentianmillError(ErrorCode.overloaded, 'route', '', 'too much work')
+    response = error_response(error, 'r1', 'entry-1')
+    assert response.headers['X-Error-Peer'] == 'entry-1'
+    assert '"peer": "entry-1"' in response.text
+
+
+def test_a_refusal_of_another_node_names_that_node():
+    """Guards against blaming the entry for what another node refused."""
+    error = GentianmillError(ErrorCode.draining, 'guard', '', 'leaving')
+    frame = Answer.from_error(error).to_frame(1)
+    answer = Answer.from_frame(frame, 'guard-7')
+    response = error_response(answer.error, 'r1', 'entry-1')
+    assert response.headers['X-Error-Peer'] == 'guard-7'
