--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -20,9 +20,13 @@
     end_to_end,
 )
 from gentianmill_node.liveness import LivenessConnection
-from gentianmill_node.upstream_request import UpstreamRequest
+from gentianmill_node.upstream_request import (
+    CONNECT_TIMEOUT_S,
+    UpstreamExchange,
+    UpstreamRequest,
+    start_exchange,
+)
 
-CONNECT_TIMEOUT_S = 1.0
 EXIT_GRACE_S = 0.05
 """An exiting process may close a call's connection some ms before its listener."""
 
@@ -87,7 +91,7 @@
 
     def request(
         self, call: Call, token: str, time_left_ms: float, extra: dict[str, str]
-    ) -> aiohttp.client._RequestContextManager:
+    ) -> UpstreamExchange:
         """Start a request to the upstream.
 
         Args:
@@ -109,15 +113,13 @@
         if call.idempotency_key:
             headers[IDEMPOTENCY_KEY] = call.idempotency_key
         headers.update(extra)
-        return self._session.request(
+        return start_exchange(
+            self._session,
             call.method,
             yarl.URL(self._base + call.path, encoded=True),
-            data=call.body or None,
-            headers=headers,
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=time_left_ms / MS_PER_S, sock_connect=CONNECT_TIMEOUT_S
-            ),
+            headers,
+            call.body,
+            time_left_ms / MS_PER_S,
         )
 
     def raise_refusal(self, response: aiohttp.ClientResponse) -> None:
