--- a/bench/call_cpu.py
+++ b/bench/call_cpu.py
@@ -47,7 +47,7 @@
 async def _rounds(deployment: Deployment, count: int) -> list[dict[str, float]]:
     async with aiohttp.ClientSession() as session:
         for pair in deployment.pairs:
-            await _send(session, _url(pair), WARM_UP_CALLS)
+            await send_calls(session, pair, WARM_UP_CALLS)
         idle = await _idle_load(deployment.pairs)
         return [await _round(session, deployment.pairs, idle) for _ in range(count)]
 
@@ -72,7 +72,7 @@
     begin = time.perf_counter()
     before = [cpu_s(pair.node.pid) for pair in pairs]
     await asyncio.gather(
-        *(_send(session, _url(entry), CALLS_PER_CALLER) for _ in range(CALLERS))
+        *(send_calls(session, entry, CALLS_PER_CALLER) for _ in range(CALLERS))
     )
     after = [cpu_s(pair.node.pid) for pair in pairs]
     elapsed_s = time.perf_counter() - begin
@@ -92,17 +92,21 @@
     ]
 
 
-async def _send(session: aiohttp.ClientSession, url: str, calls: int) -> None:
+async def send_calls(session: aiohttp.ClientSession, entry: Pair, calls: int) -> None:
+    """Send calls one after the other.
+
+    Args:
+        session: Session of the caller.
+        entry: Its node takes the calls.
+        calls: How many.
+    """
+    url = f'{entry.caller_url}/lookup/items/1'
     for _ in range(calls):
         async with session.get(url) as response:
             await response.read()
             response.raise_for_status()
 
 
-def _url(entry: Pair) -> str:
-    return f'{entry.caller_url}/lookup/items/1'
-
-
 def cpu_s(pid: int) -> float:
     """Return the user and system CPU time of a process so far, in seconds."""
     # The command name before the last parenthesis may itself contain blanks.
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -10,6 +10,7 @@
     {
         'blocking': 'bench.blocking',
         'call_cpu': 'bench.call_cpu',
+        'call_instructions': 'bench.call_instructions',
         'capacity': 'bench.capacity',
         'control': 'bench.control',
         'crest': 'bench.crest',
