Read a new sheet in turns between calls

Change: reading is a generator that yields after each event, field and service. The nodes of the tree are built from the same pass of events that checks the form, as objects with a line instead of two marks. The tracker checks the version again at the end, and the loop reads one sheet after the other. Callers that may block (operators' program, settings) take all steps at once; checks and messages are the same.

Ruled out: an executor or a child process (one thread is a rule), and steps by number instead of time, which depend on the machine.

The longest step is the validation of the model.

Tests seen to fail: without giving control back, and without the second check of the version.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -42,6 +42,7 @@
 from gentianmill_node.claim_store import ClaimRequest, ClaimStore, StoredResponse
 from gentianmill_node.commit_pace import CommitPace
 from gentianmill_node.http_table import HttpTableStore
+from gentianmill_node.in_turns import run_in_turns
 from gentianmill_node.policy import Policy
 from gentianmill_node.sheet_loop import SheetLoop
 from gentianmill_node.table_client import TableRow, TableWrite
@@ -263,12 +264,37 @@
         'operations': SERVICES * per_service,
         'row_bytes': len(encode_record(record)),
         'node_parse_ms': median_ms(lambda: SheetTracker().offer(1, text, 'bench', 0)),
+        **asyncio.run(longest_turns(text)),
         'node_apply_ms': median_ms(lambda: policy.apply(sheet)),
         'operator_check_ms': median_ms(lambda: load_sheet(text, 'sheet.yaml')),
         'node_memory_bytes': held_bytes(lambda: parsed(text)),
     }
 
 
+async def longest_turns(text: str) -> Point:
+    """Return how long reading a new sheet blocks the loop at most, in ms."""
+    turns = [await one_longest_turn_ms(text) for _ in range(SHEET_REPEATS)]
+    return {
+        'node_longest_turn_ms': statistics.median(turns),
+        'node_longest_turn_of_all_ms': max(turns),
+    }
+
+
+async def one_longest_turn_ms(text: str) -> float:
+    """Return the longest time between two turns of another task, in ms."""
+    clock = MonotonicClock()
+    steps = SheetTracker().offer_steps(1, text, 'bench', 0)
+    reading = asyncio.create_task(run_in_turns(steps, clock))
+    longest_ms = 0.0
+    last_ms = clock.now_ms()
+    while not reading.done():
+        await asyncio.sleep(0)
+        now_ms = clock.now_ms()
+        longest_ms = max(longest_ms, now_ms - last_ms)
+        last_ms = now_ms
+    return longest_ms
+
+
 def parsed(text: str) -> SheetTracker:
     """Return a tracker that holds a sheet."""
     tracker = SheetTracker()
--- a/packages/gentianmill-node/src/gentianmill_node/sheet_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/sheet_loop.py
@@ -13,6 +13,7 @@
 from gentianmill.sheet import Sheet
 from gentianmill.sheet_record import SHEET_KEY, VERSION_KEY, SheetRecord, decode_record
 from gentianmill.sheet_version import SheetTracker
+from gentianmill_node.in_turns import run_in_turns
 from gentianmill_node.sheet_gossip import SheetFetch, SheetGossip
 from gentianmill_node.table_client import TableRow, TableStore
 
@@ -49,6 +50,7 @@
         self._tracker = tracker
         self._on_change = on_change
         self._rng = random.Random(settings.node.id)
+        self._offering = asyncio.Lock()
         self._poll_task: asyncio.Task[None] | None = None
         self._fetch_task: asyncio.Task[None] | None = None
 
@@ -84,9 +86,11 @@
         if row is None:
             return
         try:
-            self._offer(decode_record(row.value), 'table')
+            record = decode_record(row.value)
         except msgspec.DecodeError as error:
             self._tracker.note_failure('table', f'row {SHEET_KEY}: {error}')
+            return
+        await self._offer(record, 'table')
 
     async def _read_newer(self) -> TableRow | None:
         known = max(self._tracker.version, self._tracker.rejected_version)
@@ -127,13 +131,19 @@
         record = SheetRecord(
             reply.version, reply.text, reply.accepted_by, reply.accepted_unix_ms
         )
-        self._offer(record, 'peer')
-
-    def _offer(self, record: SheetRecord, source: str) -> None:
-        accepted = self._tracker.offer(
+        await self._offer(record, 'peer')
+
+    async def _offer(self, record: SheetRecord, source: str) -> None:
+        # One after the other, so that the same sheet is not read twice.
+        async with self._offering:
+            accepted = await self._take_steps(record)
+            sheet = self._tracker.sheet
+            if accepted and sheet is not None:
+                _log.info('sheet: in force', version=sheet.version, source=source)
+                self._on_change(sheet)
+
+    async def _take_steps(self, record: SheetRecord) -> bool:
+        steps = self._tracker.offer_steps(
             record.version, record.text, record.accepted_by, record.accepted_unix_ms
         )
-        sheet = self._tracker.sheet
-        if accepted and sheet is not None:
-            _log.info('sheet: in force', version=sheet.version, source=source)
-            self._on_change(sheet)
+        return await run_in_turns(steps, self._clock)
--- a/packages/gentianmill/src/gentianmill/_yaml_file.py
+++ b/packages/gentianmill/src/gentianmill/_yaml_file.py
@@ -5,11 +5,19 @@
 """
 
 import re
-from collections.abc import Iterator
 
 import yaml
 
+from gentianmill._yaml_nodes import (
+    LOADER,
+    MappingNode,
+    Node,
+    NodeBuilder,
+    ScalarNode,
+    SequenceNode,
+)
 from gentianmill.file_problem import FileProblem
+from gentianmill.steps import Steps
 
 Path = tuple[str | int, ...]
 Refusal = tuple[str, str] | None
@@ -20,7 +28,6 @@
 MAX_DIGITS = 18
 MAX_SHOWN = 60
 
-_LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 _TAG = 'tag:yaml.org,2002:'
 _INTEGER = re.compile(r'[-+]?(0|[1-9][0-9]*)')
 _NUMBER = re.compile(r'[-+]?([0-9]+\.[0-9]*|\.[0-9]+)([eE][-+]?[0-9]+)?')
@@ -33,11 +40,10 @@
 class YamlFile:
     """The data of one YAML file, the line of each field, and its problems."""
 
-    def __init__(self, text: str, file_name: str) -> None:
-        """Read a file.
+    def __init__(self, file_name: str) -> None:
+        """Create a file that is not read yet.
 
         Args:
-            text: The whole text of the file.
             file_name: Name to show in problems.
         """
         self._file_name = file_name
@@ -45,8 +51,15 @@
         self._unreadable: set[Path] = set()
         self._lines: dict[Path, int] = {(): 1}
         self._data: object = None
+
+    def read_steps(self, text: str) -> Steps[None]:
+        """Read the file in steps of less than a millisecond.
+
+        Args:
+            text: The whole text of the file.
+        """
         if self._check_text(text):
-            self._read_text(text)
+            yield from self._read_text(text)
 
     @property
     def data(self) -> object:
@@ -79,24 +92,27 @@
             self.add_problem((), f'at most {MAX_FILE_BYTES} bytes', f'{size} bytes')
         return size <= MAX_FILE_BYTES
 
-    def _read_text(self, text: str) -> None:
+    def _read_text(self, text: str) -> Steps[None]:
+        node = None
         try:
-            self._check_events(text)
+            node = yield from self._build_nodes(text)
         except (yaml.YAMLError, UnicodeError) as error:
             self._add_syntax_problem(error)
         if self._problems:
             return
-        node = yaml.compose(text, Loader=_LOADER)
-        if not isinstance(node, yaml.MappingNode):
+        if not isinstance(node, MappingNode):
             self.add_problem((), 'a mapping of fields', _kind(node))
             return
-        self._data = self._read(node, ())
+        self._data = yield from self._read(node, ())
 
-    def _check_events(self, text: str) -> None:
-        """Check size and form before the nodes are built, which is recursive."""
+    def _build_nodes(self, text: str) -> Steps[Node | None]:
+        """Check size and form of the nodes while they are built."""
         depth = 0
         documents = 0
-        for event in yaml.parse(text, Loader=_LOADER):
+        loader = LOADER(text)
+        builder = NodeBuilder(loader.resolve)
+        while loader.check_event():
+            event = loader.get_event()
             depth += isinstance(event, yaml.CollectionStartEvent)
             depth -= isinstance(event, yaml.CollectionEndEvent)
             documents += isinstance(event, yaml.DocumentStartEvent)
@@ -104,7 +120,10 @@
             if refusal:
                 self._lines[()] = event.start_mark.line + 1
                 self.add_problem((), *refusal)
-                return
+                return None
+            builder.add(event)
+            yield
+        return builder.root
 
     def _add_syntax_problem(self, error: Exception) -> None:
         mark = getattr(error, 'problem_mark', None)
@@ -113,31 +132,34 @@
         reason = getattr(error, 'problem', None) or getattr(error, 'reason', '')
         self.add_problem((), 'valid YAML', f'a syntax error ({reason})')
 
-    def _read(self, node: yaml.Node, path: Path) -> object:
-        self._lines.setdefault(path, node.start_mark.line + 1)
-        if isinstance(node, yaml.MappingNode):
-            return dict(self._read_fields(node, path))
-        if isinstance(node, yaml.SequenceNode):
-            return [
-                self._read(entry, (*path, index))
-                for index, entry in enumerate(node.value)
-            ]
+    def _read(self, node: Node, path: Path) -> Steps[object]:
+        self._lines.setdefault(path, node.line)
+        if isinstance(node, MappingNode):
+            return (yield from self._read_fields(node, path))
+        if isinstance(node, SequenceNode):
+            return (yield from self._read_entries(node, path))
         return self._read_scalar(node, path)
 
-    def _read_fields(
-        self, node: yaml.MappingNode, path: Path
-    ) -> Iterator[tuple[str, object]]:
+    def _read_entries(self, node: SequenceNode, path: Path) -> Steps[list[object]]:
+        entries = []
+        for index, entry in enumerate(node.value):
+            entries.append((yield from self._read(entry, (*path, index))))
+            yield
+        return entries
+
+    def _read_fields(self, node: MappingNode, path: Path) -> Steps[dict[str, object]]:
         seen: dict[str, int] = {}
+        fields = {}
         for key_node, value_node in node.value:
             name = self._read_key(key_node, path, seen)
             if name is not None:
-                yield name, self._read(value_node, (*path, name))
+                fields[name] = yield from self._read(value_node, (*path, name))
+            yield
+        return fields
 
-    def _read_key(
-        self, node: yaml.Node, path: Path, seen: dict[str, int]
-    ) -> str | None:
-        line = node.start_mark.line + 1
-        if not isinstance(node, yaml.ScalarNode):
+    def _read_key(self, node: Node, path: Path, seen: dict[str, int]) -> str | None:
+        line = node.line
+        if not isinstance(node, ScalarNode):
             self._add(line, path, 'a text as key', _kind(node))
             return None
         name = node.value
@@ -155,7 +177,7 @@
             return None
         return name
 
-    def _read_scalar(self, node: yaml.ScalarNode, path: Path) -> object:
+    def _read_scalar(self, node: ScalarNode, path: Path) -> object:
         if _is_text(node):
             return node.value
         reading = _plain_value(node)
@@ -201,26 +223,26 @@
     return None
 
 
-def _kind(node: yaml.Node | None) -> str:
-    if isinstance(node, yaml.MappingNode):
+def _kind(node: Node | None) -> str:
+    if isinstance(node, MappingNode):
         return 'a mapping'
-    if isinstance(node, yaml.SequenceNode):
+    if isinstance(node, SequenceNode):
         return 'a list'
     return 'nothing' if node is None else _show_plain(node.value)
 
 
-def _is_null(node: yaml.ScalarNode) -> bool:
+def _is_null(node: ScalarNode) -> bool:
     return node.tag == f'{_TAG}null'
 
 
-def _is_text(node: yaml.ScalarNode) -> bool:
+def _is_text(node: ScalarNode) -> bool:
     # The C loader gives plain scalars an empty style, the Python loader None.
     if node.style:
         return True
     return node.tag == f'{_TAG}str' and not _AMBIGUOUS.fullmatch(node.value)
 
 
-def _plain_value(node: yaml.ScalarNode) -> object:
+def _plain_value(node: ScalarNode) -> object:
     """Return a boolean or number; None if the text is ambiguous or empty."""
     text = node.value
     if text in {'true', 'false'}:
--- a/packages/gentianmill/src/gentianmill/settings_file.py
+++ b/packages/gentianmill/src/gentianmill/settings_file.py
@@ -9,6 +9,7 @@
 from gentianmill.errors import ErrorCode
 from gentianmill.file_problem import FileError, FileProblem
 from gentianmill.settings_models import NodeSettingsModel
+from gentianmill.steps import run_steps
 
 Fields = dict[str, Any]
 
@@ -43,7 +44,8 @@
     Raises:
         SettingsFileError: With every problem of the settings.
     """
-    file = YamlFile(text, file_name)
+    file = YamlFile(file_name)
+    run_steps(file.read_steps(text))
     model = None
     if isinstance(file.data, dict):
         model = check_model(file, NodeSettingsModel)
--- a/packages/gentianmill/src/gentianmill/sheet_file.py
+++ b/packages/gentianmill/src/gentianmill/sheet_file.py
@@ -8,6 +8,7 @@
 from gentianmill.errors import ErrorCode
 from gentianmill.file_problem import FileError, FileProblem
 from gentianmill.sheet_models import SheetModel
+from gentianmill.steps import Steps, run_steps
 
 Names = list[tuple[int, str]]
 
@@ -36,13 +37,23 @@
     Raises:
         SheetFileError: With every problem of the sheet.
     """
-    file = YamlFile(text, file_name)
+    return run_steps(load_sheet_steps(text, file_name))
+
+
+def load_sheet_steps(text: str, file_name: str) -> Steps[SheetModel]:
+    """Do the same as ``load_sheet`` in steps.
+
+    The longest step validates the whole sheet against its model.
+    """
+    file = YamlFile(file_name)
+    yield from file.read_steps(text)
     model = None
     if isinstance(file.data, dict):
         model = check_model(file, SheetModel)
+        yield
         _check_names(file, 'regions', _region_names(file.data))
         _check_classes(file, file.data)
-        _check_services(file, file.data)
+        yield from _check_services(file, file.data)
     if model is None or file.problems:
         raise SheetFileError(file.problems)
     return model
@@ -82,7 +93,7 @@
     return [(index, name) for index, name in named if isinstance(name, str)]
 
 
-def _check_services(file: YamlFile, data: Fields) -> None:
+def _check_services(file: YamlFile, data: Fields) -> Steps[None]:
     known = {name for _, name in _class_names(data)}
     services = data.get('services')
     if not isinstance(services, dict):
@@ -95,3 +106,4 @@
             )
         if isinstance(service, dict):
             check_operations(file, path, service, known)
+        yield
--- a/packages/gentianmill/src/gentianmill/sheet_version.py
+++ b/packages/gentianmill/src/gentianmill/sheet_version.py
@@ -2,8 +2,9 @@
 
 from gentianmill.errors import GentianmillError
 from gentianmill.sheet import Sheet
-from gentianmill.sheet_file import load_sheet
+from gentianmill.sheet_file import load_sheet_steps
 from gentianmill.sheet_record import SheetRecord
+from gentianmill.steps import Steps, run_steps
 
 
 class SheetTracker:
@@ -63,14 +64,24 @@
             Whether the sheet is now in force. A sheet that cannot be read is
             not; the present one stays.
         """
+        return run_steps(self.offer_steps(version, text, accepted_by, accepted_unix_ms))
+
+    def offer_steps(
+        self, version: int, text: str, accepted_by: str, accepted_unix_ms: int
+    ) -> Steps[bool]:
+        """Do the same as ``offer`` in steps; other sheets may come in between."""
         if version <= self.version:
             return False
         try:
-            sheet = Sheet(load_sheet(text, f'sheet version {version}'), version)
+            model = yield from load_sheet_steps(text, f'sheet version {version}')
         except GentianmillError as error:
             self._rejected_version = max(self._rejected_version, version)
             self.note_failure(f'sheet version {version}', f'cannot be read: {error}')
             return False
+        yield
+        sheet = Sheet(model, version)
+        if version <= self.version:
+            return False
         self._sheet = sheet
         self._record = SheetRecord(version, text, accepted_by, accepted_unix_ms)
         self._failures.clear()
--- a/tests/test_sheet_loop.py
+++ b/tests/test_sheet_loop.py
@@ -3,10 +3,12 @@
 import asyncio
 from pathlib import Path
 
+from gentianmill_node.in_turns import TURN_MS
 from gentianmill_node.table_client import TableWrite
 from memory_table import MemoryTable
 from node_builder import ControlNode, write_key
 
+from gentianmill.clock import ManualClock
 from gentianmill.sheet_record import (
     SHEET_KEY,
     VERSION_KEY,
@@ -57,3 +59,31 @@
     reads, version = asyncio.run(run())
     assert reads == [SHEET_KEY, VERSION_KEY, VERSION_KEY, SHEET_KEY]
     assert version == 2
+
+
+class _CostlyClock(ManualClock):
+    """A clock by which each step of a computation takes half a turn."""
+
+    def now_ms(self) -> float:
+        """Advance and return the time."""
+        self.advance(TURN_MS / 2)
+        return super().now_ms()
+
+
+def test_others_run_while_a_sheet_is_read(tmp_path):
+    """Guards against a new sheet that holds up every call of a node."""
+
+    async def run() -> int:
+        table = MemoryTable()
+        node = ControlNode(write_key(tmp_path), table, 'node-1')
+        node.sheet_loop._clock = _CostlyClock()
+        await _accept(table, 1)
+        polls = asyncio.gather(node.sheet_loop.poll(), node.sheet_loop.poll())
+        turns = 0
+        while not polls.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert node.tracker.version == 1
+        return turns
+
+    assert asyncio.run(run()) > len(EXAMPLE.read_text().splitlines())
--- a/tests/test_sheet_version.py
+++ b/tests/test_sheet_version.py
@@ -16,6 +16,7 @@
     encode_record,
 )
 from gentianmill.sheet_version import SheetTracker
+from gentianmill.steps import run_steps
 from gentianmill_node.table_client import TableWrite
 from seeds import seeds
 
@@ -35,6 +36,17 @@
     assert tracker.record.accepted_by == 'first'
 
 
+def test_a_sheet_that_was_read_slowly_does_not_replace_a_higher_version():
+    """Guards against a version that goes back while two sheets are read at once."""
+    tracker = SheetTracker()
+    steps = tracker.offer_steps(4, SHEET_TEXT, 'first', 1)
+    next(steps)
+    assert tracker.offer(5, SHEET_TEXT, 'second', 2)
+    assert not run_steps(steps)
+    assert tracker.version == 5
+    assert tracker.record.accepted_by == 'second'
+
+
 @pytest.mark.parametrize(
     'text',
     ['', '[', '- a', 'deployment: x', SHEET_TEXT.replace('class: billing', 'class: x')],
