Test that rows of gone members are deleted after ten minutes

Change: a test with a manual clock. A row of a gone member is kept until it is unchanged for exactly 10 minutes and deleted then; a row refreshed meanwhile, also between scan and deletion, and a row of a silent member that is not known to be gone are kept.

--- /dev/null
+++ b/tests/test_announcer.py
@@ -0,0 +1,77 @@
+"""Tests of the announcements in the table."""
+
+import asyncio
+
+from member_factory import make_member
+from memory_table import MemoryTable
+
+from gentianmill.clock import ManualClock
+from gentianmill.member import Member, MemberStatus
+from gentianmill.membership import MemberTable
+from gentianmill_node.announcer import STALE_MS, Announcer
+
+MINUTE_MS = 60_000
+
+
+def _announcer(
+    clock: ManualClock, rows: MemoryTable, own: str, *others: Member
+) -> Announcer:
+    table = MemberTable(make_member(own))
+    for member in others:
+        table.merge(member, 0)
+    return Announcer(clock, rows, table)
+
+
+def test_rows_of_gone_members_are_deleted_after_ten_minutes_without_refresh():
+    """Guards against dead rows that stay, and live members that lose theirs."""
+
+    async def run() -> None:
+        clock = ManualClock()
+        rows = MemoryTable()
+        gone = make_member('gone', status=MemberStatus.dead)
+        returned = make_member('returned', status=MemberStatus.dead)
+        silent = make_member('silent')
+        others = {
+            member.node_id: _announcer(clock, rows, member.node_id)
+            for member in (gone, returned, silent)
+        }
+        await asyncio.gather(*[other.refresh() for other in others.values()])
+        watcher = _announcer(clock, rows, 'watcher', gone, returned, silent)
+        await watcher.scan()
+        clock.advance(MINUTE_MS)
+        await others['returned'].refresh()
+        clock.advance(STALE_MS - MINUTE_MS - 1)
+        await watcher.scan()
+        assert 'members/gone' in rows.rows
+        clock.advance(1)
+        members = await watcher.scan()
+        assert {member.node_id for member in members} == {'returned', 'silent'}
+        assert set(rows.rows) == {'members/returned', 'members/silent'}
+
+    assert STALE_MS == 10 * MINUTE_MS
+    asyncio.run(run())
+
+
+def test_a_row_refreshed_during_the_scan_is_kept():
+    """Guards against deleting the row of a member that has just come back."""
+
+    async def run() -> None:
+        clock = ManualClock()
+        rows = MemoryTable()
+        gone = make_member('gone', status=MemberStatus.dead)
+        back = _announcer(clock, rows, 'gone')
+        await back.refresh()
+        watcher = _announcer(clock, rows, 'watcher', gone)
+        await watcher.scan()
+        clock.advance(STALE_MS)
+        scanned = await rows.scan('members/')
+        await back.refresh()
+        rows.scan = lambda prefix: _done(scanned)
+        await watcher.scan()
+        assert 'members/gone' in rows.rows
+
+    asyncio.run(run())
+
+
+async def _done(rows: list) -> list:
+    return rows
