Test that a seed gives the same line for each measure

Cause: only one short run of the model was compared with itself, in one process, so an order that depends on string hashes or addresses stayed unseen.

Change: two processes, with other string hashes and another allocator, run goodput, recovery, crest, blocking and tail at small sizes; each line holds the figures and what became of each request.

Seen to fail: with the model's generator seeded by hash(str(seed)) for goodput, recovery, crest and blocking; with the routers of the tail model seeded by hash(node_id) for tail; with a set of calls per attempt for goodput and crest (with the same allocator in both processes only crest failed).

--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,6 +1,11 @@
 """Tests of the load model behind the measurements."""
 
 import importlib
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -11,6 +16,14 @@
 from gentianmill import level
 
 
+ROOT = Path(__file__).parent.parent
+PROCESS_SETTINGS = (
+    {'PYTHONHASHSEED': '1'},
+    # Another allocator places objects at other addresses, so sets of objects differ.
+    {'PYTHONHASHSEED': '2', 'PYTHONMALLOC': 'malloc'},
+)
+
+
 def run(policy: Policy, factor: float, seed: int = 1) -> Simulation:
     rate = factor * GUILD.capacity_per_s()
     load = Load(end_ms=1500, rate=lambda now_ms: rate)
@@ -21,6 +34,32 @@
     return [(entry.kind.name, entry.sent_ms, entry.tenant) for entry in found.requests]
 
 
+@pytest.fixture(scope='module')
+def small_lines() -> list[dict[str, str]]:
+    """Return the lines of two processes with other string hashes and addresses."""
+    running = [
+        subprocess.Popen(
+            [sys.executable, '-m', 'small_measures'],
+            stdout=subprocess.PIPE,
+            env={**os.environ, **settings, 'PYTHONPATH': 'tests:.'},
+            cwd=ROOT,
+        )
+        for settings in PROCESS_SETTINGS
+    ]
+    outputs = [process.communicate()[0] for process in running]
+    assert not any(process.returncode for process in running)
+    return [json.loads(output) for output in outputs]
+
+
+@pytest.mark.parametrize('name', ['goodput', 'recovery', 'crest', 'blocking', 'tail'])
+def test_a_measure_of_a_seed_gives_the_same_line(small_lines, name):
+    """Guards against figures that depend on the order of sets or on addresses."""
+    first, second = (lines[name] for lines in small_lines)
+    # Compared outside the assertion, since the lines are too long to print.
+    is_same = first == second
+    assert is_same, f'{name} differs between two runs of one seed'
+
+
 def test_a_seed_gives_the_same_run():
     """Guards against figures that cannot be repeated."""
     first, second = run(CURRENT, 1.5), run(CURRENT, 1.5)
