--- a/bench/runs.py
+++ b/bench/runs.py
@@ -56,9 +56,10 @@
         return dict(zip(jobs, pool.map(work, jobs), strict=True))
 
 
-def simulate(job: Job, load: Load) -> Simulation:
-    """Run the simulation of a job."""
-    return Simulation(deployment_of(job), job.policy, load, job.seed).run()
+def simulate(job: Job, load: Load, deployment: Deployment | None = None) -> Simulation:
+    """Run the simulation of a job, on its own deployment unless one is given."""
+    place = deployment or deployment_of(job)
+    return Simulation(place, job.policy, load, job.seed).run()
 
 
 def deployment_of(job: Job) -> Deployment:
--- a/tests/small_measures.py
+++ b/tests/small_measures.py
@@ -49,8 +49,8 @@
     """
     ended: list = []
 
-    def simulate(job: runs.Job, load: Load) -> Simulation:
-        found = runs.simulate(job, load)
+    def simulate(job: runs.Job, load: Load, *shape: Deployment) -> Simulation:
+        found = runs.simulate(job, load, *shape)
         ended.extend((one.done_ms, one.attempts) for one in found.requests)
         return found
 
