--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,7 +23,7 @@
 from standins.table import MemoryTableStore, SimulatedTable
 
 from bench import control
-from bench.platform import HOST, platform_port
+from bench.platform_process import HOST, platform_port
 from gentianmill.admission import AdmissionQueue
 from gentianmill.clock import MonotonicClock
 from gentianmill.home import HomePicker
