Tell the service time of the simulated upstream in a header

Six other tests used the constructor of WebServer as it was before each listener got its own TLS context. Ruled out: a fault of the product; no key ran twice, only the bodies differed. Change: the service time is the header X-Work-Ms; the tests pass the TLS context to start. Conclusion: the checks stand as they were.

--- a/bench/process_load.py
+++ b/bench/process_load.py
@@ -9,6 +9,7 @@
 
 from bench.model import RESEND_PAUSE_MS, RESENDS, STRAGGLER_FACTOR, Request
 from bench.small_shape import MEAN_MS, PATHS
+from standins.upstream import WORK_HEADER
 
 MS_PER_S = 1000
 OK = 200
@@ -90,12 +91,13 @@
                 timeout=aiohttp.ClientTimeout(total=patience_s),
             ) as response:
                 body = await response.read() if response.status == OK else b''
+                work_ms = float(response.headers.get(WORK_HEADER, 0))
         except (aiohttp.ClientError, TimeoutError):
             return False
         if not body:
             return False
         answer = json.loads(body)
-        request.straggled |= answer['work_ms'] > STRAGGLED_MS
+        request.straggled |= work_ms > STRAGGLED_MS
         return all(status == OK for status in answer['calls'])
 
     def _now_ms(self) -> float:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -22,6 +22,7 @@
 CRASH_MARK = b'crash-upstream'
 CRASH_EXIT_CODE = 70
 NOT_RUN = {'X-Outcome': 'not_run'}
+WORK_HEADER = 'X-Work-Ms'
 STATUS_OK = 200
 STATUS_FAILED = 503
 BLOCK_BYTES = 64 * 1024
@@ -139,12 +140,12 @@
             request.transport.abort()
         return web.json_response(
             status=self._status(answers),
+            headers={WORK_HEADER: str(work_ms)},
             data={
                 'service': self.service,
                 'path': request.raw_path,
                 'request_id': request.headers.get('X-Request-Id', ''),
                 'body_sha256': hashlib.sha256(body).hexdigest(),
-                'work_ms': work_ms,
                 'calls': answers,
             },
         )
--- a/tests/test_direct_server.py
+++ b/tests/test_direct_server.py
@@ -24,9 +24,9 @@
 
 
 async def _exchange(body: bytes, options: dict) -> tuple[int, bytes]:
-    server = WebServer(None)
+    server = WebServer()
     port = free_ports(1)[0]
-    await server.start('calls', direct_server(_echo, MAX_BODY_BYTES), HOST, port)
+    await server.start('calls', direct_server(_echo, MAX_BODY_BYTES), HOST, port, None)
     try:
         async with aiohttp.ClientSession() as session:
             url = f'http://{HOST}:{port}/any/path'
--- a/tests/test_upstream_request.py
+++ b/tests/test_upstream_request.py
@@ -46,9 +46,9 @@
 async def _with_upstream(
     handler: Handler, use: Callable[[Exchange, yarl.URL], Awaitable[None]]
 ) -> None:
-    server = WebServer(None)
+    server = WebServer()
     port = free_ports(1)[0]
-    await server.start('upstream', direct_server(handler, 1), HOST, port)
+    await server.start('upstream', direct_server(handler, 1), HOST, port, None)
     session = new_session(1)
     url = yarl.URL(f'http://{HOST}:{port}/')
     try:
