Let one more call run for each straggler

Ruled out: more slots for long work, since the stragglers belong to short operations; counting stragglers in the long lane alone, which leaves the total limit as it is. Change: a running call that exceeds 3 times the usual latency of its operation is a straggler; the total limit is raised by one for each, up to 0.35 of the limit.

--- a/packages/gentianmill/src/gentianmill/admission.py
+++ b/packages/gentianmill/src/gentianmill/admission.py
@@ -79,6 +79,7 @@
             raise ValueError(f'ticket of {ticket.operation} was offered twice')
         ticket.enqueued_ms = now_ms
         ticket.lane = self._profiles.lane_of(ticket)
+        self._slots.lend(now_ms)
         if ticket.deadline_ms <= now_ms:
             self._refuse(ticket, Verdict.deadline)
         elif not self.queued and self._slots.allows(ticket.lane):
@@ -165,6 +166,7 @@
 
     def _advance(self, now_ms: float) -> list[Decision]:
         if self.queued:
+            self._slots.lend(now_ms)
             for expired in self._backlog.expired(now_ms):
                 self._refuse(expired, Verdict.deadline)
             self._start(now_ms)
@@ -185,5 +187,6 @@
     def _start_now(self, ticket: Ticket, now_ms: float) -> Decision:
         ticket.state = TicketState.running
         ticket.started_ms = now_ms
-        self._slots.take(ticket, now_ms)
+        usual_ms = self._profiles.usual_ms(ticket.operation)
+        self._slots.take(ticket, now_ms, usual_ms)
         return Decision(ticket, Verdict.start)
--- a/packages/gentianmill/src/gentianmill/operation_profile.py
+++ b/packages/gentianmill/src/gentianmill/operation_profile.py
@@ -91,6 +91,10 @@
         profile = self._operations.get(operation)
         return 0 if profile is None else profile.median
 
+    def usual_ms(self, operation: str) -> float:
+        """Return the typical latency at the present slowdown; 0 if it is unknown."""
+        return self.typical_ms(operation) * max(1, self._slowdown.median)
+
     def add(self, operation: str, latency_ms: float) -> float:
         """Take the latency of a finished call into account.
 
--- a/packages/gentianmill/src/gentianmill/slots.py
+++ b/packages/gentianmill/src/gentianmill/slots.py
@@ -2,6 +2,7 @@
 
 from gentianmill.limit import ConcurrencyLimit
 from gentianmill.sheet_models import LimitsModel
+from gentianmill.stragglers import Stragglers
 from gentianmill.ticket import Lane, Ticket
 
 BULK_GUARANTEE = 0.05
@@ -14,6 +15,9 @@
 RESERVE_MARGIN = 1.5
 """Slots kept for a kind of work, relative to those it used lately."""
 
+LENT_SHARE = 0.35
+"""Largest number of slots lent for stragglers, relative to the limit."""
+
 PEAK_MS = 10000
 """Time over which the slots used lately are counted."""
 
@@ -43,7 +47,8 @@
 
     Long and bulk work may hold their shares of the slots, and beyond these
     what other work has not used lately, so that a service with only such
-    work is not left idle.
+    work is not left idle. For each straggler one more call may run than the
+    limit says: short work does not wait for the slots that stragglers hold.
     """
 
     def __init__(self, limits: LimitsModel, limit: ConcurrencyLimit) -> None:
@@ -58,6 +63,8 @@
         self._running = {lane: 0 for lane in Lane}
         self._unprotected = 0
         self._total = 0
+        self._stragglers = Stragglers()
+        self._lent = 0
         self._peaks = {lane: _RecentPeak() for lane in Lane}
 
     @property
@@ -70,8 +77,20 @@
         """Return the number of running calls that are not protected."""
         return self._unprotected
 
-    def take(self, ticket: Ticket, now_ms: float) -> None:
-        """Count a call that starts."""
+    def lend(self, now_ms: float) -> None:
+        """Lend a slot for each straggler, up to a part of the limit."""
+        most = int(LENT_SHARE * self._limit.limit)
+        self._lent = min(self._stragglers.count(now_ms), most)
+
+    def take(self, ticket: Ticket, now_ms: float, usual_ms: float) -> None:
+        """Count a call that starts.
+
+        Args:
+            ticket: The call.
+            now_ms: Current time in ms.
+            usual_ms: Usual latency of its operation in ms; 0 if unknown.
+        """
+        self._stragglers.started(ticket, usual_ms)
         self._total += 1
         self._running[ticket.lane] += 1
         self._unprotected += not ticket.protected
@@ -79,13 +98,14 @@
 
     def free(self, ticket: Ticket) -> None:
         """Count a call that ended."""
+        self._stragglers.ended(ticket)
         self._total -= 1
         self._running[ticket.lane] -= 1
         self._unprotected -= not ticket.protected
 
     def has_free(self) -> bool:
         """Return whether any slot is free."""
-        return self._total < self._limit.limit
+        return self._total < self._limit.limit + self._lent
 
     def allows(self, lane: Lane) -> bool:
         """Return whether the lane may start another call."""
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/stragglers.py
@@ -0,0 +1,49 @@
+"""Running calls that take far longer than their operation usually does."""
+
+import heapq
+import itertools
+
+from gentianmill.ticket import Ticket, TicketState
+
+STRAGGLER_RATIO = 3.0
+"""Multiple of the usual latency from which a running call is a straggler.
+
+If latencies vary log-normally with sigma 0.5, 14 regular calls in 1,000 count as
+stragglers.
+"""
+
+
+class Stragglers:
+    """Find the running calls that have become stragglers."""
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self._due: list[tuple[float, int, Ticket]] = []
+        self._serial = itertools.count()
+        self._count = 0
+
+    def started(self, ticket: Ticket, usual_ms: float) -> None:
+        """Watch a call that starts now.
+
+        Args:
+            ticket: The call; its start time is set.
+            usual_ms: Usual latency of its operation at present, in ms; 0 if it is
+                unknown, in which case the call is not watched.
+        """
+        if usual_ms:
+            due_ms = ticket.started_ms + STRAGGLER_RATIO * usual_ms
+            heapq.heappush(self._due, (due_ms, next(self._serial), ticket))
+
+    def ended(self, ticket: Ticket) -> None:
+        """Forget a call that ended."""
+        self._count -= ticket.is_straggler
+        ticket.is_straggler = False
+
+    def count(self, now_ms: float) -> int:
+        """Return the number of stragglers that run."""
+        while self._due and self._due[0][0] <= now_ms:
+            ticket = heapq.heappop(self._due)[2]
+            if ticket.state is TicketState.running:
+                ticket.is_straggler = True
+                self._count += 1
+        return self._count
--- a/packages/gentianmill/src/gentianmill/ticket.py
+++ b/packages/gentianmill/src/gentianmill/ticket.py
@@ -43,6 +43,7 @@
     started_ms: float = 0
     lane: Lane = Lane.short
     state: TicketState = TicketState.new
+    is_straggler: bool = False
 
     @property
     def protected(self) -> bool:
