Define the row of the accepted sheet once

Change: AcceptedSheet extends SheetRecord by the submission id and uses its row keys; both commands call the same checks, in the order as before.

--- a/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
@@ -1,7 +1,8 @@
 """What the commands do once their arguments are parsed."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -51,16 +52,12 @@
     Raises:
         GentianmillError: With the code that decides the exit code.
     """
-    if not is_http_url(table):
-        raise _usage(table, '--table is not an http or https URL')
+    _check_table(table)
     if not 0 <= expect <= MAX_VERSION:
         raise _usage(str(expect), f'--expect is not between 0 and {MAX_VERSION}')
-    if not by.strip():
-        raise _usage(by, '--by is empty')
+    _check_operator(by)
     model, text = read_sheet(file_name)
-    key = _read_key(key_file) if key_file else ''
-    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
-        access = TableAccess(table, session, key)
+    async with _open_table(table, key_file) as access:
         return await Submission(access, model, new_sheet(text, expect, by)).send()
 
 
@@ -72,13 +69,10 @@
     Raises:
         GentianmillError: With the code that decides the exit code.
     """
-    if not is_http_url(table):
-        raise _usage(table, '--table is not an http or https URL')
-    if not verdict.by.strip():
-        raise _usage(verdict.by, '--by is empty')
-    key = _read_key(key_file) if key_file else ''
-    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
-        return await Settlement(TableAccess(table, session, key), name, verdict).send()
+    _check_table(table)
+    _check_operator(verdict.by)
+    async with _open_table(table, key_file) as access:
+        return await Settlement(access, name, verdict).send()
 
 
 async def ask_node(ask: Ask, node: str, key_file: str) -> Result:
@@ -94,6 +88,23 @@
         return await ask(OperatorClient(node, session, key))
 
 
+@contextlib.asynccontextmanager
+async def _open_table(table: str, key_file: str) -> AsyncIterator[TableAccess]:
+    key = _read_key(key_file) if key_file else ''
+    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        yield TableAccess(table, session, key)
+
+
+def _check_table(table: str) -> None:
+    if not is_http_url(table):
+        raise _usage(table, '--table is not an http or https URL')
+
+
+def _check_operator(by: str) -> None:
+    if not by.strip():
+        raise _usage(by, '--by is empty')
+
+
 def _read_key(file_name: str) -> str:
     key = read_file(file_name).strip()
     if not key or not all(0x21 <= byte <= 0x7E for byte in key):
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/submit.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/submit.py
@@ -10,26 +10,19 @@
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.sheet_file import SheetFileError, load_sheet
 from gentianmill.sheet_models import SheetModel
+from gentianmill.sheet_record import SHEET_KEY, VERSION_KEY, SheetRecord
 from gentianmill_ctl.result import Result
 from gentianmill_ctl.sheet_difference import Difference, differences
 from gentianmill_ctl.table_access import Row, TableAccess
 
-SHEET_KEY = 'sheet/current'
-VERSION_KEY = 'sheet/version'
-"""Row that nodes poll, since it is much shorter than the sheet."""
-
 ATTEMPTS = 5
 PAUSE_S = 0.5
 MS_PER_S = 1000
 
 
-class AcceptedSheet(msgspec.Struct, frozen=True, kw_only=True):
-    """The value of the row ``sheet/current``, as JSON."""
+class AcceptedSheet(SheetRecord, frozen=True):
+    """The record with the id by which an operator knows the own submission."""
 
-    version: int
-    text: str
-    accepted_by: str
-    accepted_unix_ms: int
     submission_id: str = ''
 
 
