Decide redirects and retries of a call in one place

Cause: the dispatcher and the bulk entry each counted redirects and asked for a grant, with the same rule written twice. Change: Repeats counts the redirects of one call and asks for grants. Conclusion: no change of behaviour; the process tests of bulk, drain, suspects and intruders pass.

--- a/packages/gentianmill-node/src/gentianmill_node/bulk.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk.py
@@ -15,9 +15,10 @@
 from gentianmill_node.bulk_source import BulkSource
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.call_report import CallReport
-from gentianmill_node.dispatch import MAX_REDIRECTS, Dispatcher, is_redirected
+from gentianmill_node.dispatch import Dispatcher
 from gentianmill_node.headers import OUTCOME, REQUEST_ID
 from gentianmill_node.policy import Policy
+from gentianmill_node.repeats import Repeats
 from gentianmill_node.responses import error_response
 from gentianmill_node.retry_gate import RetryGate
 
@@ -77,14 +78,12 @@
 
     async def _fetch(self, download: '_Download') -> GentianmillError | None:
         tried: set[str] = set()
-        redirects = 0
+        repeats = Repeats(self._parts.retries, download.call)
         while True:
             error = await self._fetch_part(download, tried)
             if error is None or not download.may_go_on(error):
                 return error
-            free = redirects < MAX_REDIRECTS and is_redirected(error)
-            redirects += free
-            if not free and not await self._parts.retries.grant(download.call):
+            if not await repeats.allow(error):
                 return error
 
     async def _fetch_part(
--- a/packages/gentianmill-node/src/gentianmill_node/dispatch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/dispatch.py
@@ -13,26 +13,14 @@
 from gentianmill_node.guard import Guard
 from gentianmill_node.peer_client import PeerPool
 from gentianmill_node.policy import Policy
+from gentianmill_node.repeats import REDIRECTED, Repeats
 from gentianmill_node.retry_gate import RetryGate
 
 STEP = 'route'
 MS_PER_S = 1000
 RETRY_AFTER_MS = 1000
-MAX_REDIRECTS = 2
-"""A refused call that certainly did not run is redirected without a grant.
-
-It has no sub-calls, so redirects do not multiply along a chain.
-"""
-
-_REDIRECTED = frozenset(
-    (
-        ErrorCode.draining,
-        ErrorCode.connection_lost,
-        ErrorCode.upstream_unreachable,
-        ErrorCode.suspect_elsewhere,
-    )
-)
-_REPEATED = _REDIRECTED | {ErrorCode.overloaded, ErrorCode.upstream_refused}
+
+_REPEATED = REDIRECTED | {ErrorCode.overloaded, ErrorCode.upstream_refused}
 _UNREACHABLE = frozenset((ErrorCode.connection_lost, ErrorCode.upstream_unreachable))
 
 
@@ -101,12 +89,10 @@
 
     async def _dispatch(self, call: Call) -> Answer:
         tried: set[str] = set()
-        redirects = 0
+        repeats = Repeats(self._parts.retries, call)
         answer = await self._attempt(call, tried)
         while _may_repeat(call, answer):
-            free = redirects < MAX_REDIRECTS and is_redirected(answer.error)
-            redirects += free
-            if not free and not await self._parts.retries.grant(call):
+            if not await repeats.allow(answer.error):
                 break
             if self._parts.clock.now_ms() >= call.deadline_ms:
                 break
@@ -221,13 +207,6 @@
     return answer.error_code in _REPEATED
 
 
-def is_redirected(error: GentianmillError | None) -> bool:
-    """Return whether a refused call goes to another member without a grant."""
-    if error is None or error.outcome is not Outcome.not_run:
-        return False
-    return error.code in _REDIRECTED
-
-
 def _owner(answer: Answer) -> str:
     """Return the node that alone runs the call, if the answer names it."""
     if answer.error and answer.error.code is ErrorCode.suspect_elsewhere:
