--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -23,7 +23,6 @@
 
 STEP = 'guard'
 RETRY_AFTER_MS = 1000
-POLL_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +57,7 @@
 
     @property
     def draining(self) -> bool:
-        """Return whether new calls are refused."""
+        """Return whether the node itself drains."""
         return self._draining
 
     @property
@@ -82,7 +81,7 @@
             limit=self._parts.gate.limit,
             queue_delay_ms=queue.queue_delay_ms,
             level=self._parts.policy.level.level,
-            draining=self._draining or self._upstream_draining,
+            draining=self._is_leaving,
             levels_below=self._parts.policy.levels.levels(self._parts.clock.now_ms()),
         )
 
@@ -159,10 +158,9 @@
             finally:
                 self._active -= 1
 
-    async def finish_all(self) -> None:
-        """Wait until no call is in the queue or on the upstream."""
-        while self.active:
-            await asyncio.sleep(POLL_S)
+    @property
+    def _is_leaving(self) -> bool:
+        return self._draining or self._upstream_draining
 
     async def _run_checked(self, call: Call) -> Answer:
         self._check(call)
@@ -187,7 +185,7 @@
             self._active -= 1
 
     def _check(self, call: Call) -> None:
-        if self._draining or self._upstream_draining:
+        if self._is_leaving:
             raise GentianmillError(
                 ErrorCode.draining, STEP, '', 'the upstream is leaving'
             )
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -37,8 +37,9 @@
 def new_session(connections: int) -> aiohttp.ClientSession:
     """Create a session that never repeats a request by itself.
 
-    aiohttp resends idempotent methods when a kept-alive connection closes. Such
-    a resend would be a retry outside the retry bound, so it is switched off.
+    Calls use only its connector. Requests for health go through the session, where
+    aiohttp would resend them when a kept-alive connection closes and so hide that
+    the upstream ended.
 
     Args:
         connections: Most connections open at once.
