Choose ports, members and medians of tests and measures in one place

Cause: three further functions chose a free port; two took it from the range of outgoing connections, from which another process may take it before the listener starts, as the stand-in deployment had to learn. Two tests built members beside member_factory, and two measures took the same medians. Change: free_ports and is_open of the stand-in deployment, make_member and medians serve them all. bench/control.py keeps its own, since its crowd needs two neighbouring ports.

--- a/bench/call_cpu.py
+++ b/bench/call_cpu.py
@@ -37,11 +37,15 @@
     """
     with two_services() as deployment:
         rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
-    figures = {
+    return {'name': 'call_cpu', 'rounds': len(rounds), 'us_per_call': medians(rounds)}
+
+
+def medians(rounds: list[dict[str, float]]) -> dict[str, int]:
+    """Return the median of each figure over the rounds, rounded."""
+    return {
         path: round(statistics.median(one[path] for one in rounds))
         for path in rounds[0]
     }
-    return {'name': 'call_cpu', 'rounds': len(rounds), 'us_per_call': figures}
 
 
 async def _rounds(deployment: Deployment, count: int) -> list[dict[str, float]]:
--- a/bench/call_instructions.py
+++ b/bench/call_instructions.py
@@ -4,12 +4,11 @@
 """
 
 import asyncio
-import statistics
 
 import aiohttp
 from standins.processes import Deployment, Pair
 
-from bench.call_cpu import CALLERS, WARM_UP_CALLS, send_calls
+from bench.call_cpu import CALLERS, WARM_UP_CALLS, medians, send_calls
 from bench.instruction_counter import InstructionCounter
 from bench.two_services import two_services
 
@@ -26,14 +25,10 @@
     """
     with two_services() as deployment:
         rounds = asyncio.run(_rounds(deployment, seeds * ROUNDS_PER_SEED))
-    figures = {
-        path: round(statistics.median(one[path] for one in rounds))
-        for path in rounds[0]
-    }
     return {
         'name': 'call_instructions',
         'rounds': len(rounds),
-        'thousands_per_call': figures,
+        'thousands_per_call': medians(rounds),
     }
 
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,10 +20,11 @@
 import structlog
 import yaml
 from standins.faults import FaultMode, Faults
+from standins.processes import HOST
 from standins.table import MemoryTableStore, SimulatedTable
 
 from bench import control
-from bench.platform_process import HOST, platform_port
+from bench.platform_process import platform_port
 from bench.sheet_turns import longest_turns
 from gentianmill.admission import AdmissionQueue
 from gentianmill.clock import MonotonicClock
--- a/bench/claim_sweep.py
+++ b/bench/claim_sweep.py
@@ -13,7 +13,9 @@
 import aiohttp
 import msgspec
 
-from bench.platform_process import HOST, platform_port
+from standins.processes import HOST
+
+from bench.platform_process import platform_port
 from gentianmill.claim_rows import DAY_MS, ClaimRow, ClaimState, StoredResponse
 from gentianmill.claim_sweep import SweepTurn
 from gentianmill.clock import MonotonicClock
--- a/tests/member_factory.py
+++ b/tests/member_factory.py
@@ -10,6 +10,8 @@
     host: str | None = None,
     region: str = 'north',
     slots: int = 5,
+    zone: str | None = None,
+    service: str = 'billing',
 ) -> Member:
     """Return a member whose host follows its node id unless one is given."""
     return Member(
@@ -20,8 +22,8 @@
         peer_port=1,
         control_port=2,
         region=region,
-        zone=f'{region}-1',
-        service='billing',
+        zone=zone or f'{region}-1',
+        service=service,
         endpoint=node_id,
         slots=slots,
     )
--- a/tests/node_builder.py
+++ b/tests/node_builder.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import pathlib
-import socket
 from collections.abc import Callable
 
 from memory_table import MemoryTable
+from standins.processes import free_ports
 
 from gentianmill.clock import MonotonicClock
 from gentianmill.member import Member, MemberStatus
@@ -26,13 +26,6 @@
 """
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def write_key(directory: pathlib.Path, key: str = PEER_KEY) -> pathlib.Path:
     """Write a key file."""
     path = directory / 'peer.key'
@@ -53,7 +46,7 @@
         incarnation: int = 1,
     ) -> None:
         """Create the loops; they do not run yet."""
-        self.port = port or free_port()
+        self.port = port or free_ports(1)[0]
         self.changes: list[Member] = []
         self.tracker = SheetTracker()
         settings = NodeSettingsModel.model_validate(
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -162,7 +162,7 @@
         self.platform = self._popen(
             'standins.platform', '--host', HOST, '--port', str(self.platform_port)
         )
-        wait_for(lambda: _is_open(self.platform_port), 'the platform')
+        wait_for(lambda: is_open(self.platform_port), 'the platform')
 
     def start_upstream(self, pair: Pair) -> None:
         """Start the upstream of a pair and wait until it listens."""
@@ -322,13 +322,14 @@
         deployment.close()
 
 
-def _is_open(port: int) -> bool:
+def is_open(port: int) -> bool:
+    """Return whether a loopback port accepts connections."""
     with socket.socket() as probe:
         return probe.connect_ex((HOST, port)) == 0
 
 
 def _wait_for_upstream(pair: Pair) -> None:
-    wait_for(lambda: _is_open(pair.upstream_port), 'the upstream')
+    wait_for(lambda: is_open(pair.upstream_port), 'the upstream')
 
 
 def _alive(answer: object) -> int:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -2,28 +2,16 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from member_factory import make_member
 
 from gentianmill.ejection import FIRST_EJECTION_MS, REVIEW_INTERVAL_MS, OutlierEjector
-from gentianmill.member import Member, MemberStatus
 from gentianmill.route_state import RouteState
 
 
 def _states(count: int, tier: int = 1) -> list[RouteState]:
     return [
         RouteState(
-            Member(
-                node_id=f'node-{number}',
-                incarnation=0,
-                status=MemberStatus.alive,
-                host='127.0.0.1',
-                peer_port=1,
-                control_port=2,
-                region='north',
-                zone='north-1',
-                service='quoting',
-                endpoint=f'quoting-{number}',
-                slots=25,
-            ),
+            make_member(f'node-{number}', 0, service='quoting', slots=25),
             tier,
             added_ms=-1e9,
         )
--- a/tests/test_member_loop.py
+++ b/tests/test_member_loop.py
@@ -6,7 +6,8 @@
 import sys
 
 from memory_table import MemoryTable
-from node_builder import SHEET_TEXT, ControlNode, free_port, until, write_key
+from node_builder import SHEET_TEXT, ControlNode, until, write_key
+from standins.processes import free_ports
 
 from gentianmill.member import MemberStatus
 from gentianmill.sheet_record import SHEET_KEY, SheetRecord, encode_record
@@ -137,7 +138,7 @@
             str(program),
             str(key_file),
             'paused',
-            str(free_port()),
+            str(free_ports(1)[0]),
             f'127.0.0.1:{nodes[0].port}',
         )
         try:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from member_factory import make_member
 
 from gentianmill.member import Member, MemberStatus
 from gentianmill.messages import LoadReport
@@ -15,19 +16,8 @@
 
 
 def _member(number: int, region: str = 'north', zone: str = 'north-1') -> Member:
-    return Member(
-        node_id=f'node-{number}',
-        incarnation=0,
-        status=MemberStatus.alive,
-        host='127.0.0.1',
-        peer_port=1,
-        control_port=2,
-        region=region,
-        zone=zone,
-        service=SERVICE,
-        endpoint=f'{SERVICE}-{number}',
-        slots=25,
-    )
+    name = f'node-{number}'
+    return make_member(name, 0, region=region, zone=zone, service=SERVICE, slots=25)
 
 
 def _router(*members: Member, own_node_id: str = '') -> Router:
