--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of HTTP requests between nodes, behind ports for a platform."""
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -0,0 +1,113 @@
+"""Takes the requests of callers and of the upstream on the same VM."""
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from gentianmill.clock import Clock
+from gentianmill_mesh.forwarder import CallerRequest, Forwarder
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.direct_server import direct_server
+from gentianmill_node.logs import component
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Longest body where no rules set a limit."""
+
+MAX_HEADER_BYTES = 64 * 1024
+"""Longest header line; the bound of the rules is usually lower."""
+
+STATUS_BAD_REQUEST = 400
+STATUS_BAD_GATEWAY = 502
+
+log = component('entry')
+
+
+class EntryListener:
+    """Serve HTTP to callers."""
+
+    def __init__(self, forwarder: Forwarder, names: WireNames, clock: Clock) -> None:
+        """Create a listener.
+
+        Args:
+            forwarder: Answers the requests.
+            names: Header names of the deployment.
+            clock: Clock of the node.
+        """
+        self._forwarder = forwarder
+        self._names = names
+        self._clock = clock
+        self._running = 0
+        self._closing = False
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that have no answer yet."""
+        return self._running
+
+    def server(self) -> web.Server:
+        """Return the server; call it in the running loop."""
+        return direct_server(
+            self._handle, MAX_BODY_BYTES, MAX_HEADER_BYTES, decompress=False
+        )
+
+    def close_connections(self) -> None:
+        """Close each connection after its next answer."""
+        self._closing = True
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._running += 1
+        try:
+            answer = await self._answer(request)
+        except Exception:
+            log.exception('Request failed by a fault in the node.')
+            answer = HttpAnswer(STATUS_BAD_GATEWAY, [], b'fault\n')
+        finally:
+            self._running -= 1
+        response = _response(answer)
+        if self._closing:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> HttpAnswer:
+        arrived_ms = self._clock.now_ms()
+        try:
+            body = await request.read()
+        except (HttpProcessingError, web.RequestPayloadError) as error:
+            log.info('Body not readable.', error=repr(error))
+            return HttpAnswer(STATUS_BAD_REQUEST, [], b'the body is not readable\n')
+        return await self._forwarder.forward(
+            self._caller_request(request, body, arrived_ms)
+        )
+
+    def _caller_request(
+        self, request: web.BaseRequest, body: bytes, arrived_ms: float
+    ) -> CallerRequest:
+        target = request.raw_path
+        headers = self._names.forwarded(request.raw_headers)
+        return CallerRequest(
+            request=HttpRequest(
+                request.method, target.encode(errors='surrogateescape'), headers, body
+            ),
+            request_id=request.headers.get(self._names.request_id.decode(), ''),
+            host=request.headers.get('Host', '').partition(':')[0].lower(),
+            path=target.partition('?')[0],
+            arrived_ms=arrived_ms,
+            time_left_ms=_milliseconds(
+                request.headers.get(self._names.time_left.decode())
+            ),
+        )
+
+
+def _milliseconds(text: str | None) -> float | None:
+    if text is None or not text.strip().isdigit():
+        return None
+    return float(text)
+
+
+def _response(answer: HttpAnswer) -> web.Response:
+    response = web.Response(status=answer.status, body=answer.body)
+    for name, text in answer.headers:
+        response.headers.add(
+            name.decode(errors='replace'), text.decode(errors='replace')
+        )
+    return response
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -0,0 +1,38 @@
+"""HTTP messages as the nodes pass them on."""
+
+import dataclasses
+from collections.abc import Sequence
+
+HeaderPairs = Sequence[Sequence[bytes]]
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """A whole request, with its target and headers as they were sent."""
+
+    method: str
+    target: bytes
+    headers: list[list[bytes]]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class HttpAnswer:
+    """A whole answer of an upstream."""
+
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+
+
+def header(headers: HeaderPairs, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None.
+
+    Args:
+        headers: Pairs of name and value.
+        name: Name in lower case.
+    """
+    for found, text in headers:
+        if found.lower() == name:
+            return text
+    return None
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -0,0 +1,187 @@
+"""Assembles a node that forwards requests."""
+
+import asyncio
+import dataclasses
+import time
+
+from aiohttp import web
+
+from gentianmill.clock import MonotonicClock
+from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.entry_listener import EntryListener
+from gentianmill_mesh.forwarder import Forwarder
+from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.relay_server import RelayServer
+from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.upstream_guard import UpstreamGuard
+from gentianmill_mesh.upstream_pool import UpstreamPool
+from gentianmill_node.logs import component
+from gentianmill_node.web_server import WebServer
+
+MS_PER_S = 1000
+
+STOP_MARGIN_MS = 400.0
+"""The process ends this long before it would be killed."""
+
+QUIET_MS = 2600.0
+"""Callers learn within two questions a second apart that a node stops."""
+
+POLL_S = 0.05
+
+STATUS_OK = 200
+STATUS_NOT_READY = 503
+
+log = component('node')
+
+
+class MeshNode:
+    """One node: entry for callers, guard of its upstream, relay to other nodes."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        source: RulesSource,
+        registry: NodeRegistry,
+        rules: RulesHolder,
+    ) -> None:
+        """Create a node; call ``start`` to serve.
+
+        Args:
+            settings: Settings of the node.
+            source: Brings routing rules.
+            registry: Brings the other nodes.
+            rules: Holds the routing rules.
+        """
+        self._settings = settings
+        self._source = source
+        self._registry = registry
+        self._rules = rules
+        self._clock = MonotonicClock()
+        self._table = NodeTable()
+        self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
+        self._own = _own_record(settings, self._identity)
+        upstream = settings.upstream
+        self._pool = UpstreamPool(
+            upstream.host, upstream.port, settings.names, self._clock
+        )
+        self._guard = UpstreamGuard(
+            settings.service, self._pool, settings.names, self._clock
+        )
+        self._links = RelayLinks(self._identity, rules, self._table, self._clock)
+        self._relay = RelayServer(self._identity, self._guard, rules, self._clock)
+        self._entry = EntryListener(
+            Forwarder(
+                rules, self._table, self._own, self._guard, self._links, self._clock
+            ),
+            settings.names,
+            self._clock,
+        )
+        self._web = WebServer()
+        self._stopping = False
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should use this node."""
+        return not self._stopping and self._rules.rules is not None
+
+    async def start(self) -> None:
+        """Open the listeners and begin to learn rules and nodes."""
+        settings = self._settings
+        await self._links.start()
+        await self._listen('relay', self._relay.app(), settings.relay)
+        await self._listen('entry', self._entry.server(), settings.entry)
+        readiness = web.Application()
+        readiness.router.add_get(settings.readiness_path, self._answer_ready)
+        await self._listen('readiness', readiness, settings.readiness)
+        await self._source.start(self._rules)
+        await self._registry.start(self._table)
+        log.info(
+            'Started.',
+            node=settings.node,
+            incarnation=self._identity.incarnation,
+            service=settings.service,
+            zone=settings.zone,
+        )
+
+    def take_report(self, report: UpstreamReport) -> None:
+        """Take over what the upstream on the VM says of itself."""
+        if report.service != self._settings.service:
+            log.warning('Report of another service.', service=report.service)
+            return
+        if self._guard.take_report(report):
+            self._publish()
+
+    def upstream_left(self, upstream_id: str) -> None:
+        """Record that the upstream on the VM leaves."""
+        if self._guard.upstream_left(upstream_id):
+            self._publish()
+
+    async def stop(self) -> None:
+        """Finish what runs and close the listeners."""
+        begin_ms = self._clock.now_ms()
+        self._stopping = True
+        self._publish()
+        self._guard.stop()
+        self._entry.close_connections()
+        log.info('Stopping.', requests=self._entry.running)
+        latest_ms = begin_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
+        while self._clock.now_ms() < latest_ms and not self._may_end(begin_ms):
+            await asyncio.sleep(POLL_S)
+        log.info('Stopped.', requests=self._entry.running)
+        await self._source.close()
+        await self._registry.close()
+
+    def _may_end(self, begin_ms: float) -> bool:
+        if self._clock.now_ms() - begin_ms < QUIET_MS:
+            return False
+        return not (self._entry.running or self._guard.busy or self._relay.busy)
+
+    def _publish(self) -> None:
+        takes_calls = self._guard.takes_calls and not self._stopping
+        report = self._guard.status.report
+        self._own = _with_state(
+            self._own,
+            NodeState.serving if takes_calls else NodeState.leaving,
+            report.slots if report else 0,
+        )
+        self._table.merge([self._own])
+        self._registry.publish(self._own)
+        log.info(
+            'Own state.',
+            state=self._own.state.value,
+            slots=self._own.slots,
+            upstream=report.upstream_id if report else None,
+        )
+
+    async def _listen(
+        self, name: str, served: web.Application | web.Server, address: Address
+    ) -> None:
+        await self._web.start(name, served, address.host, address.port, None)
+
+    async def _answer_ready(self, _request: web.Request) -> web.Response:
+        return web.Response(status=STATUS_OK if self.ready else STATUS_NOT_READY)
+
+
+def _own_record(settings: MeshSettings, identity: NodeIdentity) -> NodeRecord:
+    return NodeRecord(
+        name=settings.node,
+        incarnation=identity.incarnation,
+        revision=0,
+        host=settings.relay.host,
+        relay_port=settings.relay.port,
+        service=settings.service,
+        zone=settings.zone,
+        region=settings.region,
+        slots=0,
+        state=NodeState.leaving,
+    )
+
+
+def _with_state(record: NodeRecord, state: NodeState, slots: int) -> NodeRecord:
+    return dataclasses.replace(
+        record, revision=record.revision + 1, state=state, slots=slots
+    )
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -0,0 +1,34 @@
+"""What a platform brings: routing rules, the list of nodes, reports of upstreams."""
+
+import abc
+
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill_mesh.rules_holder import RulesHolder
+
+
+class RulesSource(abc.ABC):
+    """Bring each new version of the routing rules."""
+
+    @abc.abstractmethod
+    async def start(self, holder: RulesHolder) -> None:
+        """Begin to offer rules to a holder; returns before the first are there."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Stop."""
+
+
+class NodeRegistry(abc.ABC):
+    """Tell the nodes of each other."""
+
+    @abc.abstractmethod
+    async def start(self, table: NodeTable) -> None:
+        """Begin to merge the records of nodes into a table."""
+
+    @abc.abstractmethod
+    def publish(self, record: NodeRecord) -> None:
+        """Tell the others about the own node, again and again until it worked."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Stop."""
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -0,0 +1,37 @@
+"""Encoding of the frames on relay links."""
+
+import msgspec
+
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill.relay_messages import (
+    RelayAnswer,
+    RelayCall,
+    RelayCancel,
+    RulesReply,
+    RulesRequest,
+)
+
+RelayFrame = RelayAnswer | RelayCall | RelayCancel | RulesReply | RulesRequest
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(RelayFrame)
+
+encode = _encoder.encode
+
+
+def decode(message: bytes, peer: str) -> RelayFrame:
+    """Return the frame in a message.
+
+    Args:
+        message: The msgpack form.
+        peer: Sender, for the error.
+
+    Raises:
+        GentianmillError: With code ``protocol`` if the message is no valid frame.
+    """
+    try:
+        return _decoder.decode(message)
+    except msgspec.MsgspecError as error:
+        raise GentianmillError(
+            ErrorCode.protocol, 'relay', peer, f'invalid frame: {error}'
+        ) from error
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -0,0 +1,100 @@
+"""The links of a node to all others."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from gentianmill.clock import Clock
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.relay_link import RelayContext, RelayLink, new_keys
+from gentianmill_mesh.rules_holder import RulesHolder
+
+ASK_DELAY_S = 0.3
+"""The own source usually brings new rules within this time."""
+
+
+class RelayLinks:
+    """Keep one link for each other node."""
+
+    def __init__(
+        self, identity: NodeIdentity, rules: RulesHolder, table: NodeTable, clock: Clock
+    ) -> None:
+        """Create no links yet; call ``start`` before use.
+
+        Args:
+            identity: The own node.
+            rules: Routing rules, which other nodes may know earlier.
+            table: The other nodes.
+            clock: Clock of the node.
+        """
+        self._identity = identity
+        self._rules = rules
+        self._table = table
+        self._clock = clock
+        self._links: dict[str, RelayLink] = {}
+        self._context: RelayContext | None = None
+        self._asking: set[int] = set()
+
+    async def start(self) -> None:
+        """Open the session that makes connections."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        )
+        self._context = RelayContext(
+            identity=self._identity,
+            session=session,
+            clock=self._clock,
+            keys=new_keys(),
+            on_version=self._on_version,
+            on_rules=self._rules.offer,
+        )
+
+    async def close(self) -> None:
+        """Close all links."""
+        for link in tuple(self._links.values()):
+            await link.close()
+        if self._context is not None:
+            await self._context.session.close()
+
+    def to(self, record: NodeRecord) -> RelayLink:
+        """Return the link to a node."""
+        if self._context is None:
+            raise RuntimeError('the relay links are not started')
+        link = self._links.get(record.name)
+        if link is None or _moved(link.record, record):
+            if link is not None:
+                asyncio.ensure_future(link.close())
+            link = RelayLink(record, self._context)
+            self._links[record.name] = link
+        return link
+
+    async def ask_some_node(self) -> None:
+        """Ask a random node for newer routing rules."""
+        others = [
+            record
+            for record in self._table.records
+            if record.name != self._identity.name
+        ]
+        if others:
+            link = self.to(random.choice(others))  # noqa: S311
+            await link.warm()
+            await link.ask_rules(self._rules.version)
+
+    def _on_version(self, link: RelayLink, version: int) -> None:
+        if version > self._rules.version and version not in self._asking:
+            self._asking.add(version)
+            asyncio.ensure_future(self._ask(link, version))
+
+    async def _ask(self, link: RelayLink, version: int) -> None:
+        await asyncio.sleep(ASK_DELAY_S)
+        self._asking.discard(version)
+        if self._rules.version < version:
+            await link.ask_rules(self._rules.version)
+
+
+def _moved(known: NodeRecord, record: NodeRecord) -> bool:
+    return (known.host, known.relay_port) != (record.host, record.relay_port)
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -0,0 +1,229 @@
+"""Takes calls of other nodes for the own upstream."""
+
+import asyncio
+
+from aiohttp import WSMsgType, web
+
+from gentianmill.clock import Clock
+from gentianmill.errors import GentianmillError
+from gentianmill.relay_messages import (
+    RelayAnswer,
+    RelayCall,
+    RelayCancel,
+    RulesReply,
+    RulesRequest,
+)
+from gentianmill_mesh.http_message import HttpRequest
+from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
+from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.upstream_guard import GuardCall, GuardReply, UpstreamGuard
+from gentianmill_node.logs import component
+
+MAX_FRAME_BYTES = 80 * 1024 * 1024
+"""Longest message: the largest body that callers may send, with headers."""
+
+HEARTBEAT_S = 2.0
+"""Pings on a silent link; without a pong after half of it the link is closed."""
+
+REATTACH_MS = 1500.0
+"""How long repeatable work goes on after the link of its sender was lost."""
+
+REMEMBERED_MS = 10_000.0
+"""How long an answer is kept for a sender that lost its link."""
+
+MS_PER_S = 1000
+RELAY_PATH = '/relay'
+
+log = component('relay')
+
+
+class _Job:
+    """One call of another node and, in the end, its answer."""
+
+    __slots__ = ('answer', 'repeatable', 'task')
+
+    def __init__(self, repeatable: bool, task: 'asyncio.Task[None]') -> None:
+        self.repeatable = repeatable
+        self.task = task
+        self.answer: RelayAnswer | None = None
+
+
+class _Sender:
+    """A node that sends calls, during one life of its process.
+
+    Its calls outlive a connection: a call that is sent again on a new one joins
+    the first, so that work which may run once stays so.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[int, _Job] = {}
+        self.socket: web.WebSocketResponse | None = None
+        self.expiry: asyncio.TimerHandle | None = None
+
+    def attach(self, socket: web.WebSocketResponse) -> None:
+        self.socket = socket
+        if self.expiry is not None:
+            self.expiry.cancel()
+            self.expiry = None
+
+    def detach(self, socket: web.WebSocketResponse) -> None:
+        if self.socket is not socket:
+            return
+        self.socket = None
+        self.expiry = asyncio.get_running_loop().call_later(
+            REATTACH_MS / MS_PER_S, self._stop_repeatable
+        )
+
+    def _stop_repeatable(self) -> None:
+        for job in self.jobs.values():
+            if job.repeatable:
+                job.task.cancel()
+
+
+class RelayServer:
+    """Accept the links of other nodes."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        guard: UpstreamGuard,
+        rules: RulesHolder,
+        clock: Clock,
+    ) -> None:
+        """Create a server.
+
+        Args:
+            identity: The own node.
+            guard: Runs the calls.
+            rules: Routing rules that other nodes may ask for.
+            clock: Clock of the node.
+        """
+        self._identity = identity
+        self._guard = guard
+        self._rules = rules
+        self._clock = clock
+        self._senders: dict[NodeIdentity, _Sender] = {}
+        self._sockets: set[web.WebSocketResponse] = set()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a call of another node has not ended."""
+        return any(
+            not job.task.done()
+            for sender in self._senders.values()
+            for job in sender.jobs.values()
+        )
+
+    def app(self) -> web.Application:
+        """Return the web application of the listener."""
+        app = web.Application()
+        app.router.add_get(RELAY_PATH, self._accept)
+        return app
+
+    async def close(self) -> None:
+        """Close all links."""
+        for socket in tuple(self._sockets):
+            await socket.close()
+
+    async def _accept(self, request: web.Request) -> web.WebSocketResponse:
+        identity = NodeIdentity.from_headers(request.headers)
+        if identity is None:
+            raise web.HTTPBadRequest(text='the handshake names no node')
+        socket = web.WebSocketResponse(
+            max_msg_size=MAX_FRAME_BYTES, compress=False, heartbeat=HEARTBEAT_S
+        )
+        socket.headers.update(self._identity.headers())
+        await socket.prepare(request)
+        sender = self._senders.setdefault(identity, _Sender())
+        sender.attach(socket)
+        self._sockets.add(socket)
+        try:
+            await self._serve(sender, socket, identity.name)
+        finally:
+            self._sockets.discard(socket)
+            sender.detach(socket)
+        return socket
+
+    async def _serve(
+        self, sender: _Sender, socket: web.WebSocketResponse, peer: str
+    ) -> None:
+        try:
+            async for message in socket:
+                if message.type is not WSMsgType.BINARY:
+                    break
+                await self._take(sender, decode(message.data, peer))
+        except GentianmillError as error:
+            log.warning('Link closed.', peer=peer, error=str(error))
+            await socket.close()
+
+    async def _take(self, sender: _Sender, frame: RelayFrame) -> None:
+        if isinstance(frame, RelayCall):
+            self._start(sender, frame)
+        elif isinstance(frame, RelayCancel):
+            job = sender.jobs.get(frame.key)
+            if job is not None:
+                job.task.cancel()
+        elif isinstance(frame, RulesRequest):
+            await self._send_rules(sender, frame.known_version)
+
+    def _start(self, sender: _Sender, frame: RelayCall) -> None:
+        known = sender.jobs.get(frame.key)
+        if known is None:
+            task = asyncio.ensure_future(self._run(sender, frame))
+            sender.jobs[frame.key] = _Job(frame.repeatable, task)
+        elif known.answer is not None:
+            asyncio.ensure_future(_send(sender, known.answer))
+
+    async def _run(self, sender: _Sender, frame: RelayCall) -> None:
+        reply = GuardReply.unknown('cancelled')
+        try:
+            reply = await self._guard.run(_guard_call(frame, self._clock.now_ms()))
+        except asyncio.CancelledError:
+            log.debug('Call cancelled.', key=frame.key)
+        except Exception:
+            log.exception('Call failed by a fault in the node.', key=frame.key)
+        answer = self._answer(frame.key, reply)
+        job = sender.jobs[frame.key]
+        job.answer = answer
+        asyncio.get_running_loop().call_later(
+            REMEMBERED_MS / MS_PER_S, sender.jobs.pop, frame.key, None
+        )
+        await _send(sender, answer)
+
+    def _answer(self, key: int, reply: GuardReply) -> RelayAnswer:
+        answer = reply.answer
+        return RelayAnswer(
+            key=key,
+            outcome=reply.outcome.value,
+            status=answer.status if answer else 0,
+            headers=answer.headers if answer else [],
+            body=answer.body if answer else b'',
+            reason=reply.reason,
+            rules_version=self._rules.version,
+            load=self._guard.load,
+        )
+
+    async def _send_rules(self, sender: _Sender, known_version: int) -> None:
+        if self._rules.version > known_version:
+            await _send(sender, RulesReply(self._rules.version, self._rules.document))
+
+
+def _guard_call(frame: RelayCall, now_ms: float) -> GuardCall:
+    return GuardCall(
+        service=frame.service,
+        request=HttpRequest(frame.method, frame.target, frame.headers, frame.body),
+        deadline_ms=now_ms + frame.time_left_ms,
+        rank=frame.rank,
+        repeatable=frame.repeatable,
+        caller_service=frame.caller_service,
+    )
+
+
+async def _send(sender: _Sender, frame: RelayAnswer | RulesReply) -> None:
+    if sender.socket is None:
+        return
+    try:
+        await sender.socket.send_bytes(encode(frame))
+    except (ConnectionError, RuntimeError) as error:
+        log.info('Reply not sent, the link is closed.', error=repr(error))
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -0,0 +1,85 @@
+"""The routing rules in force on a node."""
+
+import abc
+from collections.abc import Callable
+
+from gentianmill.route_rules import RuleSet
+from gentianmill_node.logs import component
+
+log = component('rules')
+
+
+class RulesDecoder(abc.ABC):
+    """Read routing rules in the form of the platform."""
+
+    @abc.abstractmethod
+    def decode(self, document: bytes) -> RuleSet:
+        """Return the rules in a document.
+
+        Raises:
+            ValueError: If the document holds no valid rules.
+        """
+
+
+class RulesHolder:
+    """Keep the newest rules; an older version never replaces them."""
+
+    def __init__(self, decoder: RulesDecoder) -> None:
+        """Hold no rules.
+
+        Args:
+            decoder: Reads documents.
+        """
+        self._decoder = decoder
+        self._rules: RuleSet | None = None
+        self._document = b''
+        self._listeners: list[Callable[[RuleSet], None]] = []
+
+    @property
+    def rules(self) -> RuleSet | None:
+        """Return the rules in force, or None before the first."""
+        return self._rules
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; -1 before the first."""
+        return self._rules.version if self._rules else -1
+
+    @property
+    def document(self) -> bytes:
+        """Return the rules in force in the form of the platform."""
+        return self._document
+
+    def on_change(self, listener: Callable[[RuleSet], None]) -> None:
+        """Call a function with each new version."""
+        self._listeners.append(listener)
+
+    def offer(self, document: bytes, source: str) -> bool:
+        """Put rules in force if they are newer.
+
+        Args:
+            document: The rules in the form of the platform.
+            source: Where they come from, for the log.
+
+        Returns:
+            Whether they are in force now.
+        """
+        try:
+            rules = self._decoder.decode(document)
+        except ValueError as error:
+            log.error('Rules not readable.', source=source, error=str(error))
+            return False
+        if rules.version <= self.version:
+            return False
+        log.info(
+            'Rules in force.',
+            version=rules.version,
+            before=self.version,
+            source=source,
+            routes=len(rules.rules),
+        )
+        self._rules = rules
+        self._document = document
+        for listener in self._listeners:
+            listener(rules)
+        return True
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
@@ -0,0 +1,106 @@
+"""Lets requests wait for a slot of the upstream."""
+
+import asyncio
+
+from gentianmill.clock import Clock
+from gentianmill.relay_messages import GuardLoad
+from gentianmill.work_queue import Dispatch, WorkItem, WorkQueue
+
+LATE_MARGIN_MS = 5.0
+"""Least time that must be left when a request is sent."""
+
+MS_PER_S = 1000
+
+
+class SlotQueue:
+    """Give slots to requests in the order of a ``WorkQueue``."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Create a queue without slots.
+
+        Args:
+            clock: Clock of the node.
+        """
+        self._clock = clock
+        self._queue = WorkQueue(0, 0)
+        self._waiters: dict[WorkItem, asyncio.Future[bool]] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Return whether requests run or wait."""
+        return bool(self._queue.running or self._queue.queued)
+
+    @property
+    def load(self) -> GuardLoad:
+        """Return the load to report to other nodes."""
+        return GuardLoad(
+            running=self._queue.running,
+            limit=self._queue.limit,
+            queued=self._queue.queued,
+            backlog_ms=int(self._queue.backlog_ms),
+        )
+
+    def resize(self, limit: int, max_queued: int) -> None:
+        """Change the number of requests that may run and wait.
+
+        Args:
+            limit: Requests that may run at once.
+            max_queued: Requests that may wait.
+        """
+        if limit != self._queue.limit:
+            now_ms = self._clock.now_ms()
+            self._apply(self._queue.resize(limit, max_queued, now_ms))
+
+    async def acquire(self, item: WorkItem) -> bool:
+        """Wait for a slot and return whether the request got one.
+
+        Args:
+            item: The request; ``release`` must follow if it got a slot.
+        """
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[bool] = loop.create_future()
+        self._waiters[item] = waiter
+        now_ms = self._clock.now_ms()
+        self._apply(self._queue.offer(item, now_ms))
+        left_ms = max(item.deadline_ms - now_ms - LATE_MARGIN_MS, 0)
+        timer = loop.call_later(left_ms / MS_PER_S, self._give_up, item)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._abandon(item)
+            raise
+        finally:
+            timer.cancel()
+            self._waiters.pop(item, None)
+
+    def release(self, item: WorkItem) -> None:
+        """Free the slot of a request."""
+        self._apply(self._queue.finish(item, self._clock.now_ms()))
+
+    def refuse_waiting(self) -> None:
+        """Give up all requests that wait."""
+        for item in self._queue.drain():
+            self._answer(item, admitted=False)
+
+    def _abandon(self, item: WorkItem) -> None:
+        if item.started_ms is None:
+            self._queue.withdraw(item)
+        else:
+            self.release(item)
+
+    def _give_up(self, item: WorkItem) -> None:
+        waiter = self._waiters.get(item)
+        if waiter is not None and not waiter.done():
+            self._queue.withdraw(item)
+            waiter.set_result(False)
+
+    def _apply(self, dispatch: Dispatch) -> None:
+        for started in dispatch.started:
+            self._answer(started, admitted=True)
+        for refused in dispatch.refused:
+            self._answer(refused, admitted=False)
+
+    def _answer(self, item: WorkItem, *, admitted: bool) -> None:
+        waiter = self._waiters.get(item)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(admitted)
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -0,0 +1,237 @@
+"""One HTTP connection to an upstream, with one request at a time."""
+
+import asyncio
+import enum
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
+
+READ_LIMIT_BYTES = 256 * 1024 * 1024
+"""Answers are read whole; the parser must never pause within one."""
+
+MAX_FIELD_BYTES = 64 * 1024
+"""Longest status line or header of an answer."""
+
+MS_PER_S = 1000
+FIRST_FINAL_STATUS = 200
+
+_KEEP_ALIVE = b'keep-alive'
+_TIMEOUT_OPTION = b'timeout='
+
+
+class LossKind(enum.Enum):
+    """How far a request came before its connection was lost."""
+
+    before_send = 'before_send'
+    after_send = 'after_send'
+    bad_answer = 'bad_answer'
+    timed_out = 'timed_out'
+
+
+class UpstreamLostError(Exception):
+    """The connection ended without a whole answer."""
+
+    def __init__(self, kind: LossKind, message: str) -> None:
+        """Create an error.
+
+        Args:
+            kind: How far the request came.
+            message: One sentence for the log.
+        """
+        super().__init__(message)
+        self._kind = kind
+
+    @property
+    def kind(self) -> LossKind:
+        """Return how far the request came."""
+        return self._kind
+
+
+class UpstreamConnection(BaseProtocol):
+    """Send requests and collect whole answers.
+
+    An upstream may send bytes that belong to no request, or the answer of an
+    earlier one late. Such a connection is not used again, and an answer with the
+    id of another request is skipped.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, request_id: bytes) -> None:
+        """Create a protocol without a transport.
+
+        Args:
+            loop: The running loop.
+            request_id: Name of the header with the id that upstreams echo.
+        """
+        super().__init__(loop)
+        self._id_header = request_id
+        self._expected_id: bytes | None = None
+        self._waiter: asyncio.Future[HttpAnswer] | None = None
+        self._messages: list[tuple[RawResponseMessage, StreamReader]] = []
+        self._reusable = True
+        self._idle_limit_ms: float | None = None
+        self._received = False
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another request may be sent."""
+        return self._reusable and self._is_open()
+
+    @property
+    def idle_limit_ms(self) -> float | None:
+        """Return how long the upstream keeps the connection idle, if it said so."""
+        return self._idle_limit_ms
+
+    async def exchange(
+        self,
+        request: HttpRequest,
+        head: bytes,
+        request_id: bytes | None,
+        timeout_s: float,
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Args:
+            request: The request.
+            head: Its request line and headers as they are sent.
+            request_id: Id that the answer must carry, or None.
+            timeout_s: Time until the whole answer must be there, in s.
+
+        Raises:
+            UpstreamLostError: If no whole answer arrived.
+        """
+        if not self.reusable:
+            raise UpstreamLostError(LossKind.before_send, 'the connection was closed')
+        self._expected_id = request_id
+        self._messages.clear()
+        self._received = False
+        self._waiter = self._loop.create_future()
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_LIMIT_BYTES,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            response_with_body=request.method != 'HEAD',
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+        self.transport.write(head + request.body)
+        timer = self._loop.call_later(timeout_s, self._time_out)
+        try:
+            return await self._waiter
+        finally:
+            timer.cancel()
+            self._end_exchange()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of the upstream."""
+        self._received = True
+        if self._waiter is None or self._waiter.done() or self._parser is None:
+            self.close()
+            return
+        try:
+            messages, upgraded, tail = self._parser.feed_data(data)
+        except (HttpProcessingError, ValueError, AssertionError) as error:
+            self._fail(LossKind.bad_answer, f'the answer is no HTTP: {error!r}')
+            return
+        self._messages.extend(messages)
+        if upgraded or tail:
+            self._reusable = False
+        self._take_messages()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the exchange; an answer without a length ends with a clean close."""
+        self._reusable = False
+        if exc is None and self._waiter is not None and self._parser is not None:
+            self._end_of_stream()
+        self._fail(LossKind.after_send, f'the upstream closed: {exc!r}')
+        self._parser = None
+        super().connection_lost(exc)
+
+    def pause_reading(self) -> None:
+        """Keep reading: answers are collected whole."""
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Do nothing, as reading never pauses."""
+
+    def _end_exchange(self) -> None:
+        self._waiter = None
+        self._parser = None
+
+    def _time_out(self) -> None:
+        self._fail(LossKind.timed_out, 'the time is over')
+
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _end_of_stream(self) -> None:
+        try:
+            self._parser.feed_eof()
+        except (HttpProcessingError, ValueError) as error:
+            self._fail(LossKind.after_send, f'the answer is cut short: {error!r}')
+            return
+        self._take_messages()
+
+    def _take_messages(self) -> None:
+        while self._messages:
+            message, payload = self._messages[0]
+            if message.code < FIRST_FINAL_STATUS:
+                self._messages.pop(0)
+                continue
+            if payload.exception() is not None:
+                self._fail(LossKind.after_send, 'the answer is cut short')
+                return
+            if not payload.is_eof():
+                return
+            self._messages.pop(0)
+            if self._is_foreign(message):
+                self._reusable = False
+                continue
+            self._finish(message, payload)
+            return
+
+    def _is_foreign(self, message: RawResponseMessage) -> bool:
+        found = header(message.raw_headers, self._id_header)
+        return None not in {found, self._expected_id} and found != self._expected_id
+
+    def _finish(self, message: RawResponseMessage, payload: StreamReader) -> None:
+        body = b''.join(_chunks(payload))
+        if message.should_close or self._messages:
+            self._reusable = False
+        self._idle_limit_ms = _idle_limit_ms(message)
+        if self._waiter is not None and not self._waiter.done():
+            headers = [list(pair) for pair in message.raw_headers]
+            self._waiter.set_result(HttpAnswer(message.code, headers, body))
+
+    def _fail(self, kind: LossKind, message: str) -> None:
+        self._reusable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(UpstreamLostError(kind, message))
+        if self._is_open():
+            self.transport.abort()
+
+
+def _chunks(payload: StreamReader) -> list[bytes]:
+    chunks = []
+    while chunk := payload.read_nowait(-1):
+        chunks.append(chunk)
+    return chunks
+
+
+def _idle_limit_ms(message: RawResponseMessage) -> float | None:
+    options = header(message.raw_headers, _KEEP_ALIVE) or b''
+    for option in options.split(b','):
+        name, _, seconds = option.strip().lower().partition(_TIMEOUT_OPTION)
+        if not name and seconds.isdigit():
+            return int(seconds) * MS_PER_S
+    return None
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -0,0 +1,213 @@
+"""The last check before the upstream: its queue, limit and state."""
+
+import dataclasses
+
+from gentianmill.clock import Clock
+from gentianmill.outcome import Outcome
+from gentianmill.relay_messages import GuardLoad
+from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
+from gentianmill.work_queue import WorkItem
+
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
+from gentianmill_mesh.slot_queue import LATE_MARGIN_MS, SlotQueue
+from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
+from gentianmill_mesh.upstream_pool import UpstreamPool
+from gentianmill_mesh.wire_names import WireNames
+
+LIMIT_SHARE = 0.95
+"""Part of an upstream's slots in use at most; some slow down when nearly full."""
+
+QUEUE_FACTOR = 6
+"""Requests that may wait per slot."""
+
+DOWN_PAUSE_MS = 250.0
+"""Pause after a refused connection; an upstream restarts within seconds."""
+
+MS_PER_S = 1000
+MISDIRECTED = 421
+
+
+@dataclasses.dataclass(slots=True)
+class GuardCall:
+    """A request for the upstream beside a node."""
+
+    service: str
+    request: HttpRequest
+    deadline_ms: float
+    rank: int
+    repeatable: bool
+    caller_service: str
+
+
+@dataclasses.dataclass(slots=True)
+class GuardReply:
+    """How a call ended."""
+
+    outcome: Outcome
+    answer: HttpAnswer | None = None
+    reason: str = ''
+
+    @classmethod
+    def not_run(cls, reason: str) -> 'GuardReply':
+        """Return the reply to a call that certainly did not run."""
+        return cls(Outcome.not_run, reason=reason)
+
+    @classmethod
+    def unknown(cls, reason: str) -> 'GuardReply':
+        """Return the reply to a call that may have run."""
+        return cls(Outcome.unknown, reason=reason)
+
+
+class UpstreamGuard:
+    """Admit, order and run the calls of one upstream."""
+
+    def __init__(
+        self, service: str, pool: UpstreamPool, names: WireNames, clock: Clock
+    ) -> None:
+        """Create a guard that knows no upstream yet.
+
+        Args:
+            service: Service of the upstream.
+            pool: Connections to the upstream.
+            names: Header names of the deployment.
+            clock: Clock of the node.
+        """
+        self._service = service
+        self._pool = pool
+        self._names = names
+        self._clock = clock
+        self._status = UpstreamStatus()
+        self._slots = SlotQueue(clock)
+        self._down_until_ms = float('-inf')
+        self._stopping = False
+
+    @property
+    def service(self) -> str:
+        """Return the service of the upstream."""
+        return self._service
+
+    @property
+    def status(self) -> UpstreamStatus:
+        """Return what the upstream said of itself."""
+        return self._status
+
+    @property
+    def takes_calls(self) -> bool:
+        """Return whether the upstream may be sent new calls."""
+        return self._status.takes_calls and not self._stopping
+
+    @property
+    def busy(self) -> bool:
+        """Return whether calls run or wait."""
+        return self._slots.busy
+
+    @property
+    def load(self) -> GuardLoad:
+        """Return the load to report to other nodes."""
+        return self._slots.load
+
+    def take_report(self, report: UpstreamReport) -> bool:
+        """Take over what the upstream says of itself.
+
+        Args:
+            report: The report.
+
+        Returns:
+            Whether others must be told.
+        """
+        before = self._identity()
+        if not self._status.take(report):
+            return False
+        self._apply()
+        return self._identity() != before
+
+    def upstream_left(self, upstream_id: str) -> bool:
+        """Record that the upstream leaves; returns whether others must be told."""
+        before = self._identity()
+        self._status.leave(upstream_id)
+        self._apply()
+        return self._identity() != before
+
+    def stop(self) -> None:
+        """Refuse new calls; calls that run are finished."""
+        self._stopping = True
+        self._slots.refuse_waiting()
+
+    async def run(self, call: GuardCall) -> GuardReply:
+        """Run a call on the upstream.
+
+        Cancelling this coroutine withdraws the call or stops its work.
+
+        Args:
+            call: The call.
+        """
+        reason = self._refusal(call)
+        if reason:
+            return GuardReply.not_run(reason)
+        item = WorkItem(
+            rank=call.rank, deadline_ms=call.deadline_ms, expected_ms=LATE_MARGIN_MS
+        )
+        if not await self._slots.acquire(item):
+            return GuardReply.not_run('overloaded')
+        try:
+            return await self._run(call)
+        finally:
+            self._slots.release(item)
+
+    def _refusal(self, call: GuardCall) -> str:
+        if call.service != self._service:
+            return 'other_service'
+        if not self.takes_calls:
+            return 'draining'
+        if self._clock.now_ms() < self._down_until_ms:
+            return 'down'
+        return ''
+
+    async def _run(self, call: GuardCall) -> GuardReply:
+        report = self._status.report
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        if report is None or left_ms <= LATE_MARGIN_MS:
+            return GuardReply.not_run('deadline')
+        extra = [
+            (self._names.time_left, b'%d' % left_ms),
+            (self._names.caller_service, call.caller_service.encode()),
+            (self._names.expected_upstream, report.upstream_id.encode()),
+        ]
+        request_id = header(call.request.headers, self._names.request_id)
+        try:
+            answer = await self._pool.run(
+                call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
+            )
+        except UpstreamLostError as error:
+            return self._lost(error)
+        return self._judge(answer)
+
+    def _judge(self, answer: HttpAnswer) -> GuardReply:
+        if answer.status == MISDIRECTED:
+            return GuardReply.not_run('other_upstream')
+        if header(answer.headers, self._names.not_run) is not None:
+            return GuardReply.not_run('upstream_full')
+        answer.headers = self._names.answered(answer.headers)
+        return GuardReply(Outcome.answered, answer)
+
+    def _lost(self, error: UpstreamLostError) -> GuardReply:
+        if error.kind is LossKind.timed_out:
+            return GuardReply.unknown('deadline')
+        if error.kind is not LossKind.before_send:
+            return GuardReply.unknown('upstream_lost')
+        self._down_until_ms = self._clock.now_ms() + DOWN_PAUSE_MS
+        self._slots.refuse_waiting()
+        return GuardReply.not_run('down')
+
+    def _apply(self) -> None:
+        report = self._status.report
+        if report is None:
+            return
+        limit = max(int(report.slots * LIMIT_SHARE), 1)
+        self._slots.resize(limit, report.slots * QUEUE_FACTOR)
+        if not self._status.takes_calls:
+            self._slots.refuse_waiting()
+
+    def _identity(self) -> tuple[int, bool]:
+        report = self._status.report
+        return (report.slots if report else 0, self._status.takes_calls)
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -0,0 +1,139 @@
+"""Connections to the upstream on the same VM."""
+
+import asyncio
+
+from gentianmill.clock import Clock
+
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.upstream_connection import (
+    LossKind,
+    UpstreamConnection,
+    UpstreamLostError,
+)
+from gentianmill_mesh.wire_names import WireNames
+from gentianmill_mesh.within import within
+
+CONNECT_TIMEOUT_S = 0.5
+"""Same VM: a connection that takes longer meets an upstream that is down."""
+
+IDLE_LIMIT_MS = 4000.0
+"""Reuse of an idle connection where the upstream names no limit."""
+
+IDLE_MARGIN_MS = 1000.0
+"""The upstream's limit is cut by this, as its close may be on its way."""
+
+UNREPEATABLE_IDLE_MS = 500.0
+"""A request that may not be repeated uses only connections used this recently."""
+
+
+class UpstreamPool:
+    """Run requests on an upstream, each on a connection of its own meanwhile."""
+
+    def __init__(self, host: str, port: int, names: WireNames, clock: Clock) -> None:
+        """Create a pool without connections.
+
+        Args:
+            host: Address of the upstream.
+            port: TCP port of the upstream.
+            names: Header names of the deployment.
+            clock: Clock of the node.
+        """
+        self._host = host
+        self._port = port
+        self._names = names
+        self._clock = clock
+        self._idle: list[tuple[UpstreamConnection, float]] = []
+        self._opened = 0
+
+    @property
+    def opened(self) -> int:
+        """Return the number of connections opened so far."""
+        return self._opened
+
+    async def run(
+        self,
+        request: HttpRequest,
+        request_id: bytes | None,
+        extra: list[tuple[bytes, bytes]],
+        repeatable: bool,
+        timeout_s: float,
+    ) -> HttpAnswer:
+        """Send a request and return the whole answer.
+
+        The connection is closed if the caller of this coroutine is cancelled, which
+        tells the upstream to stop.
+
+        Args:
+            request: The request, without headers that concern one connection.
+            request_id: Id that the answer must carry, or None.
+            extra: Headers that the node sets.
+            repeatable: Whether the request may run more than once.
+            timeout_s: Time until the whole answer must be there, in s.
+
+        Raises:
+            UpstreamLostError: If there was no whole answer.
+        """
+        head = _head(request, extra)
+        connection = await self._take(repeatable)
+        try:
+            answer = await connection.exchange(request, head, request_id, timeout_s)
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(connection)
+        return answer
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop()[0].close()
+
+    async def _take(self, repeatable: bool) -> UpstreamConnection:
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            connection, since_ms = self._idle.pop()
+            limit_ms = _usable_ms(connection)
+            if not repeatable:
+                limit_ms = min(limit_ms, UNREPEATABLE_IDLE_MS)
+            if connection.reusable and now_ms - since_ms <= limit_ms:
+                return connection
+            connection.close()
+        return await self._open()
+
+    async def _open(self) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        self._opened += 1
+        connecting = loop.create_connection(
+            lambda: UpstreamConnection(loop, self._names.request_id),
+            self._host,
+            self._port,
+        )
+        try:
+            _, connection = await within(connecting, CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            raise UpstreamLostError(
+                LossKind.before_send, f'no connection: {error!r}'
+            ) from error
+        return connection
+
+    def _give_back(self, connection: UpstreamConnection) -> None:
+        if connection.reusable:
+            self._idle.append((connection, self._clock.now_ms()))
+        else:
+            connection.close()
+
+
+def _usable_ms(connection: UpstreamConnection) -> float:
+    if connection.idle_limit_ms is None:
+        return IDLE_LIMIT_MS
+    return connection.idle_limit_ms - IDLE_MARGIN_MS
+
+
+def _head(request: HttpRequest, extra: list[tuple[bytes, bytes]]) -> bytes:
+    lines = [b'%b %b HTTP/1.1' % (request.method.encode(), request.target)]
+    lines.extend(b'%b: %b' % (name, text) for name, text in request.headers)
+    lines.extend(b'%b: %b' % pair for pair in extra)
+    if request.body or request.method not in {'GET', 'HEAD', 'DELETE', 'OPTIONS'}:
+        lines.append(b'Content-Length: %d' % len(request.body))
+    lines.extend((b'', b''))
+    return b'\r\n'.join(lines)
--- a/packages/gentianmill-node/src/gentianmill_node/direct_server.py
+++ b/packages/gentianmill-node/src/gentianmill_node/direct_server.py
@@ -13,22 +13,35 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
+DEFAULT_HEADER_BYTES = 8190
+"""Longest request line or header, as in aiohttp."""
+
 _CONTINUE = '100-continue'
 
 
-def direct_server(handler: Handler, max_body_bytes: int) -> web.Server:
+def direct_server(
+    handler: Handler,
+    max_body_bytes: int,
+    max_header_bytes: int = DEFAULT_HEADER_BYTES,
+    decompress: bool = True,
+) -> web.Server:
     """Return a server; call it in the running loop.
 
     Args:
         handler: Takes each request; it is cancelled when the caller disconnects.
         max_body_bytes: Longest body of a request; reading a longer one raises
             ``web.HTTPRequestEntityTooLarge``.
+        max_header_bytes: Longest request line or header.
+        decompress: Whether bodies are given to the handler without their encoding.
     """
     return web.Server(
         functools.partial(_handle, handler),
         request_factory=functools.partial(_new_request, max_body_bytes),
         handler_cancellation=True,
         access_log=None,
+        auto_decompress=decompress,
+        max_line_size=max_header_bytes,
+        max_field_size=max_header_bytes,
     )
 
 
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -0,0 +1,211 @@
+"""Choice of the node whose upstream runs a request."""
+
+import dataclasses
+import math
+import random
+from collections.abc import Collection, Iterable
+
+from gentianmill.node_table import NodeRecord
+
+SAME_REGION_MS = 4.0
+"""Cost of another availability zone of the region: 0.5 ms each way, paid bytes."""
+
+OTHER_REGION_MS = 160.0
+"""Cost of another region: 60 ms there and back, and bytes at seven times the price
+of those between availability zones."""
+
+FULL_SHARE = 0.85
+"""Load, relative to the limit, above which a wait is expected."""
+
+LATENCY_WEIGHT = 0.15
+"""Weight of a new latency in a smoothed one."""
+
+FIRST_LATENCY_MS = 60.0
+"""Assumed latency of a route before the first answer."""
+
+SLOWEST = 8.0
+"""Bounds how much slower than the others a node may seem."""
+
+FIRST_PAUSE_MS = 250.0
+LONGEST_PAUSE_MS = 2000.0
+"""A node that cannot run calls is left out for a time that doubles each time."""
+
+REPORT_AGE_MS = 1500.0
+"""Age at which a reported load counts for nothing."""
+
+FAILURE_COST_MS = 2000.0
+"""Cost of a certain failure, in proportion for a share of failures."""
+
+FAILURE_WEIGHT = 0.1
+"""Weight of a new call in the share of failures."""
+
+FAILURE_FADE_MS = 4000.0
+"""Time after which a failure share without calls has fallen to a third."""
+
+
+@dataclasses.dataclass(slots=True)
+class _NodeView:
+    """What this node knows of another one from its answers."""
+
+    own: int = 0
+    """Calls from here that have not ended."""
+
+    own_at_report: int = 0
+    reported: float = 0
+    """Calls that run or wait there, as it said last."""
+
+    reported_ms: float = -math.inf
+    limit: int = 1
+    slowness: float = 1
+    """Latency relative to that of other nodes of the service."""
+
+    failures: float = 0
+    failed_ms: float = -math.inf
+    paused_until_ms: float = -math.inf
+    pause_ms: float = FIRST_PAUSE_MS
+
+    def calls(self, now_ms: float) -> float:
+        """Return the estimated number of calls that run or wait there."""
+        others = max(self.reported - self.own_at_report, 0)
+        age = (now_ms - self.reported_ms) / REPORT_AGE_MS
+        return self.own + others * max(1 - age, 0)
+
+    def failure_share(self, now_ms: float) -> float:
+        """Return the share of failed calls, faded since the last failure."""
+        return self.failures * math.exp((self.failed_ms - now_ms) / FAILURE_FADE_MS)
+
+
+class Placement:
+    """Choose the node that is expected to answer first, at a price for distance."""
+
+    def __init__(self, zone: str, region: str, rng: random.Random) -> None:
+        """Create a placement that knows no load.
+
+        Args:
+            zone: Own availability zone.
+            region: Own region.
+            rng: Breaks ties.
+        """
+        self._zone = zone
+        self._region = region
+        self._rng = rng
+        self._views: dict[str, _NodeView] = {}
+        self._latencies: dict[str, float] = {}
+
+    def choose(
+        self,
+        nodes: Iterable[NodeRecord],
+        route: str,
+        now_ms: float,
+        excluded: Collection[str] = (),
+    ) -> NodeRecord | None:
+        """Return the node with the lowest expected cost, or None.
+
+        Args:
+            nodes: Nodes beside upstreams of the service.
+            route: Name of the route.
+            now_ms: Current time.
+            excluded: Names of nodes that were tried already.
+        """
+        best: NodeRecord | None = None
+        best_cost = math.inf
+        for node in nodes:
+            if node.name in excluded:
+                continue
+            cost = self.cost_ms(node, route, now_ms)
+            if cost < best_cost:
+                best, best_cost = node, cost
+        return best
+
+    def cost_ms(self, node: NodeRecord, route: str, now_ms: float) -> float:
+        """Return the expected cost of a call in ms; infinite while paused."""
+        view = self._view(node)
+        if now_ms < view.paused_until_ms:
+            return math.inf
+        latency_ms = self._latencies.get(route, FIRST_LATENCY_MS) * view.slowness
+        load = (view.calls(now_ms) + 1) / max(view.limit, 1)
+        wait_ms = max(load - FULL_SHARE, 0) * latency_ms * 4
+        spread_ms = load * latency_ms * 0.2
+        failure_ms = view.failure_share(now_ms) * FAILURE_COST_MS
+        jitter_ms = self._rng.random()
+        return (
+            latency_ms
+            + wait_ms
+            + spread_ms
+            + failure_ms
+            + jitter_ms
+            + self._distance_ms(node)
+        )
+
+    def start(self, name: str) -> None:
+        """Take note of a call that is sent."""
+        self._views.setdefault(name, _NodeView()).own += 1
+
+    def end(self, name: str) -> None:
+        """Take note of a call that ended."""
+        view = self._views.setdefault(name, _NodeView())
+        view.own = max(view.own - 1, 0)
+
+    def answered(self, name: str, route: str, latency_ms: float) -> None:
+        """Learn from an answer.
+
+        Args:
+            name: The node that answered.
+            route: Name of the route.
+            latency_ms: Time from sending to the answer.
+        """
+        view = self._views.setdefault(name, _NodeView())
+        view.pause_ms = FIRST_PAUSE_MS
+        view.failures *= 1 - FAILURE_WEIGHT
+        usual_ms = self._latencies.setdefault(route, latency_ms)
+        ratio = min(latency_ms / max(usual_ms, 1), SLOWEST)
+        view.slowness += LATENCY_WEIGHT * (ratio - view.slowness)
+        self._latencies[route] = usual_ms + LATENCY_WEIGHT / 4 * (latency_ms - usual_ms)
+
+    def failed(self, name: str, now_ms: float) -> None:
+        """Learn from a call that was lost or that the upstream failed."""
+        view = self._views.setdefault(name, _NodeView())
+        view.failures = view.failure_share(now_ms)
+        view.failures += FAILURE_WEIGHT * (1 - view.failures)
+        view.failed_ms = now_ms
+
+    def loaded(self, name: str, calls: int, limit: int, now_ms: float) -> None:
+        """Take over a load report.
+
+        Args:
+            name: The node that reports.
+            calls: Calls that run or wait there.
+            limit: Calls that may run there at once.
+            now_ms: Current time.
+        """
+        view = self._views.setdefault(name, _NodeView())
+        view.reported = calls
+        view.own_at_report = view.own
+        view.reported_ms = now_ms
+        view.limit = limit
+
+    def pause(self, name: str, now_ms: float) -> None:
+        """Leave a node out that cannot run calls now."""
+        view = self._views.setdefault(name, _NodeView())
+        if now_ms < view.paused_until_ms:
+            return
+        view.paused_until_ms = now_ms + view.pause_ms
+        view.pause_ms = min(view.pause_ms * 2, LONGEST_PAUSE_MS)
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget all nodes but the given ones."""
+        self._views = {
+            name: view for name, view in self._views.items() if name in names
+        }
+
+    def _view(self, node: NodeRecord) -> _NodeView:
+        view = self._views.get(node.name)
+        if view is None:
+            view = _NodeView(limit=node.slots)
+            self._views[node.name] = view
+        return view
+
+    def _distance_ms(self, node: NodeRecord) -> float:
+        if node.zone == self._zone:
+            return 0
+        return SAME_REGION_MS if node.region == self._region else OTHER_REGION_MS
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -0,0 +1,108 @@
+"""Generated from schema/relay.yaml by scripts/generate; do not edit."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, TypeAlias
+
+from msgspec import Meta
+
+from gentianmill.frame import Frame
+
+RelayMessages: TypeAlias = Annotated[
+    Any,
+    Meta(
+        description='Frames of the relay links, which carry HTTP requests between nodes, as msgpack.',
+        title='RelayMessages',
+    ),
+]
+
+
+class GuardLoad(Frame):
+    """
+    Load of a guard, carried on each answer.
+    """
+
+    running: Annotated[int, Meta(description='Requests that the upstream runs now.')]
+    limit: Annotated[
+        int, Meta(description='Most requests that the upstream may run at once.')
+    ]
+    queued: Annotated[int, Meta(description='Requests that wait for the upstream.')]
+    backlog_ms: Annotated[
+        int,
+        Meta(description='Expected wait of a new request of the lowest rank in ms.'),
+    ]
+
+
+class RelayCall(Frame):
+    """
+    Asks the receiver to run a request on its upstream.
+    """
+
+    key: Annotated[
+        int,
+        Meta(
+            description='Number of the call; unique for the incarnation of its sender.'
+        ),
+    ]
+    service: Annotated[str, Meta(description='Service that must run the request.')]
+    method: str
+    target: Annotated[bytes, Meta(description='Request target as the caller sent it.')]
+    headers: Annotated[
+        list[list[bytes]],
+        Meta(description='Pairs of name and value, in the order of the caller.'),
+    ]
+    body: bytes
+    time_left_ms: int
+    rank: Annotated[
+        int, Meta(description='Order in the queue of the guard; the lowest goes first.')
+    ]
+    repeatable: Annotated[
+        bool, Meta(description='Whether the request may run more than once.')
+    ]
+    caller_service: Annotated[
+        str, Meta(description='Service on the VM where the request began.')
+    ]
+
+
+class RelayAnswer(Frame):
+    """
+    Ends a call.
+    """
+
+    key: int
+    outcome: Annotated[str, Meta(description='answered, not_run or unknown.')]
+    status: int
+    headers: list[list[bytes]]
+    body: bytes
+    reason: Annotated[
+        str, Meta(description='Why the call has no answer; empty if it has one.')
+    ]
+    rules_version: Annotated[
+        int, Meta(description='Version of the routing rules that the sender knows.')
+    ]
+    load: GuardLoad
+
+
+class RelayCancel(Frame):
+    """
+    Tells the receiver that nobody waits for the call any more.
+    """
+
+    key: int
+
+
+class RulesRequest(Frame):
+    """
+    Asks for the routing rules that the receiver knows.
+    """
+
+    known_version: int
+
+
+class RulesReply(Frame):
+    """
+    Carries the routing rules in the form of their source.
+    """
+
+    version: int
+    document: bytes
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -0,0 +1,152 @@
+"""Routing rules: where a request goes and what may be done with it."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+HIGHEST_PRIORITY = 0
+"""Rank of the most important routes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """A service that runs a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRule:
+    """How the requests of one route are handled; times in ms."""
+
+    name: str
+    host: str
+    prefix: str
+    destinations: tuple[Destination, ...]
+    repeatable: bool
+    bulk: bool
+    timeout_ms: float | None
+    target_latency_ms: float | None
+    max_attempts: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRule:
+    """Limits of a service that hold for each of its upstreams."""
+
+    name: str
+    health_path: str
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bounds on what a caller may send; times in ms."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class RuleSet:
+    """One version of all routing rules."""
+
+    def __init__(
+        self,
+        version: int,
+        rules: Sequence[RouteRule],
+        services: Mapping[str, ServiceRule],
+        limits: RequestLimits,
+    ) -> None:
+        """Index the rules.
+
+        Args:
+            version: Number that rises with each change.
+            rules: All routes.
+            services: Services by name.
+            limits: Bounds on requests.
+        """
+        self._version = version
+        self._services = dict(services)
+        self._limits = limits
+        by_host: dict[str, list[RouteRule]] = {}
+        for rule in rules:
+            by_host.setdefault(rule.host, []).append(rule)
+        for host_rules in by_host.values():
+            host_rules.sort(key=_prefix_length, reverse=True)
+        self._by_host = by_host
+
+    @property
+    def version(self) -> int:
+        """Return the version of the rules."""
+        return self._version
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Return the bounds on requests."""
+        return self._limits
+
+    @property
+    def rules(self) -> list[RouteRule]:
+        """Return all routes."""
+        return [rule for rules in self._by_host.values() for rule in rules]
+
+    def service(self, name: str) -> ServiceRule | None:
+        """Return the limits of a service, or None if the rules do not name it."""
+        return self._services.get(name)
+
+    def find(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix of a path, or None.
+
+        Args:
+            host: Host that the request names, without a port.
+            path: Path of the request as it was sent.
+        """
+        candidates = self._by_host.get(host, ())
+        return next((rule for rule in candidates if path.startswith(rule.prefix)), None)
+
+
+def _prefix_length(rule: RouteRule) -> int:
+    return len(rule.prefix)
+
+
+class SplitCounter:
+    """Share the requests of a route among its destinations by weight.
+
+    Each request goes to the destination that lies furthest behind its share, so
+    that short spans keep the weights too; random choices would not.
+    """
+
+    def __init__(self) -> None:
+        """Start without credits."""
+        self._credits: dict[tuple[str, tuple[Destination, ...]], list[float]] = {}
+
+    def pick(self, rule: RouteRule) -> str:
+        """Return the service that runs the next request of a route.
+
+        Args:
+            rule: The route.
+        """
+        if len(rule.destinations) == 1:
+            return rule.destinations[0].service
+        key = (rule.name, rule.destinations)
+        shares = self._credits.setdefault(key, [0 for _ in rule.destinations])
+        total = sum(destination.weight for destination in rule.destinations)
+        for index, destination in enumerate(rule.destinations):
+            shares[index] += destination.weight
+        chosen = max(range(len(shares)), key=shares.__getitem__)
+        shares[chosen] -= total
+        return rule.destinations[chosen].service
+
+    def keep(self, rules: RuleSet) -> None:
+        """Forget the credits of routes that are no longer in force.
+
+        Args:
+            rules: The rules in force.
+        """
+        known = {(rule.name, rule.destinations) for rule in rules.rules}
+        self._credits = {
+            key: shares for key, shares in self._credits.items() if key in known
+        }
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/upstream_status.py
@@ -0,0 +1,99 @@
+"""What an upstream says of itself, in the order in which it said it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """One report of an upstream about itself."""
+
+    upstream_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    draining: bool
+    sequence: int
+    """Rises with each report of one start."""
+
+    born_ms: int
+    """Start of the upstream as Unix time in ms; 0 if it was not told."""
+
+    cold_ms: float
+    """How much longer the upstream is slow after its start, in ms."""
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the place of the report among those of all starts."""
+        return (self.born_ms, self.sequence)
+
+
+class UpstreamStatus:
+    """The newest state of the upstream on the same VM.
+
+    Reports may arrive late, also those of an earlier start after a later one has
+    begun, so each is judged by its start and sequence.
+    """
+
+    def __init__(self) -> None:
+        """Know no upstream."""
+        self._report: UpstreamReport | None = None
+        self._gone: set[tuple[str, int]] = set()
+
+    @property
+    def report(self) -> UpstreamReport | None:
+        """Return the newest report, or None before the first."""
+        return self._report
+
+    @property
+    def takes_calls(self) -> bool:
+        """Return whether the upstream lives, is not draining and has not left."""
+        report = self._report
+        if report is None or report.draining:
+            return False
+        return (report.upstream_id, report.born_ms) not in self._gone
+
+    def take(self, report: UpstreamReport) -> bool:
+        """Take over a report unless a newer one is known.
+
+        Args:
+            report: The report.
+
+        Returns:
+            Whether it replaced the known one.
+        """
+        known = self._report
+        if known is not None and report.order <= known.order:
+            return False
+        if known is not None and _undoes_drain(known, report):
+            report = dataclasses.replace(report, draining=True)
+        self._report = report
+        return True
+
+    def leave(self, upstream_id: str) -> bool:
+        """Record that an upstream takes no more calls.
+
+        Args:
+            upstream_id: Id of the upstream.
+
+        Returns:
+            Whether it is the one that is known.
+        """
+        known = self._report
+        if known is None or known.upstream_id != upstream_id:
+            return False
+        self._gone.add((known.upstream_id, known.born_ms))
+        return True
+
+
+def _undoes_drain(known: UpstreamReport, report: UpstreamReport) -> bool:
+    """Return whether a report of the same start takes back a drain.
+
+    A drain that was acknowledged binds until the upstream starts again.
+    """
+    same_start = (known.upstream_id, known.born_ms) == (
+        report.upstream_id,
+        report.born_ms,
+    )
+    return same_start and known.draining
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/work_queue.py
@@ -0,0 +1,163 @@
+"""Order of the requests that wait for an upstream."""
+
+import dataclasses
+import heapq
+import itertools
+
+RATE_WEIGHT = 0.1
+"""Weight of a new service time in the smoothed one."""
+
+FIRST_SERVICE_MS = 50.0
+"""Assumed service time before the first request has ended."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class WorkItem:
+    """A request that wants to run on the upstream."""
+
+    rank: int
+    """Order in the queue; the lowest goes first."""
+
+    deadline_ms: float
+    """Time after which its result is useless."""
+
+    expected_ms: float = 0
+    """Time that it usually takes."""
+
+    started_ms: float | None = None
+    offered_ms: float = 0
+    dropped: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Dispatch:
+    """What changed in the queue: items to start and items to refuse."""
+
+    started: list[WorkItem] = dataclasses.field(default_factory=list)
+    refused: list[WorkItem] = dataclasses.field(default_factory=list)
+
+
+class WorkQueue:
+    """Run up to a limit of requests at once and keep the others in order.
+
+    Within a rank the oldest goes first. An item that can no longer end before its
+    deadline is refused instead of started, so that its slot serves another.
+    """
+
+    def __init__(self, limit: int, max_queued: int) -> None:
+        """Create an empty queue.
+
+        Args:
+            limit: Requests that may run at once.
+            max_queued: Requests that may wait.
+        """
+        self._limit = limit
+        self._max_queued = max_queued
+        self._running = 0
+        self._queued = 0
+        self._heap: list[tuple[int, int, WorkItem]] = []
+        self._numbers = itertools.count()
+        self._service_ms = FIRST_SERVICE_MS
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that run."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait."""
+        return self._queued
+
+    @property
+    def limit(self) -> int:
+        """Return the number of requests that may run at once."""
+        return self._limit
+
+    @property
+    def backlog_ms(self) -> float:
+        """Return the expected wait of a new item of the lowest rank in ms."""
+        if self._running < self._limit:
+            return 0
+        return (self._queued + 1) * self._service_ms / max(self._limit, 1)
+
+    def resize(self, limit: int, max_queued: int, now_ms: float) -> Dispatch:
+        """Change the number of requests that may run and wait.
+
+        Args:
+            limit: Requests that may run at once; those beyond it are finished.
+            max_queued: Requests that may wait.
+            now_ms: Current time.
+        """
+        self._limit = limit
+        self._max_queued = max_queued
+        return self._start_waiting(now_ms)
+
+    def offer(self, item: WorkItem, now_ms: float) -> Dispatch:
+        """Add a request.
+
+        Args:
+            item: The request.
+            now_ms: Current time.
+
+        Returns:
+            The request itself if it starts or is refused, and a request of lower
+            importance that gave way to it in a full queue.
+        """
+        item.offered_ms = now_ms
+        heapq.heappush(self._heap, (item.rank, next(self._numbers), item))
+        self._queued += 1
+        dispatch = self._start_waiting(now_ms)
+        if self._queued > self._max_queued:
+            dispatch.refused.append(self._evict())
+        return dispatch
+
+    def finish(self, item: WorkItem, now_ms: float) -> Dispatch:
+        """Free the slot of a request that has ended.
+
+        Args:
+            item: A request that was started.
+            now_ms: Current time.
+        """
+        self._running -= 1
+        if item.started_ms is not None:
+            spent_ms = now_ms - item.started_ms
+            self._service_ms += RATE_WEIGHT * (spent_ms - self._service_ms)
+        return self._start_waiting(now_ms)
+
+    def withdraw(self, item: WorkItem) -> None:
+        """Remove a request that still waits."""
+        if not item.dropped and item.started_ms is None:
+            item.dropped = True
+            self._queued -= 1
+
+    def drain(self) -> list[WorkItem]:
+        """Remove and return all requests that wait."""
+        waiting = [item for _, _, item in self._heap if not item.dropped]
+        for item in waiting:
+            self.withdraw(item)
+        self._heap.clear()
+        return waiting
+
+    def _start_waiting(self, now_ms: float) -> Dispatch:
+        dispatch = Dispatch()
+        while self._heap and self._running < self._limit:
+            item = heapq.heappop(self._heap)[2]
+            if item.dropped:
+                continue
+            self._queued -= 1
+            if now_ms + item.expected_ms > item.deadline_ms:
+                item.dropped = True
+                dispatch.refused.append(item)
+                continue
+            item.started_ms = now_ms
+            self._running += 1
+            dispatch.started.append(item)
+        return dispatch
+
+    def _evict(self) -> WorkItem:
+        """Remove the newest item of the least important rank."""
+        waiting = (entry for entry in self._heap if not entry[2].dropped)
+        item = max(waiting)[2]
+        self.withdraw(item)
+        return item
