Send second copies of slow reads, order inner calls first, notice silence

Change: repeatable calls get a second copy after 1.3 times the 95th percentile, within a retry ratio of 0.05 per service; calls that an upstream makes for a running request rank before new ones; three seconds without an answer or heartbeat end repeatable work. Logs go through a sink that never blocks and has a bounded rate.

--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -0,0 +1,268 @@
+"""Brings one request to an upstream: which node, and when another one too."""
+
+import asyncio
+import dataclasses
+import random
+
+from gentianmill.call_tree import CallOrigin
+from gentianmill.clock import Clock
+from gentianmill.hedge import HedgePolicy
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.outcome import Outcome
+from gentianmill.placement import Placement
+from gentianmill.retry import RetryThrottle
+from gentianmill.route_rules import RouteRule
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.relay_link import RelayReply
+from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.upstream_guard import GuardCall, GuardReply, UpstreamGuard
+from gentianmill_node.logs import component
+
+MAX_REDIRECTS = 4
+"""Nodes that may refuse a call before its caller is told to come back."""
+
+RETRY_RATIO = 0.05
+"""Retries per call of a service. Repeats of a request repeat its calls too, so the
+ratios of four levels add up to the platform's bound of 0.2."""
+
+HEDGE_FACTOR = 1.3
+HEDGE_EXTRA_MS = 20.0
+"""A second copy is sent when the first takes this much longer than 95 in 100."""
+
+HEDGE_LOAD = 0.7
+"""Load up to which a node is sent second copies, which must not feed overload."""
+
+FIRST_SERVER_ERROR = 500
+MS_PER_S = 1000
+
+log = component('entry')
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request on its way, with what was tried."""
+
+    request: HttpRequest
+    request_id: str
+    rule: RouteRule
+    service: str
+    origin: CallOrigin
+    deadline_ms: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    runs: int = 0
+    """Upstreams that may have run it."""
+
+    reason: str = 'no_node'
+    """Why it has no answer yet."""
+
+
+class Dispatcher:
+    """Run requests on the nodes of their service."""
+
+    def __init__(
+        self,
+        table: NodeTable,
+        own: NodeRecord,
+        guard: UpstreamGuard,
+        links: RelayLinks,
+        clock: Clock,
+    ) -> None:
+        """Create a dispatcher.
+
+        Args:
+            table: Nodes of the deployment.
+            own: Record of the own node.
+            guard: Runs calls on the own upstream.
+            links: Connections to other nodes.
+            clock: Clock of the node.
+        """
+        self._table = table
+        self._own = own
+        self._guard = guard
+        self._links = links
+        self._clock = clock
+        self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
+        self._hedges = HedgePolicy()
+        self._throttles: dict[str, RetryThrottle] = {}
+
+    async def run(self, attempt: Attempt) -> HttpAnswer | None:
+        """Return the answer of an upstream, or None.
+
+        Args:
+            attempt: The request; its ``runs`` and ``reason`` tell why there is none.
+        """
+        self._throttle(attempt.service).on_call(self._clock.now_ms())
+        answer: HttpAnswer | None = None
+        while node := self._choose(attempt):
+            reply = await self._call_hedged(attempt, node)
+            answer = reply.answer or answer
+            if reply.answer is None:
+                attempt.reason = reply.reason
+            if not self._may_go_on(attempt, reply):
+                break
+        return answer
+
+    def _throttle(self, service: str) -> RetryThrottle:
+        return self._throttles.setdefault(service, RetryThrottle(RETRY_RATIO))
+
+    def _choose(self, attempt: Attempt) -> NodeRecord | None:
+        return self._placement.choose(
+            self._candidates(attempt.service),
+            attempt.rule.name,
+            self._clock.now_ms(),
+            attempt.tried,
+        )
+
+    def _candidates(self, service: str) -> list[NodeRecord]:
+        nodes = [
+            node
+            for node in self._table.of_service(service)
+            if node.name != self._own.name
+        ]
+        if service == self._guard.service and self._guard.takes_calls:
+            nodes.append(self._own)
+        return nodes
+
+    async def _call_hedged(self, attempt: Attempt, node: NodeRecord) -> GuardReply:
+        """Call a node, and a second one if the first takes unusually long."""
+        first = asyncio.ensure_future(self._call(attempt, node))
+        calls = {first}
+        try:
+            await asyncio.wait(calls, timeout=self._hedge_delay_s(attempt))
+            second_node = None if first.done() else self._hedge_node(attempt)
+            if second_node is not None:
+                calls.add(asyncio.ensure_future(self._call(attempt, second_node)))
+            return await _best_reply(calls)
+        finally:
+            for call in calls:
+                call.cancel()
+
+    def _hedge_delay_s(self, attempt: Attempt) -> float | None:
+        if not attempt.rule.repeatable:
+            return None
+        delay_ms = self._hedges.delay_ms(attempt.rule.name)
+        if delay_ms is None:
+            return None
+        return (delay_ms * HEDGE_FACTOR + HEDGE_EXTRA_MS) / MS_PER_S
+
+    def _hedge_node(self, attempt: Attempt) -> NodeRecord | None:
+        now_ms = self._clock.now_ms()
+        node = self._choose(attempt)
+        if node is None or attempt.runs >= attempt.rule.max_attempts:
+            return None
+        if self._placement.load_share(node, now_ms) > HEDGE_LOAD:
+            return None
+        if not self._throttle(attempt.service).try_retry(now_ms):
+            return None
+        log.info(
+            'Second copy sent.',
+            request_id=attempt.request_id,
+            route=attempt.rule.name,
+            node=node.name,
+        )
+        return node
+
+    async def _call(self, attempt: Attempt, node: NodeRecord) -> GuardReply:
+        attempt.tried.add(node.name)
+        attempt.runs += 1
+        started_ms = self._clock.now_ms()
+        self._placement.start(node.name)
+        try:
+            relayed = await self._send(node, self._guard_call(attempt))
+        except asyncio.CancelledError:
+            spent_ms = self._clock.now_ms() - started_ms
+            self._placement.overtaken(node.name, attempt.rule.name, spent_ms)
+            raise
+        finally:
+            self._placement.end(node.name)
+        if relayed.reply.outcome is Outcome.not_run:
+            attempt.runs -= 1
+        self._learn(attempt, node, relayed, started_ms)
+        return relayed.reply
+
+    async def _send(self, node: NodeRecord, call: GuardCall) -> RelayReply:
+        if node.name == self._own.name:
+            reply = await self._guard.run(call)
+            return RelayReply(reply, self._guard.load)
+        return await self._links.to(node).call(call)
+
+    def _guard_call(self, attempt: Attempt) -> GuardCall:
+        return GuardCall(
+            service=attempt.service,
+            request=attempt.request,
+            deadline_ms=attempt.deadline_ms,
+            rank=attempt.origin.rank,
+            repeatable=attempt.rule.repeatable,
+            caller_service=self._own.service,
+        )
+
+    def _learn(
+        self, attempt: Attempt, node: NodeRecord, relayed: RelayReply, started_ms: float
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        load = relayed.load
+        if load is not None:
+            calls = load.running + load.queued
+            self._placement.loaded(node.name, calls, load.limit, now_ms)
+        answer = relayed.reply.answer
+        if answer is None:
+            self._learn_failure(attempt, node, relayed.reply, started_ms)
+        elif answer.status >= FIRST_SERVER_ERROR:
+            self._placement.failed(node.name, now_ms)
+        else:
+            latency_ms = now_ms - started_ms
+            self._placement.answered(node.name, attempt.rule.name, latency_ms)
+            self._hedges.observe(attempt.rule.name, latency_ms)
+
+    def _learn_failure(
+        self, attempt: Attempt, node: NodeRecord, reply: GuardReply, started_ms: float
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        log.info(
+            'Call not answered.',
+            request_id=attempt.request_id,
+            route=attempt.rule.name,
+            node=node.name,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+            after_ms=round(now_ms - started_ms),
+        )
+        if reply.outcome is not Outcome.not_run:
+            self._placement.failed(node.name, now_ms)
+        elif reply.reason not in {'overloaded', 'deadline'}:
+            self._placement.pause(node.name, now_ms)
+
+    def _may_go_on(self, attempt: Attempt, reply: GuardReply) -> bool:
+        if reply.answer is not None and reply.answer.status != FIRST_SERVER_ERROR:
+            return False
+        now_ms = self._clock.now_ms()
+        if now_ms >= attempt.deadline_ms:
+            return False
+        if reply.outcome is Outcome.not_run:
+            return len(attempt.tried) <= MAX_REDIRECTS
+        if not attempt.rule.repeatable or attempt.runs >= attempt.rule.max_attempts:
+            return False
+        return self._throttle(attempt.service).try_retry(now_ms)
+
+
+async def _best_reply(calls: set['asyncio.Future[GuardReply]']) -> GuardReply:
+    """Return the first whole answer, or else the reply that tells most.
+
+    A reply that a call may have run goes before one that another did not.
+    """
+    replies: list[GuardReply] = []
+    waiting = calls
+    while waiting:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        replies.extend(call.result() for call in done)
+        for reply in replies:
+            if reply.answer is not None and reply.answer.status < FIRST_SERVER_ERROR:
+                return reply
+    replies.sort(key=_tells_least)
+    return replies[0]
+
+
+def _tells_least(reply: GuardReply) -> int:
+    if reply.answer is not None:
+        return 0
+    return 2 if reply.outcome is Outcome.not_run else 1
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -9,6 +9,7 @@
 from gentianmill.clock import MonotonicClock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.dispatcher import Dispatcher
 from gentianmill_mesh.entry_listener import EntryListener
 from gentianmill_mesh.forwarder import Forwarder
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
@@ -32,6 +33,9 @@
 
 POLL_S = 0.05
 
+TICK_S = 0.25
+"""Pause between two looks at the upstream's signs of life."""
+
 STATUS_OK = 200
 STATUS_NOT_READY = 503
 
@@ -73,15 +77,17 @@
         )
         self._links = RelayLinks(self._identity, rules, self._table, self._clock)
         self._relay = RelayServer(self._identity, self._guard, rules, self._clock)
+        dispatcher = Dispatcher(
+            self._table, self._own, self._guard, self._links, self._clock
+        )
         self._entry = EntryListener(
-            Forwarder(
-                rules, self._table, self._own, self._guard, self._links, self._clock
-            ),
+            Forwarder(rules, self._guard, dispatcher, self._clock),
             settings.names,
             self._clock,
         )
         self._web = WebServer()
         self._stopping = False
+        self._ticker: asyncio.Task[None] | None = None
 
     @property
     def ready(self) -> bool:
@@ -99,6 +105,7 @@
         await self._listen('readiness', readiness, settings.readiness)
         await self._source.start(self._rules)
         await self._registry.start(self._table)
+        self._ticker = asyncio.ensure_future(self._tick())
         log.info(
             'Started.',
             node=settings.node,
@@ -132,8 +139,22 @@
         while self._clock.now_ms() < latest_ms and not self._may_end(begin_ms):
             await asyncio.sleep(POLL_S)
         log.info('Stopped.', requests=self._entry.running)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        if self._ticker is not None:
+            self._ticker.cancel()
         await self._source.close()
         await self._registry.close()
+        await self._relay.close()
+        await self._links.close()
+        self._pool.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._guard.check()
 
     def _may_end(self, begin_ms: float) -> bool:
         if self._clock.now_ms() - begin_ms < QUIET_MS:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 
+from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
+from gentianmill.upstream_liveness import UpstreamLiveness
 from gentianmill.work_queue import WorkItem
 
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
@@ -13,6 +15,9 @@
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.logs import component
+
+log = component('guard')
 
 LIMIT_SHARE = 0.95
 """Part of an upstream's slots in use at most; some slow down when nearly full."""
@@ -20,9 +25,6 @@
 QUEUE_FACTOR = 6
 """Requests that may wait per slot."""
 
-DOWN_PAUSE_MS = 250.0
-"""Pause after a refused connection; an upstream restarts within seconds."""
-
 MS_PER_S = 1000
 MISDIRECTED = 421
 
@@ -77,8 +79,9 @@
         self._names = names
         self._clock = clock
         self._status = UpstreamStatus()
+        self._tree = CallTree()
         self._slots = SlotQueue(clock)
-        self._down_until_ms = float('-inf')
+        self._liveness = UpstreamLiveness()
         self._stopping = False
 
     @property
@@ -86,6 +89,11 @@
         """Return the service of the upstream."""
         return self._service
 
+    @property
+    def tree(self) -> CallTree:
+        """Return the requests that run on the upstream."""
+        return self._tree
+
     @property
     def status(self) -> UpstreamStatus:
         """Return what the upstream said of itself."""
@@ -118,6 +126,7 @@
         before = self._identity()
         if not self._status.take(report):
             return False
+        self._liveness.sign(self._clock.now_ms())
         self._apply()
         return self._identity() != before
 
@@ -128,6 +137,15 @@
         self._apply()
         return self._identity() != before
 
+    def check(self) -> None:
+        """Give up repeatable work on an upstream that has fallen silent."""
+        if not self._liveness.is_silent(self._clock.now_ms()):
+            return
+        self._slots.refuse_waiting()
+        abandoned = self._pool.abandon_repeatable()
+        if abandoned:
+            log.warning('Upstream silent.', abandoned=abandoned)
+
     def stop(self) -> None:
         """Refuse new calls; calls that run are finished."""
         self._stopping = True
@@ -159,7 +177,7 @@
             return 'other_service'
         if not self.takes_calls:
             return 'draining'
-        if self._clock.now_ms() < self._down_until_ms:
+        if not self._liveness.takes_calls(self._clock.now_ms()):
             return 'down'
         return ''
 
@@ -174,15 +192,20 @@
             (self._names.expected_upstream, report.upstream_id.encode()),
         ]
         request_id = header(call.request.headers, self._names.request_id)
+        tree_id = (request_id or b'').decode(errors='replace')
+        self._tree.start(tree_id, call.rank)
         try:
             answer = await self._pool.run(
                 call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
             )
         except UpstreamLostError as error:
             return self._lost(error)
+        finally:
+            self._tree.end(tree_id)
         return self._judge(answer)
 
     def _judge(self, answer: HttpAnswer) -> GuardReply:
+        self._liveness.sign(self._clock.now_ms())
         if answer.status == MISDIRECTED:
             return GuardReply.not_run('other_upstream')
         if header(answer.headers, self._names.not_run) is not None:
@@ -195,7 +218,7 @@
             return GuardReply.unknown('deadline')
         if error.kind is not LossKind.before_send:
             return GuardReply.unknown('upstream_lost')
-        self._down_until_ms = self._clock.now_ms() + DOWN_PAUSE_MS
+        self._liveness.refused(self._clock.now_ms())
         self._slots.refuse_waiting()
         return GuardReply.not_run('down')
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -44,6 +44,7 @@
         self._clock = clock
         self._idle: list[tuple[UpstreamConnection, float]] = []
         self._opened = 0
+        self._repeatable: set[UpstreamConnection] = set()
 
     @property
     def opened(self) -> int:
@@ -75,14 +76,29 @@
         """
         head = _head(request, extra)
         connection = await self._take(repeatable)
+        if repeatable:
+            self._repeatable.add(connection)
         try:
             answer = await connection.exchange(request, head, request_id, timeout_s)
         except BaseException:
             connection.close()
             raise
+        finally:
+            self._repeatable.discard(connection)
         self._give_back(connection)
         return answer
 
+    def abandon_repeatable(self) -> int:
+        """Close the connections of requests that may run elsewhere.
+
+        Returns:
+            The number of requests.
+        """
+        abandoned = tuple(self._repeatable)
+        for connection in abandoned:
+            connection.close()
+        return len(abandoned)
+
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/packages/gentianmill-node/src/gentianmill_node/logs.py
+++ b/packages/gentianmill-node/src/gentianmill_node/logs.py
@@ -3,18 +3,18 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any, TextIO
+from typing import Any
 
 import structlog
 
 Fields = MutableMapping[str, Any]
 
 
-def configure(stream: TextIO = sys.stderr, level: int = logging.INFO) -> None:
+def configure(stream: Any = sys.stderr, level: int = logging.INFO) -> None:
     """Write log lines to a stream, one JSON object a line.
 
     Args:
-        stream: Where the lines go.
+        stream: Where the lines go; has ``write`` and ``flush``.
         level: Lowest level that is written, as in ``logging``.
     """
     structlog.configure(
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -0,0 +1,53 @@
+"""Requests that run on an upstream, and the calls that they make."""
+
+import dataclasses
+
+ID_SEPARATOR = '.'
+"""Ends the id of the caller in the id of a call that it makes."""
+
+RANKS_PER_PRIORITY = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallOrigin:
+    """Where a call comes from."""
+
+    rank: int
+    """Order of the call in the queue of a guard; the lowest goes first."""
+
+    is_inner: bool
+    """Whether an upstream makes it for a request that it runs."""
+
+
+class CallTree:
+    """Recognise the calls that an upstream makes for a request.
+
+    Such a call is part of a request that has already cost something, so it goes
+    before new requests of the same priority. It takes the priority of the request,
+    not the one of its own route.
+    """
+
+    def __init__(self) -> None:
+        """Start without running requests."""
+        self._ranks: dict[str, int] = {}
+
+    def start(self, request_id: str, rank: int) -> None:
+        """Take note of a request that starts on the upstream."""
+        self._ranks[request_id] = rank
+
+    def end(self, request_id: str) -> None:
+        """Take note of a request that ended."""
+        self._ranks.pop(request_id, None)
+
+    def origin(self, request_id: str, priority: int) -> CallOrigin:
+        """Return where a call from this VM comes from.
+
+        Args:
+            request_id: Id of the call.
+            priority: Priority of its route, for a call that no request makes.
+        """
+        parent_id = request_id.rpartition(ID_SEPARATOR)[0]
+        rank = self._ranks.get(parent_id)
+        if rank is None:
+            return CallOrigin(priority * RANKS_PER_PRIORITY + 1, is_inner=False)
+        return CallOrigin(rank - rank % RANKS_PER_PRIORITY, is_inner=True)
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -123,7 +123,7 @@
         if now_ms < view.paused_until_ms:
             return math.inf
         latency_ms = self._latencies.get(route, FIRST_LATENCY_MS) * view.slowness
-        load = (view.calls(now_ms) + 1) / max(view.limit, 1)
+        load = self.load_share(node, now_ms)
         wait_ms = max(load - FULL_SHARE, 0) * latency_ms * 4
         spread_ms = load * latency_ms * 0.2
         failure_ms = view.failure_share(now_ms) * FAILURE_COST_MS
@@ -162,6 +162,24 @@
         view.slowness += LATENCY_WEIGHT * (ratio - view.slowness)
         self._latencies[route] = usual_ms + LATENCY_WEIGHT / 4 * (latency_ms - usual_ms)
 
+    def overtaken(self, name: str, route: str, spent_ms: float) -> None:
+        """Learn from a call that was given up while it ran.
+
+        Args:
+            name: The node that had not answered.
+            route: Name of the route.
+            spent_ms: Time since the call was sent.
+        """
+        view = self._views.setdefault(name, _NodeView())
+        ratio = spent_ms / max(self._latencies.get(route, spent_ms), 1)
+        if ratio > view.slowness:
+            view.slowness += LATENCY_WEIGHT * (min(ratio, SLOWEST) - view.slowness)
+
+    def load_share(self, node: NodeRecord, now_ms: float) -> float:
+        """Return the calls that run or wait at a node relative to its limit."""
+        view = self._view(node)
+        return view.calls(now_ms) / max(view.limit, 1)
+
     def failed(self, name: str, now_ms: float) -> None:
         """Learn from a call that was lost or that the upstream failed."""
         view = self._views.setdefault(name, _NodeView())
--- /dev/null
+++ b/tests/mesh_deployment.py
@@ -0,0 +1,243 @@
+"""A few nodes in one process, each with an upstream, and a relay that can be cut."""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import yarl
+from aiohttp import web
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
+from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.mesh_node import MeshNode
+from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.rules_holder import RulesDecoder, RulesHolder
+from gentianmill_node.direct_server import direct_server
+from gentianmill_node.web_server import WebServer
+from mesh_upstream import NAMES
+from standins.processes import HOST, free_ports
+
+SLOTS = 4
+LIMITS = RequestLimits(16_384, 1_000_000, 3000, 15_000)
+RULE_HOST = 'till.example'
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class JsonRules(RulesDecoder):
+    """Read rules that name a version and the services of two routes."""
+
+    def decode(self, document: bytes) -> RuleSet:
+        """Return a safe route ``/read/`` and an unsafe one ``/pay/``."""
+        fields = json.loads(document)
+        rules = [
+            _rule('/read/', fields['service'], repeatable=True),
+            _rule('/pay/', fields['service'], repeatable=False),
+        ]
+        return RuleSet(fields['version'], rules, {}, LIMITS)
+
+
+def _rule(prefix: str, service: str, *, repeatable: bool) -> RouteRule:
+    return RouteRule(
+        name=prefix,
+        host=RULE_HOST,
+        prefix=prefix,
+        destinations=(Destination(service, 1),),
+        repeatable=repeatable,
+        bulk=False,
+        timeout_ms=5000,
+        target_latency_ms=1000,
+        max_attempts=2,
+        priority=0,
+    )
+
+
+def rules_document(version: int = 1, service: str = 'back') -> bytes:
+    """Return rules in the form of ``JsonRules``."""
+    return json.dumps({'version': version, 'service': service}).encode()
+
+
+class FixedRules(RulesSource):
+    """Offer one document at the start, or none."""
+
+    def __init__(self, document: bytes | None) -> None:
+        """Set the document."""
+        self._document = document
+
+    async def start(self, holder: RulesHolder) -> None:
+        """Offer the document."""
+        if self._document is not None:
+            holder.offer(self._document, 'test')
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class SharedNodes(NodeRegistry):
+    """Give each record to the tables of all nodes of a deployment at once."""
+
+    def __init__(self, tables: list[NodeTable], port: int | None) -> None:
+        """Set the tables, and the port that others reach instead of the own."""
+        self._tables = tables
+        self._port = port
+
+    async def start(self, table: NodeTable) -> None:
+        """Add a table."""
+        self._tables.append(table)
+
+    def publish(self, record: NodeRecord) -> None:
+        """Merge a record into all tables."""
+        if self._port is not None:
+            record = dataclasses.replace(record, relay_port=self._port)
+        for table in self._tables:
+            table.merge([record])
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class Cable:
+    """A TCP relay whose connections can be reset, and refused from then on."""
+
+    def __init__(self, target_port: int) -> None:
+        """Set where connections lead."""
+        self.port = 0
+        self.refusing = False
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """End all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.refusing:
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection(HOST, self._target_port)
+        self._writers |= {writer, far_writer}
+        await asyncio.wait(
+            {
+                asyncio.ensure_future(_copy(reader, far_writer)),
+                asyncio.ensure_future(_copy(far_reader, writer)),
+            }
+        )
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await reader.read(65536):
+            writer.write(data)
+    except ConnectionError:
+        pass
+    writer.close()
+
+
+class Deployment:
+    """Nodes ``entry`` and ``back``; only ``back`` has an upstream of service back."""
+
+    def __init__(self, handler: Handler) -> None:
+        """Set what the upstream of ``back`` does with requests."""
+        self.nodes: dict[str, MeshNode] = {}
+        self.cable: Cable | None = None
+        self.seen: list[web.BaseRequest] = []
+        self._handler = handler
+        self._web = WebServer()
+        self._tables: list[NodeTable] = []
+        self._entry_port = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'Deployment':
+        """Start both nodes and the upstream."""
+        ports = free_ports(7)
+        await self._web.start(
+            'upstream', direct_server(self._serve, 1_000_000), HOST, ports[6], None
+        )
+        self.cable = Cable(ports[0])
+        await self.cable.start()
+        await self._start_node('back', 'back', ports[:3], ports[6], self.cable.port)
+        await self._start_node('entry', 'front', ports[3:6], ports[6], None)
+        self._entry_port = ports[4]
+        self.nodes['back'].take_report(_report(ports[6]))
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close the client, the nodes and the upstream."""
+        await self._session.close()
+        for node in self.nodes.values():
+            await node.close()
+        await self._web.close()
+
+    async def call(
+        self, path: str, method: str = 'GET', **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request to the entry and return status, body and headers."""
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        async with self._session.request(
+            method,
+            yarl.URL(f'http://{HOST}:{self._entry_port}{path}', encoded=True),
+            headers={'Host': RULE_HOST, **named},
+        ) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.seen.append(request)
+        return await self._handler(request)
+
+    async def _start_node(
+        self,
+        name: str,
+        service: str,
+        ports: list[int],
+        upstream_port: int,
+        seen_port: int | None,
+    ) -> None:
+        settings = MeshSettings(
+            node=name,
+            zone='a',
+            region='r',
+            service=service,
+            upstream=Address(HOST, upstream_port),
+            entry=Address(HOST, ports[1]),
+            readiness=Address(HOST, ports[2]),
+            relay=Address(HOST, ports[0]),
+            readiness_path='/ready',
+            names=NAMES,
+            stop_within_ms=3000,
+        )
+        node = MeshNode(
+            settings,
+            FixedRules(rules_document()),
+            SharedNodes(self._tables, seen_port),
+            RulesHolder(JsonRules()),
+        )
+        await node.start()
+        self.nodes[name] = node
+
+
+def _report(port: int) -> UpstreamReport:
+    return UpstreamReport(
+        upstream_id='u1',
+        service='back',
+        host=HOST,
+        port=port,
+        zone='a',
+        slots=SLOTS,
+        draining=False,
+        sequence=1,
+        born_ms=1,
+        cold_ms=0,
+    )
--- /dev/null
+++ b/tests/test_log_sink.py
@@ -0,0 +1,55 @@
+"""Logging must not hold up calls, whoever reads the log."""
+
+import os
+
+from gentianmill_mesh.log_sink import BUFFER_BYTES, BURST_LINES, LogSink
+
+LINE = 'x' * 1000
+
+
+def _read_all(descriptor: int) -> bytes:
+    os.set_blocking(descriptor, False)
+    chunks = []
+    while True:
+        try:
+            chunks.append(os.read(descriptor, 65536))
+        except BlockingIOError:
+            return b''.join(chunks)
+
+
+def test_pipe_that_nobody_reads_does_not_block():
+    """A full pipe would stop the loop, and with it all calls."""
+    reader, writer = os.pipe()
+    sink = LogSink(writer)
+    for _ in range(BURST_LINES):
+        sink.write(f'{LINE}\n')
+    assert sink.dropped > 0
+    assert sink.dropped <= BURST_LINES - BUFFER_BYTES // len(LINE)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_are_whole_after_the_reader_returns():
+    """A line cut in two could not be parsed."""
+    reader, writer = os.pipe()
+    sink = LogSink(writer)
+    for _ in range(200):
+        sink.write(f'{LINE}\n')
+    received = _read_all(reader)
+    sink.flush()
+    received += _read_all(reader)
+    assert {len(line) for line in received.splitlines()} == {len(LINE)}
+    os.close(reader)
+    os.close(writer)
+
+
+def test_volume_is_bounded_and_drops_are_counted():
+    """A storm of refusals must not fill the disks of the log collector."""
+    reader, writer = os.pipe()
+    sink = LogSink(writer)
+    for _ in range(BURST_LINES * 2):
+        sink.write('line\n')
+    assert _read_all(reader).count(b'line\n') <= BURST_LINES + 60
+    assert sink.dropped > 0
+    os.close(reader)
+    os.close(writer)
--- /dev/null
+++ b/tests/test_mesh_nodes.py
@@ -0,0 +1,169 @@
+"""Requests across two nodes, with faults between them."""
+
+import asyncio
+
+from aiohttp import web
+from mesh_deployment import Deployment, Handler
+
+
+async def _echo(request: web.BaseRequest) -> web.StreamResponse:
+    headers = dict(request.headers)
+    return web.json_response({'path': request.raw_path, 'headers': headers})
+
+
+def _play(handler: Handler, scenario) -> object:
+    async def play() -> object:
+        async with Deployment(handler) as deployment:
+            return await asyncio.wait_for(scenario(deployment), 10)
+
+    return asyncio.run(play())
+
+
+def test_target_is_forwarded_byte_for_byte():
+    """A library that re-quotes paths would change what the upstream runs."""
+
+    async def scenario(deployment: Deployment) -> str:
+        await deployment.call('/read/a%2Fb?x=%7E')
+        return deployment.seen[0].raw_path
+
+    assert _play(_echo, scenario) == '/read/a%2Fb?x=%7E'
+
+
+def test_headers_of_the_node_replace_those_of_the_caller():
+    """A caller must not choose its time, its service or the upstream."""
+
+    async def scenario(deployment: Deployment) -> tuple[str, int, str]:
+        await deployment.call(
+            '/read/a', X_Caller='forged', X_Time_Left='700', X_Expected='other'
+        )
+        headers = deployment.seen[0].headers
+        return headers['X-Caller'], int(headers['X-Time-Left']), headers['X-Expected']
+
+    caller, left_ms, expected = _play(_echo, scenario)
+    assert (caller, expected) == ('front', 'u1')
+    assert 0 < left_ms <= 700
+
+
+def test_unknown_routes_are_not_found():
+    """A request without a route must not reach any upstream."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, int]:
+        status, _, _ = await deployment.call('/other/a')
+        return status, len(deployment.seen)
+
+    assert _play(_echo, scenario) == (404, 0)
+
+
+def test_caller_who_leaves_stops_the_work():
+    """Work for a caller who has left takes slots from others."""
+    stopped = asyncio.Event()
+
+    async def wait(_request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            await asyncio.sleep(30)
+        finally:
+            stopped.set()
+        return web.Response()
+
+    async def scenario(deployment: Deployment) -> bool:
+        call = asyncio.ensure_future(deployment.call('/read/a'))
+        while not deployment.seen:
+            await asyncio.sleep(0.01)
+        call.cancel()
+        await stopped.wait()
+        return True
+
+    assert _play(wait, scenario)
+
+
+def _pay_slowly() -> Handler:
+    async def pay(_request: web.BaseRequest) -> web.StreamResponse:
+        await asyncio.sleep(0.5)
+        return web.Response(body=b'paid')
+
+    return pay
+
+
+async def _pay_over_reset_link(deployment: Deployment) -> asyncio.Future:
+    call = asyncio.ensure_future(deployment.call('/pay/a', method='POST'))
+    while not deployment.seen:
+        await asyncio.sleep(0.01)
+    deployment.cable.reset()
+    return call
+
+
+def test_payment_runs_once_over_a_link_that_breaks():
+    """A payment sent again on a new link must join the first copy, not run twice."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, bytes, int]:
+        call = await _pay_over_reset_link(deployment)
+        status, body, _ = await call
+        return status, body, len(deployment.seen)
+
+    assert _play(_pay_slowly(), scenario) == (200, b'paid', 1)
+
+
+def test_payment_on_a_lost_link_is_not_called_not_run():
+    """A status that promises "not run" invites the caller to pay twice."""
+
+    async def scenario(deployment: Deployment) -> int:
+        await deployment.call('/pay/warm', method='POST')
+        deployment.seen.clear()
+        call = asyncio.ensure_future(
+            deployment.call('/pay/a', method='POST', X_Time_Left='1200')
+        )
+        while not deployment.seen:
+            await asyncio.sleep(0.01)
+        deployment.cable.refusing = True
+        deployment.cable.reset()
+        return (await call)[0]
+
+    assert _play(_pay_slowly(), scenario) in {502, 504}
+
+
+def test_requests_beyond_the_slots_wait():
+    """An upstream that is given more than its slots may never answer."""
+    most = 0
+    running = 0
+
+    async def count(_request: web.BaseRequest) -> web.StreamResponse:
+        nonlocal most, running
+        running += 1
+        most = max(most, running)
+        await asyncio.sleep(0.02)
+        running -= 1
+        return web.Response()
+
+    async def scenario(deployment: Deployment) -> list[int]:
+        calls = [deployment.call('/read/a') for _ in range(20)]
+        return [status for status, _, _ in await asyncio.gather(*calls)]
+
+    assert set(_play(count, scenario)) == {200}
+    assert most == 3
+
+
+def test_drained_upstream_gets_no_calls():
+    """A call to an upstream that is leaving is lost when it ends."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, bool, int]:
+        deployment.nodes['back'].upstream_left('u1')
+        status, _, headers = await deployment.call('/read/a')
+        return status, 'Retry-After' in headers, len(deployment.seen)
+
+    assert _play(_echo, scenario) == (503, True, 0)
+
+
+def test_stop_waits_for_running_requests():
+    """A planned stop must end no request."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, bytes]:
+        call = asyncio.ensure_future(deployment.call('/pay/a', method='POST'))
+        while not deployment.seen:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.ensure_future(deployment.nodes['back'].stop())
+        status, body, _ = await call
+        assert not deployment.nodes['back'].ready
+        await stopping
+        return status, body
+
+    assert _play(_pay_slowly(), scenario) == (200, b'paid')
