Refuse whole requests at the entry by what narrow services can take

Change: guards tell the share of new requests that they can take; answers carry it up the call tree per route; entries refuse by it, the least important routes first. Answers without a length keep that form. An answer under way when the node itself closes is lost, not whole.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from gentianmill.admission_share import ShareTable
 from gentianmill.call_tree import CallOrigin
 from gentianmill.clock import Clock
 from gentianmill.hedge import HedgePolicy
@@ -11,6 +12,7 @@
 from gentianmill.outcome import Outcome
 from gentianmill.placement import Placement
 from gentianmill.retry import RetryThrottle
+from gentianmill.relay_messages import GuardLoad
 from gentianmill.route_rules import RouteRule
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_link import RelayReply
@@ -25,6 +27,10 @@
 """Retries per call of a service. Repeats of a request repeat its calls too, so the
 ratios of four levels add up to the platform's bound of 0.2."""
 
+PATIENCE_SHARE = 0.3
+"""Part of the target latency that a new request may wait in a queue; a caller who
+is refused by then can still come back in time."""
+
 HEDGE_FACTOR = 1.3
 HEDGE_EXTRA_MS = 20.0
 """A second copy is sent when the first takes this much longer than 95 in 100."""
@@ -65,6 +71,7 @@
         own: NodeRecord,
         guard: UpstreamGuard,
         links: RelayLinks,
+        shares: ShareTable,
         clock: Clock,
     ) -> None:
         """Create a dispatcher.
@@ -74,12 +81,14 @@
             own: Record of the own node.
             guard: Runs calls on the own upstream.
             links: Connections to other nodes.
+            shares: Learns what services can take.
             clock: Clock of the node.
         """
         self._table = table
         self._own = own
         self._guard = guard
         self._links = links
+        self._shares = shares
         self._clock = clock
         self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
         self._hedges = HedgePolicy()
@@ -183,7 +192,7 @@
     async def _send(self, node: NodeRecord, call: GuardCall) -> RelayReply:
         if node.name == self._own.name:
             reply = await self._guard.run(call)
-            return RelayReply(reply, self._guard.load)
+            return RelayReply(reply, self._guard.load(call.route))
         return await self._links.to(node).call(call)
 
     def _guard_call(self, attempt: Attempt) -> GuardCall:
@@ -192,18 +201,33 @@
             request=attempt.request,
             deadline_ms=attempt.deadline_ms,
             rank=attempt.origin.rank,
+            patience_ms=self._patience_ms(attempt),
             repeatable=attempt.rule.repeatable,
             caller_service=self._own.service,
+            route=attempt.rule.name,
         )
 
+    def _patience_ms(self, attempt: Attempt) -> float:
+        left_ms = max(attempt.deadline_ms - self._clock.now_ms(), 0)
+        if attempt.origin.is_inner:
+            return left_ms
+        target_ms = attempt.rule.target_latency_ms or left_ms
+        return min(target_ms, left_ms) * PATIENCE_SHARE
+
+    def _learn_load(self, attempt: Attempt, node: NodeRecord, load: GuardLoad) -> None:
+        now_ms = self._clock.now_ms()
+        calls = load.running + load.queued
+        self._placement.loaded(node.name, calls, load.limit, now_ms)
+        self._shares.learn(attempt.rule.name, load.shares, now_ms)
+        if attempt.origin.parent_route is not None:
+            self._shares.add_below(attempt.origin.parent_route, load.shares)
+
     def _learn(
         self, attempt: Attempt, node: NodeRecord, relayed: RelayReply, started_ms: float
     ) -> None:
         now_ms = self._clock.now_ms()
-        load = relayed.load
-        if load is not None:
-            calls = load.running + load.queued
-            self._placement.loaded(node.name, calls, load.limit, now_ms)
+        if relayed.load is not None:
+            self._learn_load(attempt, node, relayed.load)
         answer = relayed.reply.answer
         if answer is None:
             self._learn_failure(attempt, node, relayed.reply, started_ms)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -63,6 +63,8 @@
             answer = HttpAnswer(STATUS_BAD_GATEWAY, [], b'fault\n')
         finally:
             self._running -= 1
+        if not answer.framed:
+            return await _send_unframed(request, answer)
         response = _response(answer)
         if self._closing:
             response.force_close()
@@ -111,3 +113,22 @@
             name.decode(errors='replace'), text.decode(errors='replace')
         )
     return response
+
+
+async def _send_unframed(
+    request: web.BaseRequest, answer: HttpAnswer
+) -> web.StreamResponse:
+    """Send an answer whose end is the end of the connection.
+
+    aiohttp frames every answer of HTTP/1.1. A length of our own would vouch for a
+    body that may be cut short, so the bytes go to the transport directly.
+    """
+    reason = web.Response(status=answer.status).reason.encode()
+    lines = [b'HTTP/1.1 %d %b' % (answer.status, reason)]
+    lines.extend(b'%b: %b' % (name, text) for name, text in answer.headers)
+    lines.extend((b'Connection: close', b'', answer.body))
+    transport = request.transport
+    if transport is not None:
+        transport.write(b'\r\n'.join(lines))
+        transport.close()
+    raise ConnectionResetError('the answer ended with its connection')
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -3,9 +3,9 @@
 import dataclasses
 import random
 
-from gentianmill.clock import Clock
 from gentianmill.route_rules import RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
+from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import UpstreamGuard
@@ -49,7 +49,7 @@
         rules: RulesHolder,
         guard: UpstreamGuard,
         dispatcher: Dispatcher,
-        clock: Clock,
+        admission: EntryAdmission,
     ) -> None:
         """Create a forwarder.
 
@@ -57,14 +57,15 @@
             rules: Routing rules in force.
             guard: Knows the requests that run on the own upstream.
             dispatcher: Brings requests to upstreams.
-            clock: Clock of the node.
+            admission: Decides which new requests may start.
         """
         self._rules = rules
         self._guard = guard
         self._dispatcher = dispatcher
-        self._clock = clock
+        self._admission = admission
         self._split = SplitCounter()
         rules.on_change(self._split.keep)
+        rules.on_change(admission.set_rules)
 
     async def forward(self, caller: CallerRequest) -> HttpAnswer:
         """Return the answer for the caller.
@@ -87,6 +88,10 @@
             origin=self._guard.tree.origin(caller.request_id, rule.priority),
             deadline_ms=_deadline_ms(caller, rule),
         )
+        if not attempt.origin.is_inner and not self._admission.admits(
+            rule, caller.time_left_ms
+        ):
+            return _refusal(caller.request_id, 'overloaded_below')
         answer = await self._dispatcher.run(attempt)
         return self._failure(attempt) if answer is None else answer
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -23,6 +23,9 @@
     status: int
     headers: list[list[bytes]]
     body: bytes
+    framed: bool = True
+    """Whether the body has a length; otherwise it ends with its connection, and
+    nobody can tell whether it is whole."""
 
 
 def header(headers: HeaderPairs, name: bytes) -> bytes | None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -6,10 +6,12 @@
 
 from aiohttp import web
 
+from gentianmill.admission_share import ShareTable
 from gentianmill.clock import MonotonicClock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.dispatcher import Dispatcher
+from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.entry_listener import EntryListener
 from gentianmill_mesh.forwarder import Forwarder
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
@@ -68,20 +70,23 @@
         self._table = NodeTable()
         self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
         self._own = _own_record(settings, self._identity)
+        shares = ShareTable()
         upstream = settings.upstream
         self._pool = UpstreamPool(
             upstream.host, upstream.port, settings.names, self._clock
         )
         self._guard = UpstreamGuard(
-            settings.service, self._pool, settings.names, self._clock
+            settings.service, self._pool, settings.names, shares, self._clock
         )
         self._links = RelayLinks(self._identity, rules, self._table, self._clock)
         self._relay = RelayServer(self._identity, self._guard, rules, self._clock)
         dispatcher = Dispatcher(
-            self._table, self._own, self._guard, self._links, self._clock
+            self._table, self._own, self._guard, self._links, shares, self._clock
         )
         self._entry = EntryListener(
-            Forwarder(rules, self._guard, dispatcher, self._clock),
+            Forwarder(
+                rules, self._guard, dispatcher, EntryAdmission(shares, self._clock)
+            ),
             settings.names,
             self._clock,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -169,8 +169,10 @@
             body=request.body,
             time_left_ms=int(call.deadline_ms - now_ms),
             rank=call.rank,
+            patience_ms=int(call.patience_ms),
             repeatable=call.repeatable,
             caller_service=call.caller_service,
+            route=call.route,
         )
         waiter = asyncio.get_running_loop().create_future()
         return _Pending(frame, call.deadline_ms, waiter)
@@ -306,5 +308,6 @@
 def _reply(frame: RelayAnswer) -> GuardReply:
     outcome = Outcome(frame.outcome)
     if outcome is Outcome.answered:
-        return GuardReply(outcome, HttpAnswer(frame.status, frame.headers, frame.body))
+        answer = HttpAnswer(frame.status, frame.headers, frame.body, frame.framed)
+        return GuardReply(outcome, answer)
     return GuardReply(outcome, reason=frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -183,7 +183,7 @@
             log.debug('Call cancelled.', key=frame.key)
         except Exception:
             log.exception('Call failed by a fault in the node.', key=frame.key)
-        answer = self._answer(frame.key, reply)
+        answer = self._answer(frame, reply)
         job = sender.jobs[frame.key]
         job.answer = answer
         asyncio.get_running_loop().call_later(
@@ -191,17 +191,18 @@
         )
         await _send(sender, answer)
 
-    def _answer(self, key: int, reply: GuardReply) -> RelayAnswer:
+    def _answer(self, frame: RelayCall, reply: GuardReply) -> RelayAnswer:
         answer = reply.answer
         return RelayAnswer(
-            key=key,
+            key=frame.key,
             outcome=reply.outcome.value,
             status=answer.status if answer else 0,
             headers=answer.headers if answer else [],
             body=answer.body if answer else b'',
             reason=reply.reason,
+            framed=answer.framed if answer else True,
             rules_version=self._rules.version,
-            load=self._guard.load,
+            load=self._guard.load(frame.route),
         )
 
     async def _send_rules(self, sender: _Sender, known_version: int) -> None:
@@ -215,8 +216,10 @@
         request=HttpRequest(frame.method, frame.target, frame.headers, frame.body),
         deadline_ms=now_ms + frame.time_left_ms,
         rank=frame.rank,
+        patience_ms=frame.patience_ms,
         repeatable=frame.repeatable,
         caller_service=frame.caller_service,
+        route=frame.route,
     )
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
@@ -37,7 +37,6 @@
             running=self._queue.running,
             limit=self._queue.limit,
             queued=self._queue.queued,
-            backlog_ms=int(self._queue.backlog_ms),
         )
 
     def resize(self, limit: int, max_queued: int) -> None:
@@ -63,6 +62,7 @@
         now_ms = self._clock.now_ms()
         self._apply(self._queue.offer(item, now_ms))
         left_ms = max(item.deadline_ms - now_ms - LATE_MARGIN_MS, 0)
+        left_ms = min(left_ms, item.patience_ms)
         timer = loop.call_later(left_ms / MS_PER_S, self._give_up, item)
         try:
             return await waiter
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -73,7 +73,8 @@
         self._messages: list[tuple[RawResponseMessage, StreamReader]] = []
         self._reusable = True
         self._idle_limit_ms: float | None = None
-        self._received = False
+        self._aborted = False
+        self._ended = False
 
     @property
     def reusable(self) -> bool:
@@ -107,7 +108,6 @@
             raise UpstreamLostError(LossKind.before_send, 'the connection was closed')
         self._expected_id = request_id
         self._messages.clear()
-        self._received = False
         self._waiter = self._loop.create_future()
         self._parser = HttpResponseParser(
             self,
@@ -130,12 +130,12 @@
     def close(self) -> None:
         """Close the connection at once."""
         self._reusable = False
+        self._aborted = True
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of the upstream."""
-        self._received = True
         if self._waiter is None or self._waiter.done() or self._parser is None:
             self.close()
             return
@@ -152,7 +152,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; an answer without a length ends with a clean close."""
         self._reusable = False
-        if exc is None and self._waiter is not None and self._parser is not None:
+        if exc is None and self._parser is not None and not self._aborted:
             self._end_of_stream()
         self._fail(LossKind.after_send, f'the upstream closed: {exc!r}')
         self._parser = None
@@ -175,6 +175,7 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def _end_of_stream(self) -> None:
+        self._ended = True
         try:
             self._parser.feed_eof()
         except (HttpProcessingError, ValueError) as error:
@@ -211,7 +212,8 @@
         self._idle_limit_ms = _idle_limit_ms(message)
         if self._waiter is not None and not self._waiter.done():
             headers = [list(pair) for pair in message.raw_headers]
-            self._waiter.set_result(HttpAnswer(message.code, headers, body))
+            answer = HttpAnswer(message.code, headers, body, framed=not self._ended)
+            self._waiter.set_result(answer)
 
     def _fail(self, kind: LossKind, message: str) -> None:
         self._reusable = False
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gentianmill.admission_share import WHOLE, AdmissionShare, ShareTable
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
 from gentianmill.outcome import Outcome
@@ -37,8 +38,12 @@
     request: HttpRequest
     deadline_ms: float
     rank: int
+    patience_ms: float
+    """Longest wait in the queue."""
+
     repeatable: bool
     caller_service: str
+    route: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,7 +69,12 @@
     """Admit, order and run the calls of one upstream."""
 
     def __init__(
-        self, service: str, pool: UpstreamPool, names: WireNames, clock: Clock
+        self,
+        service: str,
+        pool: UpstreamPool,
+        names: WireNames,
+        shares: ShareTable,
+        clock: Clock,
     ) -> None:
         """Create a guard that knows no upstream yet.
 
@@ -72,6 +82,7 @@
             service: Service of the upstream.
             pool: Connections to the upstream.
             names: Header names of the deployment.
+            shares: What services can take that the upstream calls.
             clock: Clock of the node.
         """
         self._service = service
@@ -80,6 +91,8 @@
         self._clock = clock
         self._status = UpstreamStatus()
         self._tree = CallTree()
+        self._shares = shares
+        self._share = AdmissionShare()
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
         self._stopping = False
@@ -109,10 +122,18 @@
         """Return whether calls run or wait."""
         return self._slots.busy
 
-    @property
-    def load(self) -> GuardLoad:
-        """Return the load to report to other nodes."""
-        return self._slots.load
+    def load(self, route: str) -> GuardLoad:
+        """Return the load to report to other nodes.
+
+        Args:
+            route: Route of the request that is answered.
+        """
+        now_ms = self._clock.now_ms()
+        load = self._slots.load
+        self._share.observe(load.running + load.queued, load.limit, now_ms)
+        load.shares = self._shares.shares(route, now_ms)
+        load.shares[self._service] = int(self._share.share * WHOLE)
+        return load
 
     def take_report(self, report: UpstreamReport) -> bool:
         """Take over what the upstream says of itself.
@@ -163,7 +184,10 @@
         if reason:
             return GuardReply.not_run(reason)
         item = WorkItem(
-            rank=call.rank, deadline_ms=call.deadline_ms, expected_ms=LATE_MARGIN_MS
+            rank=call.rank,
+            deadline_ms=call.deadline_ms,
+            expected_ms=LATE_MARGIN_MS,
+            patience_ms=call.patience_ms,
         )
         if not await self._slots.acquire(item):
             return GuardReply.not_run('overloaded')
@@ -193,7 +217,7 @@
         ]
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
-        self._tree.start(tree_id, call.rank)
+        self._tree.start(tree_id, call.rank, call.route)
         try:
             answer = await self._pool.run(
                 call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -15,8 +15,13 @@
     rank: int
     """Order of the call in the queue of a guard; the lowest goes first."""
 
-    is_inner: bool
-    """Whether an upstream makes it for a request that it runs."""
+    parent_route: str | None
+    """Route of the request for which an upstream makes it; None if it is new."""
+
+    @property
+    def is_inner(self) -> bool:
+        """Return whether an upstream makes the call for a request that it runs."""
+        return self.parent_route is not None
 
 
 class CallTree:
@@ -29,15 +34,15 @@
 
     def __init__(self) -> None:
         """Start without running requests."""
-        self._ranks: dict[str, int] = {}
+        self._running: dict[str, tuple[int, str]] = {}
 
-    def start(self, request_id: str, rank: int) -> None:
+    def start(self, request_id: str, rank: int, route: str) -> None:
         """Take note of a request that starts on the upstream."""
-        self._ranks[request_id] = rank
+        self._running[request_id] = (rank, route)
 
     def end(self, request_id: str) -> None:
         """Take note of a request that ended."""
-        self._ranks.pop(request_id, None)
+        self._running.pop(request_id, None)
 
     def origin(self, request_id: str, priority: int) -> CallOrigin:
         """Return where a call from this VM comes from.
@@ -47,7 +52,8 @@
             priority: Priority of its route, for a call that no request makes.
         """
         parent_id = request_id.rpartition(ID_SEPARATOR)[0]
-        rank = self._ranks.get(parent_id)
-        if rank is None:
-            return CallOrigin(priority * RANKS_PER_PRIORITY + 1, is_inner=False)
-        return CallOrigin(rank - rank % RANKS_PER_PRIORITY, is_inner=True)
+        parent = self._running.get(parent_id)
+        if parent is None:
+            return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
+        rank, route = parent
+        return CallOrigin(rank - rank % RANKS_PER_PRIORITY, route)
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated, Any, TypeAlias
 
-from msgspec import Meta
+from msgspec import Meta, UnsetType, field
 
 from gentianmill.frame import Frame
 
@@ -27,10 +27,15 @@
         int, Meta(description='Most requests that the upstream may run at once.')
     ]
     queued: Annotated[int, Meta(description='Requests that wait for the upstream.')]
-    backlog_ms: Annotated[
-        int,
-        Meta(description='Expected wait of a new request of the lowest rank in ms.'),
-    ]
+    shares: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description="Per service that runs calls of the answered request's route, itself included: the share of new requests that it can take, in thousandths."
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
 
 
 class RelayCall(Frame):
@@ -56,12 +61,16 @@
     rank: Annotated[
         int, Meta(description='Order in the queue of the guard; the lowest goes first.')
     ]
+    patience_ms: Annotated[
+        int, Meta(description='Longest wait in the queue of the guard.')
+    ]
     repeatable: Annotated[
         bool, Meta(description='Whether the request may run more than once.')
     ]
     caller_service: Annotated[
         str, Meta(description='Service on the VM where the request began.')
     ]
+    route: Annotated[str, Meta(description='Name of its route.')]
 
 
 class RelayAnswer(Frame):
@@ -77,6 +86,9 @@
     reason: Annotated[
         str, Meta(description='Why the call has no answer; empty if it has one.')
     ]
+    framed: Annotated[
+        bool, Meta(description='Whether the upstream told the length of the body.')
+    ]
     rules_version: Annotated[
         int, Meta(description='Version of the routing rules that the sender knows.')
     ]
--- a/packages/gentianmill/src/gentianmill/work_queue.py
+++ b/packages/gentianmill/src/gentianmill/work_queue.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 
 RATE_WEIGHT = 0.1
 """Weight of a new service time in the smoothed one."""
@@ -24,6 +25,9 @@
     expected_ms: float = 0
     """Time that it usually takes."""
 
+    patience_ms: float = math.inf
+    """Longest wait; an item that would wait longer is refused at once."""
+
     started_ms: float | None = None
     offered_ms: float = 0
     dropped: bool = False
@@ -74,13 +78,6 @@
         """Return the number of requests that may run at once."""
         return self._limit
 
-    @property
-    def backlog_ms(self) -> float:
-        """Return the expected wait of a new item of the lowest rank in ms."""
-        if self._running < self._limit:
-            return 0
-        return (self._queued + 1) * self._service_ms / max(self._limit, 1)
-
     def resize(self, limit: int, max_queued: int, now_ms: float) -> Dispatch:
         """Change the number of requests that may run and wait.
 
@@ -105,6 +102,9 @@
             importance that gave way to it in a full queue.
         """
         item.offered_ms = now_ms
+        if self._expected_wait_ms(item.rank) > item.patience_ms:
+            item.dropped = True
+            return Dispatch(refused=[item])
         heapq.heappush(self._heap, (item.rank, next(self._numbers), item))
         self._queued += 1
         dispatch = self._start_waiting(now_ms)
@@ -139,6 +139,12 @@
         self._heap.clear()
         return waiting
 
+    def _expected_wait_ms(self, rank: int) -> float:
+        if self._running < self._limit or not self._queued:
+            return 0
+        ahead = sum(1 for entry in self._heap if _is_ahead(entry, rank))
+        return ahead * self._service_ms / max(self._limit, 1)
+
     def _start_waiting(self, now_ms: float) -> Dispatch:
         dispatch = Dispatch()
         while self._heap and self._running < self._limit:
@@ -161,3 +167,7 @@
         item = max(waiting)[2]
         self.withdraw(item)
         return item
+
+
+def _is_ahead(entry: tuple[int, int, WorkItem], rank: int) -> bool:
+    return entry[0] <= rank and not entry[2].dropped
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -6,7 +6,7 @@
 def test_inner_calls_take_the_rank_of_their_request():
     """An inner call of payments must not wait behind lookups of its own route."""
     tree = CallTree()
-    tree.start('root', tree.origin('root', 0).rank)
+    tree.start('root', tree.origin('root', 0).rank, 'r')
     inner = tree.origin('root.1', 9)
     assert inner.is_inner
     assert inner.rank < tree.origin('other', 0).rank
@@ -15,13 +15,13 @@
 def test_inner_calls_go_before_new_requests_of_their_priority():
     """A request that has already cost work must not wait for new ones."""
     tree = CallTree()
-    tree.start('root', tree.origin('root', 2).rank)
+    tree.start('root', tree.origin('root', 2).rank, 'r')
     assert tree.origin('root.1', 2).rank < tree.origin('new', 2).rank
 
 
 def test_calls_of_unknown_requests_are_new():
     """A caller must not gain rank by an id that looks like an inner call's."""
     tree = CallTree()
-    tree.start('root', 1)
+    tree.start('root', 1, 'r')
     tree.end('root')
     assert not tree.origin('root.1', 2).is_inner
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -167,3 +167,18 @@
         return status, body
 
     assert _play(_pay_slowly(), scenario) == (200, b'paid')
+
+
+def test_answer_without_length_is_not_given_one():
+    """A length of the node would vouch for a body that may be cut short."""
+
+    async def unframed(request: web.BaseRequest) -> web.StreamResponse:
+        request.transport.write(b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\nok')
+        request.transport.close()
+        raise ConnectionResetError
+
+    async def scenario(deployment: Deployment) -> tuple[bytes, bool]:
+        _, body, headers = await deployment.call('/read/a', X_Attempt='1')
+        return body, 'Content-Length' in headers or 'Transfer-Encoding' in headers
+
+    assert _play(unframed, scenario) == (b'ok', False)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -137,3 +137,20 @@
         return caught.value.kind
 
     assert asyncio.run(scenario()) is LossKind.before_send
+
+
+def test_own_abort_is_not_the_end_of_an_answer():
+    """An answer without a length must not look whole because the node closed."""
+
+    async def scenario() -> LossKind:
+        cut = b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\nok'
+        async with ScriptedUpstream(Script([cut])) as upstream:
+            pool = upstream.pool()
+            running = asyncio.ensure_future(run(pool))
+            await asyncio.sleep(0.1)
+            pool.abandon_repeatable()
+            with pytest.raises(UpstreamLostError) as caught:
+                await running
+            return caught.value.kind
+
+    assert asyncio.run(scenario()) is LossKind.after_send
