--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -7,7 +7,7 @@
 
 from gentianmill.node_table import NodeRecord
 
-SAME_REGION_MS = 4.0
+SAME_REGION_MS = 10.0
 """Cost of another availability zone of the region: 0.5 ms each way, paid bytes."""
 
 OTHER_REGION_MS = 160.0
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,107 @@
+"""Load patterns that decide where work goes, without a network."""
+
+import random
+from collections import Counter
+
+from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.placement import FIRST_PAUSE_MS, Placement
+
+ROUTE = 'r'
+
+
+def _node(name: str, zone: str = 'a1', region: str = 'a', **fields) -> NodeRecord:
+    defaults = {
+        'incarnation': 1,
+        'revision': 1,
+        'host': name,
+        'relay_port': 1,
+        'service': 's',
+        'slots': 10,
+        'state': NodeState.serving,
+    }
+    return NodeRecord(name=name, zone=zone, region=region, **(defaults | fields))
+
+
+NEAR = _node('near')
+NEXT = _node('next', zone='a2')
+FAR = _node('far', zone='b1', region='b')
+
+
+def _placement() -> Placement:
+    return Placement('a1', 'a', random.Random(1))
+
+
+def _spread(placement: Placement, count: int) -> Counter:
+    """Place calls that do not end."""
+    placed = Counter()
+    for _ in range(count):
+        node = placement.choose([NEAR, NEXT, FAR], ROUTE, 0)
+        placement.start(node.name)
+        placed[node.name] += 1
+    return placed
+
+
+def test_own_zone_comes_first():
+    """Bytes between availability zones are paid by volume."""
+    assert _spread(_placement(), 5) == {'near': 5}
+
+
+def test_swing_in_one_zone_spills_over_before_callers_wait():
+    """A zone at its crest must use the slots of its neighbours."""
+    placed = _spread(_placement(), 18)
+    assert placed['next'] >= 6
+    assert placed['far'] == 0
+
+
+def test_region_at_its_crest_spills_over_to_another():
+    """A region whose callers wait must use the room of another region."""
+    placed = _spread(_placement(), 60)
+    assert placed['far'] > 5
+    assert placed['far'] < placed['next']
+
+
+def test_slow_upstream_gets_less():
+    """An upstream that is five times slower must not keep its share of the work."""
+    placement = _placement()
+    for _ in range(30):
+        placement.answered('near', ROUTE, 500)
+        placement.answered('next', ROUTE, 100)
+    assert placement.choose([NEAR, NEXT], ROUTE, 0) == NEXT
+
+
+def test_failing_upstream_is_left_and_tried_again():
+    """An upstream that fails part of its work looks fast; it must lose calls."""
+    placement = _placement()
+    for now_ms in range(10):
+        placement.failed('near', now_ms)
+    assert placement.choose([NEAR, NEXT], ROUTE, 10) == NEXT
+    assert placement.choose([NEAR, NEXT], ROUTE, 60_000) == NEAR
+
+
+def test_pause_ends():
+    """A node that could not run calls once must be used again soon."""
+    placement = _placement()
+    placement.pause('near', 0)
+    assert placement.choose([NEAR], ROUTE, 1) is None
+    assert placement.choose([NEAR], ROUTE, FIRST_PAUSE_MS) == NEAR
+
+
+def test_excluded_nodes_are_not_chosen():
+    """A retry on the upstream that failed the call fails again."""
+    assert _placement().choose([NEAR, FAR], ROUTE, 0, {'near'}) == FAR
+
+
+def test_older_record_is_ignored():
+    """A row that was written late must not bring a drained node back."""
+    table = NodeTable()
+    table.merge([_node('x', revision=2, state=NodeState.leaving)])
+    assert not table.merge([_node('x', revision=1)])
+    assert table.of_service('s') == []
+
+
+def test_restarted_node_replaces_its_earlier_life():
+    """Revisions begin anew when a process starts."""
+    table = NodeTable()
+    table.merge([_node('x', revision=9)])
+    assert table.merge([_node('x', incarnation=2, revision=1, slots=5)])
+    assert table.find('x').slots == 5
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,175 @@
+"""Rules and nodes reach a node whatever the platform's store does."""
+
+import asyncio
+from collections.abc import Callable
+
+from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_platform.store_ports import StoreNodes, StoreRules
+from mesh_deployment import JsonRules, rules_document
+from platform_store import FakeStore
+
+LIMIT_S = 10
+"""Ends a run that hangs."""
+
+OWN = NodeRecord(
+    name='own',
+    incarnation=1,
+    revision=1,
+    host='h',
+    relay_port=1,
+    service='s',
+    zone='z',
+    region='r',
+    slots=3,
+    state=NodeState.serving,
+)
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def _play(scenario) -> None:
+    async def play() -> None:
+        async with FakeStore() as store:
+            await asyncio.wait_for(scenario(store), LIMIT_S)
+
+    asyncio.run(play())
+
+
+async def _follow_rules(store: FakeStore) -> tuple[StoreRules, RulesHolder]:
+    holder = RulesHolder(JsonRules())
+    source = StoreRules(store.client)
+    await source.start(holder)
+    return source, holder
+
+
+def test_rules_that_were_written_before_the_start_are_found():
+    """A node that only watches would never learn the rules in force."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('op', 'config', rules_document(3))
+        source, holder = await _follow_rules(store)
+        await _until(lambda: holder.version == 3)
+        await source.close()
+
+    _play(scenario)
+
+
+def test_change_during_an_outage_is_found_after_it():
+    """A feed that gives up would leave old rules in force for good."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('op', 'config', rules_document(1))
+        source, holder = await _follow_rules(store)
+        await _until(lambda: holder.version == 1)
+        store.failing_status = 503
+        store.put('op', 'config', rules_document(2))
+        await asyncio.sleep(1.5)
+        store.failing_status = None
+        await _until(lambda: holder.version == 2)
+        await source.close()
+
+    _play(scenario)
+
+
+def test_forgotten_history_is_read_anew():
+    """A store that dropped its history must not end the feed."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('op', 'config', rules_document(1))
+        source, holder = await _follow_rules(store)
+        await _until(lambda: holder.version == 1)
+        store.version += 10
+        store.forgotten = store.version
+        store.put('op', 'config', rules_document(2))
+        await _until(lambda: holder.version == 2)
+        await source.close()
+
+    _play(scenario)
+
+
+def test_unreadable_rules_do_not_replace_those_in_force():
+    """A document that is cut short must not take all routes away."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('op', 'config', rules_document(1))
+        source, holder = await _follow_rules(store)
+        await _until(lambda: holder.version == 1)
+        store.put('op', 'config', b'{"version": 9')
+        store.put('op', 'config', rules_document(2))
+        await _until(lambda: holder.version == 2)
+        await source.close()
+
+    _play(scenario)
+
+
+def test_older_rules_never_come_back():
+    """A node that goes back to an older version misroutes requests."""
+    holder = RulesHolder(JsonRules())
+    holder.offer(rules_document(5), 'test')
+    assert not holder.offer(rules_document(4), 'test')
+    assert holder.version == 5
+
+
+def test_record_is_written_until_the_store_acknowledges_it():
+    """A node whose record is lost gets no work from others."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.failing_status = 429
+        registry = StoreNodes(store.client)
+        table = NodeTable()
+        await registry.start(table)
+        registry.publish(OWN)
+        await asyncio.sleep(0.5)
+        store.failing_status = None
+        await _until(lambda: table.find('own') is not None)
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_lost_acknowledgement_is_repaired():
+    """A write without an answer may or may not have been done."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.losing_answers = 1
+        registry = StoreNodes(store.client)
+        table = NodeTable()
+        await registry.start(table)
+        registry.publish(OWN)
+        await _until(lambda: table.find('own') == OWN)
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_record_of_another_writer_is_skipped():
+    """Bytes that are no record must not hide the records beside them."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('nodes', 'bad', b'\xff')
+        registry = StoreNodes(store.client)
+        table = NodeTable()
+        await registry.start(table)
+        registry.publish(OWN)
+        await _until(lambda: table.find('own') == OWN)
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_idle_feed_makes_few_calls():
+    """Each call is paid; a feed that polls would cost more than all VMs."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('op', 'config', rules_document(1))
+        source, holder = await _follow_rules(store)
+        await _until(lambda: holder.version == 1)
+        await asyncio.sleep(0.9)
+        assert store.calls <= 3
+        await source.close()
+
+    _play(scenario)
