Serve metrics, notice silent links sooner, count refusals of upstreams as retries

Cause: a call that an upstream refused has arrived there, which the platform's bound on retries counts; a link gone silent held its calls for 3 s.

Change: after such a refusal another node is tried only within the retry ratio; links are pinged after 1.2 s; /metrics counts requests, refusals and failures by route and reason.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -17,7 +17,12 @@
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_link import RelayReply
 from gentianmill_mesh.relay_links import RelayLinks
-from gentianmill_mesh.upstream_guard import GuardCall, GuardReply, UpstreamGuard
+from gentianmill_mesh.upstream_guard import (
+    REFUSED_BY_UPSTREAM,
+    GuardCall,
+    GuardReply,
+    UpstreamGuard,
+)
 from gentianmill_node.logs import component
 
 MAX_REDIRECTS = 4
@@ -262,13 +267,20 @@
         now_ms = self._clock.now_ms()
         if now_ms >= attempt.deadline_ms:
             return False
-        if reply.outcome is Outcome.not_run:
+        if reply.outcome is Outcome.not_run and not _reached_upstream(reply):
             return len(attempt.tried) <= MAX_REDIRECTS
-        if not attempt.rule.repeatable or attempt.runs >= attempt.rule.max_attempts:
+        if reply.outcome is not Outcome.not_run and not attempt.rule.repeatable:
+            return False
+        if attempt.runs >= attempt.rule.max_attempts:
             return False
         return self._throttle(attempt.service).try_retry(now_ms)
 
 
+def _reached_upstream(reply: GuardReply) -> bool:
+    """Return whether an upstream saw the call; the retry bound counts that."""
+    return reply.reason in REFUSED_BY_UPSTREAM
+
+
 async def _best_reply(calls: set['asyncio.Future[GuardReply]']) -> GuardReply:
     """Return the first whole answer, or else the reply that tells most.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -3,10 +3,12 @@
 import dataclasses
 import random
 
+from gentianmill.clock import Clock
 from gentianmill.route_rules import RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_node.logs import component
@@ -50,6 +52,8 @@
         guard: UpstreamGuard,
         dispatcher: Dispatcher,
         admission: EntryAdmission,
+        metrics: MeshMetrics,
+        clock: Clock,
     ) -> None:
         """Create a forwarder.
 
@@ -58,11 +62,15 @@
             guard: Knows the requests that run on the own upstream.
             dispatcher: Brings requests to upstreams.
             admission: Decides which new requests may start.
+            metrics: Counts refusals and failures.
+            clock: Clock of the node.
         """
         self._rules = rules
+        self._clock = clock
         self._guard = guard
         self._dispatcher = dispatcher
         self._admission = admission
+        self._metrics = metrics
         self._split = SplitCounter()
         rules.on_change(self._split.keep)
         rules.on_change(admission.set_rules)
@@ -75,7 +83,7 @@
         """
         rules = self._rules.rules
         if rules is None:
-            return _refusal(caller.request_id, 'no_rules')
+            return self._refusal(caller.request_id, 'no_rules')
         rule = rules.find(caller.host, caller.path)
         if rule is None:
             log.info('No route.', request_id=caller.request_id, rules=rules.version)
@@ -91,13 +99,26 @@
         if not attempt.origin.is_inner and not self._admission.admits(
             rule, caller.time_left_ms
         ):
-            return _refusal(caller.request_id, 'overloaded_below')
+            return self._refusal(caller.request_id, 'overloaded_below')
         answer = await self._dispatcher.run(attempt)
-        return self._failure(attempt) if answer is None else answer
+        if answer is None:
+            answer = self._failure(attempt)
+        spent_ms = self._clock.now_ms() - caller.arrived_ms
+        self._metrics.on_request(rule.name, str(answer.status), spent_ms)
+        return answer
+
+    def _refusal(self, request_id: str, reason: str) -> HttpAnswer:
+        pause_s = random.uniform(*RETRY_AFTER_S)  # noqa: S311
+        log.info('Request refused.', request_id=request_id, reason=reason)
+        self._metrics.on_decision('refused', reason)
+        return HttpAnswer(
+            STATUS_UNAVAILABLE, [[b'Retry-After', b'%.2f' % pause_s]], b'not run\n'
+        )
 
     def _failure(self, attempt: Attempt) -> HttpAnswer:
         if not attempt.runs:
-            return _refusal(attempt.request_id, attempt.reason)
+            return self._refusal(attempt.request_id, attempt.reason)
+        self._metrics.on_decision('failed', attempt.reason)
         status = STATUS_BAD_GATEWAY
         if attempt.reason == 'deadline':
             status = STATUS_TIMEOUT
@@ -111,14 +132,6 @@
         return HttpAnswer(status, [], b'no answer\n')
 
 
-def _refusal(request_id: str, reason: str) -> HttpAnswer:
-    pause_s = random.uniform(*RETRY_AFTER_S)  # noqa: S311
-    log.info('Request refused.', request_id=request_id, reason=reason)
-    return HttpAnswer(
-        STATUS_UNAVAILABLE, [[b'Retry-After', b'%.2f' % pause_s]], b'not run\n'
-    )
-
-
 def _deadline_ms(caller: CallerRequest, rule: RouteRule) -> float:
     limits = [
         limit_ms
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -14,6 +14,7 @@
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.entry_listener import EntryListener
 from gentianmill_mesh.forwarder import Forwarder
+from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
 from gentianmill_mesh.relay_handshake import NodeIdentity
@@ -30,6 +31,8 @@
 STOP_MARGIN_MS = 400.0
 """The process ends this long before it would be killed."""
 
+METRICS_PATH = '/metrics'
+
 QUIET_MS = 2600.0
 """Callers learn within two questions a second apart that a node stops."""
 
@@ -68,6 +71,7 @@
         self._rules = rules
         self._clock = MonotonicClock()
         self._table = NodeTable()
+        self._metrics = MeshMetrics()
         self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
         self._own = _own_record(settings, self._identity)
         shares = ShareTable()
@@ -85,7 +89,12 @@
         )
         self._entry = EntryListener(
             Forwarder(
-                rules, self._guard, dispatcher, EntryAdmission(shares, self._clock)
+                rules,
+                self._guard,
+                dispatcher,
+                EntryAdmission(shares, self._clock),
+                self._metrics,
+                self._clock,
             ),
             settings.names,
             self._clock,
@@ -108,6 +117,9 @@
         readiness = web.Application()
         readiness.router.add_get(settings.readiness_path, self._answer_ready)
         await self._listen('readiness', readiness, settings.readiness)
+        metrics = web.Application()
+        metrics.router.add_get(METRICS_PATH, self._answer_metrics)
+        await self._listen('metrics', metrics, settings.metrics)
         await self._source.start(self._rules)
         await self._registry.start(self._table)
         self._ticker = asyncio.ensure_future(self._tick())
@@ -188,6 +200,27 @@
     ) -> None:
         await self._web.start(name, served, address.host, address.port, None)
 
+    async def _answer_metrics(self, _request: web.Request) -> web.Response:
+        load = self._guard.load('')
+        gauges = (
+            ('running', 'Requests that the upstream runs.', load.running),
+            ('queued', 'Requests that wait for the upstream.', load.queued),
+            ('limit', 'Requests that the upstream may run at once.', load.limit),
+            (
+                'share',
+                'Share of new requests in thousandths.',
+                load.shares[self._guard.service],
+            ),
+            ('nodes', 'Nodes known.', len(self._table)),
+            ('rules_version', 'Version of the rules in force.', self._rules.version),
+            ('entry_running', 'Requests of callers under way.', self._entry.running),
+            ('upstream_connections', 'Connections opened.', self._pool.opened),
+        )
+        for name, doc, level in gauges:
+            self._metrics.set_gauge(name, doc, level)
+        text, content_type = self._metrics.render()
+        return web.Response(body=text, headers={'Content-Type': content_type})
+
     async def _answer_ready(self, _request: web.Request) -> web.Response:
         return web.Response(status=STATUS_OK if self.ready else STATUS_NOT_READY)
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -39,6 +39,7 @@
     entry: Address
     readiness: Address
     relay: Address
+    metrics: Address
     readiness_path: str
     names: WireNames
     stop_within_ms: float
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -23,7 +23,7 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Longest message: the largest body that callers may send, with headers."""
 
-HEARTBEAT_S = 2.0
+HEARTBEAT_S = 1.2
 """Pings on a silent link; without a pong after half of it the link is closed."""
 
 REATTACH_MS = 1500.0
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -20,6 +20,10 @@
 
 log = component('guard')
 
+OTHER_UPSTREAM = 'other_upstream'
+UPSTREAM_FULL = 'upstream_full'
+REFUSED_BY_UPSTREAM = frozenset((OTHER_UPSTREAM, UPSTREAM_FULL))
+
 LIMIT_SHARE = 0.95
 """Part of an upstream's slots in use at most; some slow down when nearly full."""
 
@@ -231,9 +235,9 @@
     def _judge(self, answer: HttpAnswer) -> GuardReply:
         self._liveness.sign(self._clock.now_ms())
         if answer.status == MISDIRECTED:
-            return GuardReply.not_run('other_upstream')
+            return GuardReply.not_run(OTHER_UPSTREAM)
         if header(answer.headers, self._names.not_run) is not None:
-            return GuardReply.not_run('upstream_full')
+            return GuardReply.not_run(UPSTREAM_FULL)
         answer.headers = self._names.answered(answer.headers)
         return GuardReply(Outcome.answered, answer)
 
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -157,20 +157,22 @@
         self._web = WebServer()
         self._tables: list[NodeTable] = []
         self._entry_port = 0
+        self.metrics_port = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> 'Deployment':
         """Start both nodes and the upstream."""
-        ports = free_ports(7)
+        ports = free_ports(9)
         await self._web.start(
-            'upstream', direct_server(self._serve, 1_000_000), HOST, ports[6], None
+            'upstream', direct_server(self._serve, 1_000_000), HOST, ports[8], None
         )
         self.cable = Cable(ports[0])
         await self.cable.start()
-        await self._start_node('back', 'back', ports[:3], ports[6], self.cable.port)
-        await self._start_node('entry', 'front', ports[3:6], ports[6], None)
-        self._entry_port = ports[4]
-        self.nodes['back'].take_report(_report(ports[6]))
+        await self._start_node('back', 'back', ports[:4], ports[8], self.cable.port)
+        await self._start_node('entry', 'front', ports[4:8], ports[8], None)
+        self._entry_port = ports[5]
+        self.metrics_port = ports[7]
+        self.nodes['back'].take_report(_report(ports[8]))
         self._session = aiohttp.ClientSession()
         return self
 
@@ -193,6 +195,12 @@
         ) as response:
             return response.status, await response.read(), dict(response.headers)
 
+    async def metrics(self) -> str:
+        """Return the metrics of the entry."""
+        url = f'http://{HOST}:{self.metrics_port}/metrics'
+        async with self._session.get(url) as response:
+            return await response.text()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append(request)
         return await self._handler(request)
@@ -214,6 +222,7 @@
             entry=Address(HOST, ports[1]),
             readiness=Address(HOST, ports[2]),
             relay=Address(HOST, ports[0]),
+            metrics=Address(HOST, ports[3]),
             readiness_path='/ready',
             names=NAMES,
             stop_within_ms=3000,
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -182,3 +182,18 @@
         return body, 'Content-Length' in headers or 'Transfer-Encoding' in headers
 
     assert _play(unframed, scenario) == (b'ok', False)
+
+
+def test_metrics_count_requests_and_refusals():
+    """On-call engineers have only logs and metrics."""
+
+    async def scenario(deployment: Deployment) -> str:
+        await deployment.call('/read/a')
+        deployment.nodes['back'].upstream_left('u1')
+        await deployment.call('/read/a')
+        return await deployment.metrics()
+
+    text = _play(_echo, scenario)
+    assert 'gentianmill_requests_total{end="200",route="/read/"} 1' in text
+    assert 'gentianmill_decisions_total{kind="refused"' in text
+    assert 'gentianmill_rules_version 1' in text
