--- a/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
@@ -10,6 +10,7 @@
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.settings_file import is_host_port, is_http_url
 from gentianmill_ctl.check import read_file, read_sheet
+from gentianmill_ctl.explain import explain_request
 from gentianmill_ctl.operator_client import OperatorClient
 from gentianmill_ctl.result import (
     ExitCode,
@@ -44,6 +45,11 @@
     return check(file_name)
 
 
+async def explained(request_id: str, file_names: list[str]) -> Result:
+    """Read logs and tell the story of a request."""
+    return explain_request(request_id, file_names)
+
+
 async def submit_file(
     file_name: str, table: str, expect: int, by: str, key_file: str
 ) -> Result:
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -7,6 +7,7 @@
 from gentianmill_ctl._actions import (
     ask_node,
     checked,
+    explained,
     run_command,
     settle_claim,
     submit_file,
@@ -149,6 +150,17 @@
     return run_command(ask_node(start_drain, node, key_file), json)
 
 
+def explain(request_id: str, files: list[str], *, json: bool = False) -> int:
+    """Tell the story of a request from logs; make no connection.
+
+    Args:
+        request_id: Id of the request as its caller sent it.
+        files: Logs of the nodes; ``-`` is standard input.
+        json: Print JSON.
+    """
+    return run_command(explained(request_id, files), json)
+
+
 COMMANDS = (
     check_settings,
     check_sheet,
@@ -159,6 +171,7 @@
     limits,
     drains,
     drain,
+    explain,
 )
 
 
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,51 @@
+"""From the id of a failed request to its cause, by logs alone."""
+
+import json
+
+from gentianmill_ctl.explain import explain_request
+
+LINES = [
+    {'request_id': 'a.1', 'event': 'entry: Call not answered.', 'timestamp': '2'},
+    {'request_id': 'a', 'event': 'entry: Request failed.', 'timestamp': '3'},
+    {'request_id': 'ab', 'event': 'entry: Request refused.', 'timestamp': '1'},
+    {'event': 'node: Started.', 'timestamp': '0'},
+]
+
+
+def _log(folder, text: str) -> str:
+    path = folder / 'node.log'
+    path.write_text(text)
+    return str(path)
+
+
+def _events(folder, request_id: str, text: str) -> list[str]:
+    found = explain_request(request_id, [_log(folder, text)]).fields['lines']
+    return [line['event'] for line in found]
+
+
+def test_inner_calls_stand_before_the_failure_that_they_caused(tmp_path):
+    """The cause of a failed request often lies in a call far below it."""
+    text = '\n'.join(json.dumps(line) for line in LINES)
+    assert _events(tmp_path, 'a', text) == [
+        'entry: Call not answered.',
+        'entry: Request failed.',
+    ]
+
+
+def test_inner_call_leads_to_its_request(tmp_path):
+    """An engineer who starts from an inner call needs the request above it."""
+    text = '\n'.join(json.dumps(line) for line in LINES)
+    assert _events(tmp_path, 'a.1', text)[-1] == 'entry: Request failed.'
+
+
+def test_lines_of_other_programs_are_skipped(tmp_path):
+    """A traceback or a prefix of the log collector must not end the report."""
+    line = json.dumps(LINES[1])
+    text = f'Traceback {{\n 1.5 node-1 {line}\nnot json'
+    assert _events(tmp_path, 'a', text) == ['entry: Request failed.']
+
+
+def test_missing_id_is_said(tmp_path):
+    """An empty report would look like a request without decisions."""
+    result = explain_request('zz', [_log(tmp_path, '')])
+    assert 'zz' in result.lines[0]
