Ration retries over the whole tree and keep nodes whose upstream rejects

Each rejection paused its node, so calls found no node at all, and requests that need five such calls still started.

Change: a rejection counts as a failure of the node, not as a pause; it lowers the share of new requests that the guard tells; retries may use 0.16 of the calls of a service, calls of repeated requests counted, and the last three tenths of that are kept for the most important priority.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -28,9 +28,15 @@
 MAX_REDIRECTS = 4
 """Nodes that may refuse a call before its caller is told to come back."""
 
-RETRY_RATIO = 0.05
-"""Retries per call of a service. Repeats of a request repeat its calls too, so the
-ratios of four levels add up to the platform's bound of 0.2."""
+RETRY_RATIO = 0.16
+"""Retries per call of a service, calls made by repeated requests included. The
+platform's bound over all nodes is 0.2; the rest is for windows that differ."""
+
+ORDINARY_USE = 0.7
+"""Part of the permitted retries that calls of ordinary rank may use."""
+
+TOP_RANKS = 2
+"""Ranks of the most important priority: inner calls and new requests."""
 
 PATIENCE_SHARE = 0.3
 """Part of the target latency that a new request may wait in a queue; a caller who
@@ -63,9 +69,17 @@
     runs: int = 0
     """Upstreams that may have run it."""
 
+    rejections: int = 0
+    """Upstreams that got it and did not run it."""
+
     reason: str = 'no_node'
     """Why it has no answer yet."""
 
+    @property
+    def sends_left(self) -> int:
+        """Return to how many more upstreams the rule lets it be sent."""
+        return self.rule.max_attempts - self.runs - self.rejections
+
 
 class Dispatcher:
     """Run requests on the nodes of their service."""
@@ -105,7 +119,10 @@
         Args:
             attempt: The request; its ``runs`` and ``reason`` tell why there is none.
         """
-        self._throttle(attempt.service).on_call(self._clock.now_ms())
+        throttle = self._throttle(attempt.service)
+        throttle.on_call(self._clock.now_ms())
+        if attempt.origin.is_repeat:
+            throttle.on_forced_retry(self._clock.now_ms())
         answer: HttpAnswer | None = None
         while node := self._choose(attempt):
             reply = await self._call_hedged(attempt, node)
@@ -119,6 +136,14 @@
     def _throttle(self, service: str) -> RetryThrottle:
         return self._throttles.setdefault(service, RetryThrottle(RETRY_RATIO))
 
+    def _may_retry(self, attempt: Attempt) -> bool:
+        throttle = self._throttle(attempt.service)
+        now_ms = self._clock.now_ms()
+        is_ordinary = attempt.origin.rank >= TOP_RANKS
+        if is_ordinary and throttle.used_share(now_ms) > ORDINARY_USE:
+            return False
+        return throttle.try_retry(now_ms)
+
     def _choose(self, attempt: Attempt) -> NodeRecord | None:
         return self._placement.choose(
             self._candidates(attempt.service),
@@ -162,11 +187,11 @@
     def _hedge_node(self, attempt: Attempt) -> NodeRecord | None:
         now_ms = self._clock.now_ms()
         node = self._choose(attempt)
-        if node is None or attempt.runs >= attempt.rule.max_attempts:
+        if node is None or attempt.sends_left <= 0:
             return None
         if self._placement.load_share(node, now_ms) > HEDGE_LOAD:
             return None
-        if not self._throttle(attempt.service).try_retry(now_ms):
+        if not self._may_retry(attempt):
             return None
         log.info(
             'Second copy sent.',
@@ -178,11 +203,12 @@
 
     async def _call(self, attempt: Attempt, node: NodeRecord) -> GuardReply:
         attempt.tried.add(node.name)
+        is_repeat = attempt.origin.is_repeat or attempt.runs > 0
         attempt.runs += 1
         started_ms = self._clock.now_ms()
         self._placement.start(node.name)
         try:
-            relayed = await self._send(node, self._guard_call(attempt))
+            relayed = await self._send(node, self._guard_call(attempt, is_repeat))
         except asyncio.CancelledError:
             spent_ms = self._clock.now_ms() - started_ms
             self._placement.overtaken(node.name, attempt.rule.name, spent_ms)
@@ -191,6 +217,7 @@
             self._placement.end(node.name)
         if relayed.reply.outcome is Outcome.not_run:
             attempt.runs -= 1
+            attempt.rejections += _reached_upstream(relayed.reply)
         self._learn(attempt, node, relayed, started_ms)
         return relayed.reply
 
@@ -200,7 +227,7 @@
             return RelayReply(reply, self._guard.load(call.route))
         return await self._links.to(node).call(call)
 
-    def _guard_call(self, attempt: Attempt) -> GuardCall:
+    def _guard_call(self, attempt: Attempt, is_repeat: bool) -> GuardCall:
         return GuardCall(
             service=attempt.service,
             request=attempt.request,
@@ -210,6 +237,7 @@
             repeatable=attempt.rule.repeatable,
             caller_service=self._own.service,
             route=attempt.rule.name,
+            is_repeat=is_repeat,
         )
 
     def _patience_ms(self, attempt: Attempt) -> float:
@@ -256,7 +284,7 @@
             reason=reply.reason,
             after_ms=round(now_ms - started_ms),
         )
-        if reply.outcome is not Outcome.not_run:
+        if reply.outcome is not Outcome.not_run or _reached_upstream(reply):
             self._placement.failed(node.name, now_ms)
         elif reply.reason not in {'overloaded', 'deadline'}:
             self._placement.pause(node.name, now_ms)
@@ -271,9 +299,9 @@
             return len(attempt.tried) <= MAX_REDIRECTS
         if reply.outcome is not Outcome.not_run and not attempt.rule.repeatable:
             return False
-        if attempt.runs >= attempt.rule.max_attempts:
+        if attempt.sends_left <= 0:
             return False
-        return self._throttle(attempt.service).try_retry(now_ms)
+        return self._may_retry(attempt)
 
 
 def _reached_upstream(reply: GuardReply) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -173,6 +173,7 @@
             repeatable=call.repeatable,
             caller_service=call.caller_service,
             route=call.route,
+            is_repeat=call.is_repeat,
         )
         waiter = asyncio.get_running_loop().create_future()
         return _Pending(frame, call.deadline_ms, waiter)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -220,6 +220,7 @@
         repeatable=frame.repeatable,
         caller_service=frame.caller_service,
         route=frame.route,
+        is_repeat=frame.is_repeat,
     )
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -48,6 +48,7 @@
     repeatable: bool
     caller_service: str
     route: str
+    is_repeat: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,7 +222,7 @@
         ]
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
-        self._tree.start(tree_id, call.rank, call.route)
+        self._tree.start(tree_id, call.rank, call.route, call.is_repeat)
         try:
             answer = await self._pool.run(
                 call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
@@ -237,7 +238,9 @@
         if answer.status == MISDIRECTED:
             return GuardReply.not_run(OTHER_UPSTREAM)
         if header(answer.headers, self._names.not_run) is not None:
+            self._share.on_answer(accepted=False)
             return GuardReply.not_run(UPSTREAM_FULL)
+        self._share.on_answer(accepted=True)
         answer.headers = self._names.answered(answer.headers)
         return GuardReply(Outcome.answered, answer)
 
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -24,6 +24,14 @@
 """Bounds one correction, in relative terms."""
 
 LEAST_SHARE = 0.05
+
+ACCEPT_WEIGHT = 0.05
+"""Weight of a new answer in the smoothed part of calls that are accepted."""
+
+REJECT_POWER = 2
+"""A request makes several calls to a narrow service, so its chance falls faster
+than the part of them that is accepted."""
+
 WHOLE = 1000
 """Shares are sent in thousandths."""
 
@@ -44,11 +52,16 @@
         """Take all requests."""
         self._share = 1.0
         self._corrected_ms = -math.inf
+        self._accepted = float(1)
 
     @property
     def share(self) -> float:
         """Return the share, above 0 and up to 1."""
-        return self._share
+        return max(self._share * self._accepted**REJECT_POWER, LEAST_SHARE)
+
+    def on_answer(self, accepted: bool) -> None:
+        """Take note of whether the upstream accepted a call or rejected it."""
+        self._accepted += ACCEPT_WEIGHT * (accepted - self._accepted)
 
     def observe(self, calls: int, limit: int, now_ms: float) -> None:
         """Correct the share by the present load.
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -18,6 +18,9 @@
     parent_route: str | None
     """Route of the request for which an upstream makes it; None if it is new."""
 
+    is_repeat: bool = False
+    """Whether that request is a repeat, so that the call is one too."""
+
     @property
     def is_inner(self) -> bool:
         """Return whether an upstream makes the call for a request that it runs."""
@@ -34,11 +37,22 @@
 
     def __init__(self) -> None:
         """Start without running requests."""
-        self._running: dict[str, tuple[int, str]] = {}
+        self._running: dict[str, CallOrigin] = {}
+
+    def start(
+        self, request_id: str, rank: int, route: str, is_repeat: bool = False
+    ) -> None:
+        """Take note of a request that starts on the upstream.
 
-    def start(self, request_id: str, rank: int, route: str) -> None:
-        """Take note of a request that starts on the upstream."""
-        self._running[request_id] = (rank, route)
+        Args:
+            request_id: Its id.
+            rank: Its order in the queue.
+            route: Name of its route.
+            is_repeat: Whether an upstream may have run it before.
+        """
+        self._running[request_id] = CallOrigin(
+            rank - rank % RANKS_PER_PRIORITY, route, is_repeat
+        )
 
     def end(self, request_id: str) -> None:
         """Take note of a request that ended."""
@@ -55,5 +69,4 @@
         parent = self._running.get(parent_id)
         if parent is None:
             return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
-        rank, route = parent
-        return CallOrigin(rank - rank % RANKS_PER_PRIORITY, route)
+        return parent
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -71,6 +71,12 @@
         str, Meta(description='Service on the VM where the request began.')
     ]
     route: Annotated[str, Meta(description='Name of its route.')]
+    is_repeat: Annotated[
+        bool,
+        Meta(
+            description='Whether an upstream may have run it before, or the request for which it is made.'
+        ),
+    ]
 
 
 class RelayAnswer(Frame):
--- a/packages/gentianmill/src/gentianmill/retry.py
+++ b/packages/gentianmill/src/gentianmill/retry.py
@@ -102,6 +102,16 @@
         self._slot(now_ms)[1] += 1
         self._calls += 1
 
+    def on_forced_retry(self, now_ms: float) -> None:
+        """Count one retry that another node decided, above this call."""
+        self._slot(now_ms)[2] += 1
+        self._retries += 1
+
+    def used_share(self, now_ms: float) -> float:
+        """Return the retries of the last 10 s relative to what the ratio permits."""
+        self._slot(now_ms)
+        return self._retries / max(self._calls * self._ratio, 1)
+
     def try_retry(self, now_ms: float) -> bool:
         """Count one retry if the share permits it, and return whether it does."""
         slot = self._slot(now_ms)
--- a/tests/test_admission_share.py
+++ b/tests/test_admission_share.py
@@ -91,3 +91,14 @@
     new = sum(admits(0.4, 0, returning=False, rng=rng) for _ in range(WHOLE))
     back = sum(admits(0.4, 0, returning=True, rng=rng) for _ in range(WHOLE))
     assert back > new * 1.5
+
+
+def test_upstream_that_rejects_half_lowers_the_share():
+    """A request with five calls to such a service fails 97 times in 100."""
+    gauge = AdmissionShare()
+    for number in range(200):
+        gauge.on_answer(accepted=number % 2 == 0)
+    assert gauge.share < 0.35
+    for _ in range(100):
+        gauge.on_answer(accepted=True)
+    assert gauge.share > 0.95
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -25,3 +25,11 @@
     tree.start('root', 1, 'r')
     tree.end('root')
     assert not tree.origin('root.1', 2).is_inner
+
+
+def test_calls_of_a_repeat_are_repeats():
+    """The platform's bound counts the calls of a repeated request as retries."""
+    tree = CallTree()
+    tree.start('root', 1, 'r', is_repeat=True)
+    assert tree.origin('root.1', 2).is_repeat
+    assert not tree.origin('new', 2).is_repeat
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -52,3 +52,14 @@
         throttle.on_call(0)
     assert throttle.try_retry(1)
     assert not throttle.try_retry(20_000)
+
+
+def test_repeats_decided_above_use_up_the_ratio():
+    """Repeated requests repeat their calls; own retries must leave room for them."""
+    throttle = retry.RetryThrottle(0.1)
+    for _ in range(100):
+        throttle.on_call(0)
+    for _ in range(10):
+        throttle.on_forced_retry(0)
+    assert not throttle.try_retry(0)
+    assert throttle.used_share(0) >= 1
