Leave the echoed id and the date out of relayed answers

Change: the guard leaves the id out if it equals the request's, the entry adds it again; the date is set by the entry's server.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -82,8 +82,12 @@
         self._guard = UpstreamGuard(
             settings.service, self._pool, settings.names, shares, self._clock
         )
-        self._links = RelayLinks(self._identity, rules, self._table, self._clock)
-        self._relay = RelayServer(self._identity, self._guard, rules, self._clock)
+        self._links = RelayLinks(
+            self._identity, rules, self._table, settings.names, self._clock
+        )
+        self._relay = RelayServer(
+            self._identity, self._guard, rules, settings.names, self._clock
+        )
         dispatcher = Dispatcher(
             self._table, self._own, self._guard, self._links, shares, self._clock
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -24,6 +24,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_server import HEARTBEAT_S, MAX_FRAME_BYTES, RELAY_PATH
 from gentianmill_mesh.upstream_guard import GuardCall, GuardReply
+from gentianmill_mesh.wire_names import WireNames, restored
 from gentianmill_mesh.within import within
 from gentianmill_node.logs import component
 
@@ -73,6 +74,7 @@
     session: aiohttp.ClientSession
     clock: Clock
     keys: Iterator[int]
+    names: WireNames
     on_version: Callable[['RelayLink', int], None]
     on_rules: Callable[[bytes, str], object]
 
@@ -276,7 +278,16 @@
         self._context.on_version(self, frame.rules_version)
         pending = self._pending.get(frame.key)
         if pending is not None:
-            pending.end(_reply(frame), frame.load)
+            pending.end(self._reply(frame, pending.frame), frame.load)
+
+    def _reply(self, frame: RelayAnswer, call: RelayCall) -> GuardReply:
+        outcome = Outcome(frame.outcome)
+        if outcome is not Outcome.answered:
+            return GuardReply(outcome, reason=frame.reason)
+        request_id = self._context.names.request_id
+        headers = restored(frame.headers, call.headers, request_id)
+        answer = HttpAnswer(frame.status, headers, frame.body, frame.framed)
+        return GuardReply(outcome, answer)
 
     async def _recover(self) -> None:
         """Send calls without an answer again on a new connection.
@@ -304,11 +315,3 @@
     connecting: Awaitable[aiohttp.ClientWebSocketResponse],
 ) -> aiohttp.ClientWebSocketResponse:
     return await connecting
-
-
-def _reply(frame: RelayAnswer) -> GuardReply:
-    outcome = Outcome(frame.outcome)
-    if outcome is Outcome.answered:
-        answer = HttpAnswer(frame.status, frame.headers, frame.body, frame.framed)
-        return GuardReply(outcome, answer)
-    return GuardReply(outcome, reason=frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -10,6 +10,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_link import RelayContext, RelayLink, new_keys
 from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.wire_names import WireNames
 
 ASK_DELAY_S = 0.3
 """The own source usually brings new rules within this time."""
@@ -19,7 +20,12 @@
     """Keep one link for each other node."""
 
     def __init__(
-        self, identity: NodeIdentity, rules: RulesHolder, table: NodeTable, clock: Clock
+        self,
+        identity: NodeIdentity,
+        rules: RulesHolder,
+        table: NodeTable,
+        names: WireNames,
+        clock: Clock,
     ) -> None:
         """Create no links yet; call ``start`` before use.
 
@@ -27,11 +33,13 @@
             identity: The own node.
             rules: Routing rules, which other nodes may know earlier.
             table: The other nodes.
+            names: Header names of the deployment.
             clock: Clock of the node.
         """
         self._identity = identity
         self._rules = rules
         self._table = table
+        self._names = names
         self._clock = clock
         self._links: dict[str, RelayLink] = {}
         self._context: RelayContext | None = None
@@ -49,6 +57,7 @@
             session=session,
             clock=self._clock,
             keys=new_keys(),
+            names=self._names,
             on_version=self._on_version,
             on_rules=self._rules.offer,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -13,11 +13,12 @@
     RulesReply,
     RulesRequest,
 )
-from gentianmill_mesh.http_message import HttpRequest
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import GuardCall, GuardReply, UpstreamGuard
+from gentianmill_mesh.wire_names import WireNames, compact
 from gentianmill_node.logs import component
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -89,6 +90,7 @@
         identity: NodeIdentity,
         guard: UpstreamGuard,
         rules: RulesHolder,
+        names: WireNames,
         clock: Clock,
     ) -> None:
         """Create a server.
@@ -97,11 +99,13 @@
             identity: The own node.
             guard: Runs the calls.
             rules: Routing rules that other nodes may ask for.
+            names: Header names of the deployment.
             clock: Clock of the node.
         """
         self._identity = identity
         self._guard = guard
         self._rules = rules
+        self._request_id = names.request_id
         self._clock = clock
         self._senders: dict[NodeIdentity, _Sender] = {}
         self._sockets: set[web.WebSocketResponse] = set()
@@ -197,7 +201,7 @@
             key=frame.key,
             outcome=reply.outcome.value,
             status=answer.status if answer else 0,
-            headers=answer.headers if answer else [],
+            headers=self._compact(answer, frame),
             body=answer.body if answer else b'',
             reason=reply.reason,
             framed=answer.framed if answer else True,
@@ -205,6 +209,13 @@
             load=self._guard.load(frame.route),
         )
 
+    def _compact(
+        self, answer: HttpAnswer | None, frame: RelayCall
+    ) -> list[list[bytes]]:
+        if answer is None:
+            return []
+        return compact(answer.headers, frame.headers, self._request_id)
+
     async def _send_rules(self, sender: _Sender, known_version: int) -> None:
         if self._rules.version > known_version:
             await _send(sender, RulesReply(self._rules.version, self._rules.document))
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gentianmill_mesh.http_message import HeaderPairs
+from gentianmill_mesh.http_message import HeaderPairs, header
 
 _PER_CONNECTION = frozenset(
     (
@@ -71,6 +71,37 @@
         ]
 
 
+def compact(
+    answer_headers: HeaderPairs, request_headers: HeaderPairs, request_id: bytes
+) -> list[list[bytes]]:
+    """Return the headers of an answer without those that the other node can add.
+
+    Bytes between availability zones are paid by volume, and the echoed id of an
+    inner call is often longer than the rest of its answer's headers.
+
+    Args:
+        answer_headers: Headers of the answer.
+        request_headers: Headers of the request, which the other node sent.
+        request_id: Name of the header that upstreams echo.
+    """
+    sent = header(request_headers, request_id)
+    return [
+        [name, text]
+        for name, text in answer_headers
+        if name.lower() != b'date' and (name.lower() != request_id or text != sent)
+    ]
+
+
+def restored(
+    answer_headers: list[list[bytes]], request_headers: HeaderPairs, request_id: bytes
+) -> list[list[bytes]]:
+    """Return the headers of an answer with the echoed id that ``compact`` left out."""
+    sent = header(request_headers, request_id)
+    if sent is None or header(answer_headers, request_id) is not None:
+        return answer_headers
+    return [*answer_headers, [request_id, sent]]
+
+
 def _connection_options(headers: HeaderPairs) -> set[bytes]:
     options: set[bytes] = set()
     for name, text in headers:
