Refuse a request after it was lost in three crashes of its upstreams

Change: a guard that sees its upstream crash (connection refused after a loss, or a new start in a heartbeat) counts the requests lost in it and tells the other guards of the service; after three crashes the request is refused, and an answer clears it.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -14,13 +14,13 @@
 from gentianmill.retry import RetryThrottle
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.route_rules import RouteRule
+from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_link import RelayReply
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.upstream_guard import (
+    CRASH_SUSPECT,
     REFUSED_BY_UPSTREAM,
-    GuardCall,
-    GuardReply,
     UpstreamGuard,
 )
 from gentianmill_node.logs import component
@@ -286,14 +286,14 @@
         )
         if reply.outcome is not Outcome.not_run or _reached_upstream(reply):
             self._placement.failed(node.name, now_ms)
-        elif reply.reason not in {'overloaded', 'deadline'}:
+        elif reply.reason not in {'overloaded', 'deadline', CRASH_SUSPECT}:
             self._placement.pause(node.name, now_ms)
 
     def _may_go_on(self, attempt: Attempt, reply: GuardReply) -> bool:
         if reply.answer is not None and reply.answer.status != FIRST_SERVER_ERROR:
             return False
-        now_ms = self._clock.now_ms()
-        if now_ms >= attempt.deadline_ms:
+        is_late = self._clock.now_ms() >= attempt.deadline_ms
+        if is_late or reply.reason == CRASH_SUSPECT:
             return False
         if reply.outcome is Outcome.not_run and not _reached_upstream(reply):
             return len(attempt.tried) <= MAX_REDIRECTS
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -0,0 +1,42 @@
+"""Calls that a guard runs, and how they end."""
+
+import dataclasses
+
+from gentianmill.outcome import Outcome
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+
+
+@dataclasses.dataclass(slots=True)
+class GuardCall:
+    """A request for the upstream beside a node."""
+
+    service: str
+    request: HttpRequest
+    deadline_ms: float
+    rank: int
+    patience_ms: float
+    """Longest wait in the queue."""
+
+    repeatable: bool
+    caller_service: str
+    route: str
+    is_repeat: bool
+
+
+@dataclasses.dataclass(slots=True)
+class GuardReply:
+    """How a call ended."""
+
+    outcome: Outcome
+    answer: HttpAnswer | None = None
+    reason: str = ''
+
+    @classmethod
+    def not_run(cls, reason: str) -> 'GuardReply':
+        """Return the reply to a call that certainly did not run."""
+        return cls(Outcome.not_run, reason=reason)
+
+    @classmethod
+    def unknown(cls, reason: str) -> 'GuardReply':
+        """Return the reply to a call that may have run."""
+        return cls(Outcome.unknown, reason=reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -9,7 +9,9 @@
 from gentianmill.admission_share import ShareTable
 from gentianmill.clock import MonotonicClock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.dispatcher import Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.entry_listener import EntryListener
@@ -103,6 +105,7 @@
             settings.names,
             self._clock,
         )
+        self._guard.crashes.announce_by(self._tell_crash)
         self._web = WebServer()
         self._stopping = False
         self._ticker: asyncio.Task[None] | None = None
@@ -112,6 +115,11 @@
         """Return whether callers should use this node."""
         return not self._stopping and self._rules.rules is not None
 
+    @property
+    def crashes(self) -> CrashWatch:
+        """Return the crashes of the upstream and the requests lost in them."""
+        return self._guard.crashes
+
     async def start(self) -> None:
         """Open the listeners and begin to learn rules and nodes."""
         settings = self._settings
@@ -172,6 +180,12 @@
         await self._links.close()
         self._pool.close()
 
+    def _tell_crash(self, digests: list[bytes], cleared: bool) -> None:
+        news = CrashNews(digests=digests, cleared=cleared)
+        for record in self._table.of_service(self._settings.service):
+            if record.name != self._settings.node:
+                asyncio.ensure_future(self._links.to(record).post(news))
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -4,6 +4,7 @@
 
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.relay_messages import (
+    CrashNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
@@ -11,7 +12,9 @@
     RulesRequest,
 )
 
-RelayFrame = RelayAnswer | RelayCall | RelayCancel | RulesReply | RulesRequest
+RelayFrame = (
+    CrashNews | RelayAnswer | RelayCall | RelayCancel | RulesReply | RulesRequest
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(RelayFrame)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -12,6 +12,7 @@
 from gentianmill.node_table import NodeRecord
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import (
+    CrashNews,
     GuardLoad,
     RelayAnswer,
     RelayCall,
@@ -23,7 +24,7 @@
 from gentianmill_mesh.relay_codec import decode, encode
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_server import HEARTBEAT_S, MAX_FRAME_BYTES, RELAY_PATH
-from gentianmill_mesh.upstream_guard import GuardCall, GuardReply
+from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.wire_names import WireNames, restored
 from gentianmill_mesh.within import within
 from gentianmill_node.logs import component
@@ -138,15 +139,10 @@
             self._pending.pop(key, None)
             _stop(timer, sending)
 
-    async def warm(self) -> None:
-        """Open the connection before it is needed."""
-        if not await self._connect():
-            log.info('Node not reached.', peer=self._record.name)
-
-    async def ask_rules(self, known_version: int) -> None:
-        """Ask the other node for newer routing rules."""
-        if self._socket is not None:
-            await self._write(self._socket, RulesRequest(known_version))
+    async def post(self, frame: CrashNews | RulesRequest) -> None:
+        """Send a frame that is not a call; it is lost if the link breaks."""
+        if (self.connected or await self._connect()) and self._socket is not None:
+            await self._write(self._socket, frame)
 
     async def close(self) -> None:
         """Close the connection; calls without an answer end."""
@@ -204,7 +200,7 @@
     async def _write(
         self,
         socket: aiohttp.ClientWebSocketResponse,
-        frame: RelayCall | RelayCancel | RulesRequest,
+        frame: CrashNews | RelayCall | RelayCancel | RulesRequest,
     ) -> None:
         try:
             await socket.send_bytes(encode(frame))
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -1,12 +1,12 @@
 """The links of a node to all others."""
 
 import asyncio
-import random
 
 import aiohttp
 
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.relay_messages import RulesRequest
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_link import RelayContext, RelayLink, new_keys
 from gentianmill_mesh.rules_holder import RulesHolder
@@ -81,18 +81,6 @@
             self._links[record.name] = link
         return link
 
-    async def ask_some_node(self) -> None:
-        """Ask a random node for newer routing rules."""
-        others = [
-            record
-            for record in self._table.records
-            if record.name != self._identity.name
-        ]
-        if others:
-            link = self.to(random.choice(others))  # noqa: S311
-            await link.warm()
-            await link.ask_rules(self._rules.version)
-
     def _on_version(self, link: RelayLink, version: int) -> None:
         if version > self._rules.version and version not in self._asking:
             self._asking.add(version)
@@ -102,7 +90,7 @@
         await asyncio.sleep(ASK_DELAY_S)
         self._asking.discard(version)
         if self._rules.version < version:
-            await link.ask_rules(self._rules.version)
+            await link.post(RulesRequest(self._rules.version))
 
 
 def _moved(known: NodeRecord, record: NodeRecord) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -7,6 +7,7 @@
 from gentianmill.clock import Clock
 from gentianmill.errors import GentianmillError
 from gentianmill.relay_messages import (
+    CrashNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
@@ -17,7 +18,8 @@
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.rules_holder import RulesHolder
-from gentianmill_mesh.upstream_guard import GuardCall, GuardReply, UpstreamGuard
+from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames, compact
 from gentianmill_node.logs import component
 
@@ -168,6 +170,8 @@
             job = sender.jobs.get(frame.key)
             if job is not None:
                 job.task.cancel()
+        elif isinstance(frame, CrashNews):
+            self._guard.crashes.take_news(frame.digests, frame.cleared)
         elif isinstance(frame, RulesRequest):
             await self._send_rules(sender, frame.known_version)
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -1,7 +1,5 @@
 """The last check before the upstream: its queue, limit and state."""
 
-import dataclasses
-
 from gentianmill.admission_share import WHOLE, AdmissionShare, ShareTable
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
@@ -11,7 +9,9 @@
 from gentianmill.upstream_liveness import UpstreamLiveness
 from gentianmill.work_queue import WorkItem
 
-from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
+from gentianmill_mesh.crash_watch import CrashWatch
+from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.http_message import HttpAnswer, header
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS, SlotQueue
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UpstreamPool
@@ -20,6 +20,7 @@
 
 log = component('guard')
 
+CRASH_SUSPECT = 'crash_suspect'
 OTHER_UPSTREAM = 'other_upstream'
 UPSTREAM_FULL = 'upstream_full'
 REFUSED_BY_UPSTREAM = frozenset((OTHER_UPSTREAM, UPSTREAM_FULL))
@@ -34,42 +35,6 @@
 MISDIRECTED = 421
 
 
-@dataclasses.dataclass(slots=True)
-class GuardCall:
-    """A request for the upstream beside a node."""
-
-    service: str
-    request: HttpRequest
-    deadline_ms: float
-    rank: int
-    patience_ms: float
-    """Longest wait in the queue."""
-
-    repeatable: bool
-    caller_service: str
-    route: str
-    is_repeat: bool
-
-
-@dataclasses.dataclass(slots=True)
-class GuardReply:
-    """How a call ended."""
-
-    outcome: Outcome
-    answer: HttpAnswer | None = None
-    reason: str = ''
-
-    @classmethod
-    def not_run(cls, reason: str) -> 'GuardReply':
-        """Return the reply to a call that certainly did not run."""
-        return cls(Outcome.not_run, reason=reason)
-
-    @classmethod
-    def unknown(cls, reason: str) -> 'GuardReply':
-        """Return the reply to a call that may have run."""
-        return cls(Outcome.unknown, reason=reason)
-
-
 class UpstreamGuard:
     """Admit, order and run the calls of one upstream."""
 
@@ -100,6 +65,7 @@
         self._share = AdmissionShare()
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
+        self._crashes = CrashWatch(pool, clock)
         self._stopping = False
 
     @property
@@ -107,6 +73,11 @@
         """Return the service of the upstream."""
         return self._service
 
+    @property
+    def crashes(self) -> CrashWatch:
+        """Return the crashes of the upstream and the requests lost in them."""
+        return self._crashes
+
     @property
     def tree(self) -> CallTree:
         """Return the requests that run on the upstream."""
@@ -150,8 +121,11 @@
             Whether others must be told.
         """
         before = self._identity()
+        known = self._status.report
         if not self._status.take(report):
             return False
+        if known is not None and known.born_ms != report.born_ms:
+            self._crashes.crashed()
         self._liveness.sign(self._clock.now_ms())
         self._apply()
         return self._identity() != before
@@ -208,6 +182,8 @@
             return 'draining'
         if not self._liveness.takes_calls(self._clock.now_ms()):
             return 'down'
+        if self._crashes.refuses(call):
+            return CRASH_SUSPECT
         return ''
 
     async def _run(self, call: GuardCall) -> GuardReply:
@@ -228,9 +204,10 @@
                 call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
             )
         except UpstreamLostError as error:
-            return self._lost(error)
+            return self._lost(call, error)
         finally:
             self._tree.end(tree_id)
+        self._crashes.completed(call)
         return self._judge(answer)
 
     def _judge(self, answer: HttpAnswer) -> GuardReply:
@@ -244,12 +221,14 @@
         answer.headers = self._names.answered(answer.headers)
         return GuardReply(Outcome.answered, answer)
 
-    def _lost(self, error: UpstreamLostError) -> GuardReply:
+    def _lost(self, call: GuardCall, error: UpstreamLostError) -> GuardReply:
         if error.kind is LossKind.timed_out:
             return GuardReply.unknown('deadline')
         if error.kind is not LossKind.before_send:
+            self._crashes.lost(call)
             return GuardReply.unknown('upstream_lost')
         self._liveness.refused(self._clock.now_ms())
+        self._crashes.crashed()
         self._slots.refuse_waiting()
         return GuardReply.not_run('down')
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -88,6 +88,15 @@
         self._give_back(connection)
         return answer
 
+    async def is_reachable(self) -> bool:
+        """Return whether the upstream accepts a connection now."""
+        try:
+            connection = await self._open()
+        except UpstreamLostError:
+            return False
+        self._give_back(connection)
+        return True
+
     def abandon_repeatable(self) -> int:
         """Close the connections of requests that may run elsewhere.
 
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/crash_strikes.py
@@ -0,0 +1,71 @@
+"""Requests that were lost each time an upstream crashed.
+
+``suspects`` quarantines all calls that ran at a crash, for services whose guards
+know the class of each call. Here a request is only counted, and refused after it
+was lost in three crashes, so that a crash with another cause delays nobody.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+STRIKES = 3
+"""Crashes after which a request is taken for their cause."""
+
+LOSS_WINDOW_MS = 2000.0
+"""A crash is noticed at the latest by the first heartbeat of the next start."""
+
+REMEMBERED_MS = 120_000.0
+"""Callers send such a request again for as long as they need its result."""
+
+MAX_DIGESTS = 4096
+
+
+class CrashStrikes:
+    """Count, per content of a request, the crashes in which it was lost."""
+
+    def __init__(self) -> None:
+        """Know no crash."""
+        self._losses: deque[tuple[float, bytes]] = deque(maxlen=MAX_DIGESTS)
+        self._strikes: OrderedDict[bytes, tuple[int, float]] = OrderedDict()
+
+    def lost(self, digest: bytes, now_ms: float) -> None:
+        """Record that the connection of a running request broke."""
+        self._losses.append((now_ms, digest))
+
+    def crashed(self, now_ms: float) -> list[bytes]:
+        """Record a crash of the upstream and return the requests lost in it.
+
+        Args:
+            now_ms: Current time.
+
+        Returns:
+            Digests to tell the other guards of the service.
+        """
+        oldest_ms = now_ms - LOSS_WINDOW_MS
+        digests = {digest for lost_ms, digest in self._losses if lost_ms >= oldest_ms}
+        self._losses.clear()
+        self.merge(digests, now_ms)
+        return list(digests)
+
+    def merge(self, digests: Iterable[bytes], now_ms: float) -> None:
+        """Count a crash of another upstream of the service."""
+        for digest in digests:
+            count, _ = self._strikes.get(digest, (0, 0))
+            self._strikes[digest] = (count + 1, now_ms)
+            self._strikes.move_to_end(digest)
+        while len(self._strikes) > MAX_DIGESTS:
+            self._strikes.popitem(last=False)
+
+    def completed(self, digest: bytes) -> bool:
+        """Record that a request was answered; return whether that clears it."""
+        return self._strikes.pop(digest, None) is not None
+
+    def clear(self, digests: Iterable[bytes]) -> None:
+        """Forget requests that were answered by another upstream."""
+        for digest in digests:
+            self._strikes.pop(digest, None)
+
+    def refuses(self, digest: bytes, now_ms: float) -> bool:
+        """Return whether a request is taken for the cause of crashes."""
+        count, last_ms = self._strikes.get(digest, (0, 0))
+        return count >= STRIKES and now_ms - last_ms < REMEMBERED_MS
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -124,3 +124,15 @@
 
     version: int
     document: bytes
+
+
+class CrashNews(Frame):
+    """
+    Tells a guard of the same service about requests lost in a crash.
+    """
+
+    digests: list[bytes]
+    cleared: Annotated[
+        bool,
+        Meta(description='Whether they were answered since and are not the cause.'),
+    ]
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -197,3 +197,24 @@
     assert 'gentianmill_requests_total{end="200",route="/read/"} 1' in text
     assert 'gentianmill_decisions_total{kind="refused"' in text
     assert 'gentianmill_rules_version 1' in text
+
+
+def test_request_that_crashes_its_upstream_is_refused_in_the_end():
+    """A caller who sends such a request again and again takes a service down."""
+
+    async def crash(request: web.BaseRequest) -> web.StreamResponse:
+        request.transport.abort()
+        raise ConnectionResetError
+
+    async def scenario(deployment: Deployment) -> tuple[set[int], int, int]:
+        crashes = deployment.nodes['back'].crashes
+        statuses = set()
+        for _ in range(3):
+            status, _, _ = await deployment.call('/pay/a', method='POST')
+            statuses.add(status)
+            crashes.crashed()
+        seen = len(deployment.seen)
+        refused, _, _ = await deployment.call('/pay/a', method='POST')
+        return statuses, refused, len(deployment.seen) - seen
+
+    assert _play(crash, scenario) == ({502}, 503, 0)
