Tell refused callers to come back after the crest

Change: the pause grows as the share of new requests falls, spread out and at most a third of the caller's time; a caller who returns is let in three times as likely.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -4,6 +4,7 @@
 import random
 
 from gentianmill.clock import Clock
+from gentianmill.return_time import return_after_ms
 from gentianmill.route_rules import RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
@@ -19,10 +20,7 @@
 HANDOVER_MARGIN_MS = 20.0
 """The answer of an upstream needs this long to reach the caller in time."""
 
-RETRY_AFTER_S = (0.3, 0.9)
-"""Bounds of the pause that a refused caller is told; spread out, so that callers
-who were refused together do not return together."""
-
+MS_PER_S = 1000
 STATUS_NOT_FOUND = 404
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -72,6 +70,7 @@
         self._admission = admission
         self._metrics = metrics
         self._split = SplitCounter()
+        self._rng = random.Random()  # noqa: S311
         rules.on_change(self._split.keep)
         rules.on_change(admission.set_rules)
 
@@ -83,7 +82,7 @@
         """
         rules = self._rules.rules
         if rules is None:
-            return self._refusal(caller.request_id, 'no_rules')
+            return self._refusal(caller, 'no_rules')
         rule = rules.find(caller.host, caller.path)
         if rule is None:
             log.info('No route.', request_id=caller.request_id, rules=rules.version)
@@ -99,25 +98,34 @@
         if not attempt.origin.is_inner and not self._admission.admits(
             rule, caller.time_left_ms
         ):
-            return self._refusal(caller.request_id, 'overloaded_below')
+            share = self._admission.share(rule)
+            return self._refusal(caller, 'overloaded_below', share)
         answer = await self._dispatcher.run(attempt)
         if answer is None:
-            answer = self._failure(attempt)
+            answer = self._failure(caller, attempt)
         spent_ms = self._clock.now_ms() - caller.arrived_ms
         self._metrics.on_request(rule.name, str(answer.status), spent_ms)
         return answer
 
-    def _refusal(self, request_id: str, reason: str) -> HttpAnswer:
-        pause_s = random.uniform(*RETRY_AFTER_S)  # noqa: S311
-        log.info('Request refused.', request_id=request_id, reason=reason)
-        self._metrics.on_decision('refused', reason)
-        return HttpAnswer(
-            STATUS_UNAVAILABLE, [[b'Retry-After', b'%.2f' % pause_s]], b'not run\n'
+    def _refusal(
+        self, caller: CallerRequest, reason: str, share: float = 1
+    ) -> HttpAnswer:
+        pause_ms = return_after_ms(share, caller.time_left_ms, self._rng)
+        log.info(
+            'Request refused.',
+            request_id=caller.request_id,
+            reason=reason,
+            share=round(share, 2),
+            return_after_ms=round(pause_ms),
         )
+        self._metrics.on_decision('refused', reason)
+        pause_s = b'%.2f' % (pause_ms / MS_PER_S)
+        return HttpAnswer(STATUS_UNAVAILABLE, [[b'Retry-After', pause_s]], b'not run\n')
 
-    def _failure(self, attempt: Attempt) -> HttpAnswer:
+    def _failure(self, caller: CallerRequest, attempt: Attempt) -> HttpAnswer:
         if not attempt.runs:
-            return self._refusal(attempt.request_id, attempt.reason)
+            share = self._admission.share(attempt.rule)
+            return self._refusal(caller, attempt.reason, share)
         self._metrics.on_decision('failed', attempt.reason)
         status = STATUS_BAD_GATEWAY
         if attempt.reason == 'deadline':
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -137,6 +137,10 @@
         return report.share + (1 - report.share) * max(fade, 0)
 
 
+RETURN_FACTOR = 3
+"""How much likelier a caller is let in who was refused before."""
+
+
 def admits(
     share: float, importance: float, returning: bool, rng: random.Random
 ) -> bool:
@@ -151,5 +155,5 @@
     """
     chance = share * (1 + (IMPORTANT_FACTOR - 1) * importance)
     if returning:
-        chance *= 2
+        chance *= RETURN_FACTOR
     return chance >= 1 or rng.random() < chance
