Forget nodes that are gone and refuse bodies beyond the limit

Cause: what a node learned of others, and the senders it served, grew with each replaced VM; the limit on bodies was read and not applied.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -133,6 +133,10 @@
                 break
         return answer
 
+    def forget_gone(self) -> None:
+        """Forget what was learned of nodes that are no longer known."""
+        self._placement.keep({node.name for node in self._table.records})
+
     def _throttle(self, service: str) -> RetryThrottle:
         return self._throttles.setdefault(service, RetryThrottle(RETRY_RATIO))
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -22,6 +22,7 @@
 
 MS_PER_S = 1000
 STATUS_NOT_FOUND = 404
+STATUS_TOO_LARGE = 413
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
@@ -87,6 +88,8 @@
         if rule is None:
             log.info('No route.', request_id=caller.request_id, rules=rules.version)
             return HttpAnswer(STATUS_NOT_FOUND, [], b'no route\n')
+        if len(caller.request.body) > rules.limits.body_bytes:
+            return HttpAnswer(STATUS_TOO_LARGE, [], b'the body is too large\n')
         attempt = Attempt(
             request=caller.request,
             request_id=caller.request_id,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import time
 
 from aiohttp import web
@@ -43,6 +44,9 @@
 TICK_S = 0.25
 """Pause between two looks at the upstream's signs of life."""
 
+FORGET_TICKS = 240
+"""A minute between two rounds that forget nodes; 230 are replaced a day."""
+
 STATUS_OK = 200
 STATUS_NOT_READY = 503
 
@@ -90,14 +94,14 @@
         self._relay = RelayServer(
             self._identity, self._guard, rules, settings.names, self._clock
         )
-        dispatcher = Dispatcher(
+        self._dispatcher = Dispatcher(
             self._table, self._own, self._guard, self._links, shares, self._clock
         )
         self._entry = EntryListener(
             Forwarder(
                 rules,
                 self._guard,
-                dispatcher,
+                self._dispatcher,
                 EntryAdmission(shares, self._clock),
                 self._metrics,
                 self._clock,
@@ -187,9 +191,12 @@
                 asyncio.ensure_future(self._links.to(record).post(news))
 
     async def _tick(self) -> None:
-        while True:
+        for number in itertools.count(1):
             await asyncio.sleep(TICK_S)
             self._guard.check()
+            if not number % FORGET_TICKS:
+                self._dispatcher.forget_gone()
+                self._relay.forget_gone()
 
     def _may_end(self, begin_ms: float) -> bool:
         if self._clock.now_ms() - begin_ms < QUIET_MS:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -78,6 +78,11 @@
             REATTACH_MS / MS_PER_S, self._stop_repeatable
         )
 
+    @property
+    def forgotten(self) -> bool:
+        """Return whether it is away and nothing of it runs or is remembered."""
+        return self.socket is None and not self.jobs
+
     def _stop_repeatable(self) -> None:
         for job in self.jobs.values():
             if job.repeatable:
@@ -127,6 +132,12 @@
         app.router.add_get(RELAY_PATH, self._accept)
         return app
 
+    def forget_gone(self) -> None:
+        """Forget senders that are away and have no calls here."""
+        for identity, sender in tuple(self._senders.items()):
+            if sender.forgotten:
+                self._senders.pop(identity)
+
     async def close(self) -> None:
         """Close all links."""
         for socket in tuple(self._sockets):
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -184,7 +184,7 @@
         await self._web.close()
 
     async def call(
-        self, path: str, method: str = 'GET', **headers: str
+        self, path: str, method: str = 'GET', body: bytes = b'', **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a request to the entry and return status, body and headers."""
         named = {name.replace('_', '-'): text for name, text in headers.items()}
@@ -192,6 +192,7 @@
             method,
             yarl.URL(f'http://{HOST}:{self._entry_port}{path}', encoded=True),
             headers={'Host': RULE_HOST, **named},
+            data=body or None,
         ) as response:
             return response.status, await response.read(), dict(response.headers)
 
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from aiohttp import web
-from mesh_deployment import Deployment, Handler
+from mesh_deployment import LIMITS, Deployment, Handler
 
 
 async def _echo(request: web.BaseRequest) -> web.StreamResponse:
@@ -218,3 +218,14 @@
         return statuses, refused, len(deployment.seen) - seen
 
     assert _play(crash, scenario) == ({502}, 503, 0)
+
+
+def test_body_beyond_the_limit_reaches_no_upstream():
+    """Whole bodies are kept in memory until their call has ended."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, int]:
+        too_long = b'x' * (LIMITS.body_bytes + 1)
+        status, _, _ = await deployment.call('/pay/a', 'POST', too_long)
+        return status, len(deployment.seen)
+
+    assert _play(_echo, scenario) == (413, 0)
