Order records of nodes by the store, and count suspended time

Cause: records were ordered by the start time of the process, so a node that restarts after its clock was set back would be ignored until it catches up; a suspended VM reckoned deadlines by a clock that had stood still.

Change: the store's version of a row orders records; deadlines use the clock that counts suspension.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from gentianmill.admission_share import ShareTable
-from gentianmill.clock import MonotonicClock
+from gentianmill.clock import BootClock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
@@ -75,7 +75,7 @@
         self._source = source
         self._registry = registry
         self._rules = rules
-        self._clock = MonotonicClock()
+        self._clock = BootClock()
         self._table = NodeTable()
         self._metrics = MeshMetrics()
         self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
@@ -211,7 +211,6 @@
             NodeState.serving if takes_calls else NodeState.leaving,
             report.slots if report else 0,
         )
-        self._table.merge([self._own])
         self._registry.publish(self._own)
         log.info(
             'Own state.',
--- a/packages/gentianmill/src/gentianmill/clock.py
+++ b/packages/gentianmill/src/gentianmill/clock.py
@@ -22,6 +22,18 @@
         return time.monotonic_ns() / NS_PER_MS
 
 
+class BootClock(Clock):
+    """Read the clock that also counts while the machine is suspended.
+
+    A deadline that is reckoned by the monotonic clock comes too late on a VM that
+    stood still for a while.
+    """
+
+    def now_ms(self) -> float:
+        """Return the time since the machine started, in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_MS
+
+
 class ManualClock(Clock):
     """Stand still until told to advance; for tests and measurements."""
 
--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -21,7 +21,8 @@
     """Start of the process as Unix time in ms."""
 
     revision: int
-    """Rises with each change within one incarnation."""
+    """Rises with each change, through restarts; the registry's version of it. The
+    incarnation can't order records, as the time of day may be set back."""
 
     host: str
     relay_port: int
@@ -33,8 +34,7 @@
 
     def is_newer_than(self, other: 'NodeRecord') -> bool:
         """Return whether this record replaces another one of the same node."""
-        mine = (self.incarnation, self.revision)
-        return mine > (other.incarnation, other.revision)
+        return self.revision > other.revision
 
 
 class NodeTable:
