--- a/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
@@ -38,15 +38,9 @@
     expected_upstream: bytes
     """Id of the only upstream that may run the request."""
 
-    upstream_id: bytes
-    """Id of the upstream that answered."""
-
     not_run: bytes
     """Marks an answer of an upstream that did not run the request."""
 
-    signature: bytes
-    """Mark that an upstream puts on its answers."""
-
     def forwarded(self, headers: HeaderPairs) -> list[list[bytes]]:
         """Return the headers of a request that are passed on unchanged.
 
--- a/packages/gentianmill/src/gentianmill/work_queue.py
+++ b/packages/gentianmill/src/gentianmill/work_queue.py
@@ -29,7 +29,6 @@
     """Longest wait; an item that would wait longer is refused at once."""
 
     started_ms: float | None = None
-    offered_ms: float = 0
     dropped: bool = False
 
 
@@ -101,7 +100,6 @@
             The request itself if it starts or is refused, and a request of lower
             importance that gave way to it in a full queue.
         """
-        item.offered_ms = now_ms
         if self._expected_wait_ms(item.rank) > item.patience_ms:
             item.dropped = True
             return Dispatch(refused=[item])
--- a/tests/mesh_upstream.py
+++ b/tests/mesh_upstream.py
@@ -15,9 +15,7 @@
     time_left=b'x-time-left',
     caller_service=b'x-caller',
     expected_upstream=b'x-expected',
-    upstream_id=b'x-upstream',
     not_run=b'x-not-run',
-    signature=b'x-signature',
 )
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -52,6 +52,13 @@
     return source, holder
 
 
+async def _follow_nodes(store: FakeStore) -> tuple[StoreNodes, NodeTable]:
+    registry = StoreNodes(store.client)
+    table = NodeTable()
+    await registry.start(table)
+    return registry, table
+
+
 def test_rules_that_were_written_before_the_start_are_found():
     """A node that only watches would never learn the rules in force."""
 
@@ -125,9 +132,7 @@
 
     async def scenario(store: FakeStore) -> None:
         store.failing_status = 429
-        registry = StoreNodes(store.client)
-        table = NodeTable()
-        await registry.start(table)
+        registry, table = await _follow_nodes(store)
         registry.publish(OWN)
         await asyncio.sleep(0.5)
         store.failing_status = None
@@ -142,9 +147,7 @@
 
     async def scenario(store: FakeStore) -> None:
         store.losing_answers = 1
-        registry = StoreNodes(store.client)
-        table = NodeTable()
-        await registry.start(table)
+        registry, table = await _follow_nodes(store)
         registry.publish(OWN)
         await _until(lambda: _is_own(table.find('own')))
         await registry.close()
@@ -157,9 +160,7 @@
 
     async def scenario(store: FakeStore) -> None:
         store.put('nodes', 'bad', b'\xff')
-        registry = StoreNodes(store.client)
-        table = NodeTable()
-        await registry.start(table)
+        registry, table = await _follow_nodes(store)
         registry.publish(OWN)
         await _until(lambda: _is_own(table.find('own')))
         await registry.close()
@@ -185,9 +186,7 @@
     """Records ordered by the time of day would keep the node's earlier life."""
 
     async def scenario(store: FakeStore) -> None:
-        registry = StoreNodes(store.client)
-        table = NodeTable()
-        await registry.start(table)
+        registry, table = await _follow_nodes(store)
         registry.publish(dataclasses.replace(OWN, incarnation=9, slots=7))
         await _until(lambda: table.find('own') is not None)
         registry.publish(OWN)
