--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -17,6 +17,16 @@
 FULL_SHARE = 0.85
 """Load, relative to the limit, above which a wait is expected."""
 
+WAIT_FACTOR = 4.0
+"""Cost of a load beyond that share, in latencies; a full queue is to be avoided
+sooner than its wait alone would do, as reports of it are old."""
+
+SPREAD_FACTOR = 0.2
+"""Cost of a load of 1, in latencies; upstreams of equal speed share the work."""
+
+ROUTE_WEIGHT = 0.04
+"""Weight of a new latency in that of its route, which many nodes share."""
+
 LATENCY_WEIGHT = 0.15
 """Weight of a new latency in a smoothed one."""
 
@@ -124,8 +134,8 @@
             return math.inf
         latency_ms = self._latencies.get(route, FIRST_LATENCY_MS) * view.slowness
         load = self.load_share(node, now_ms)
-        wait_ms = max(load - FULL_SHARE, 0) * latency_ms * 4
-        spread_ms = load * latency_ms * 0.2
+        wait_ms = max(load - FULL_SHARE, 0) * latency_ms * WAIT_FACTOR
+        spread_ms = load * latency_ms * SPREAD_FACTOR
         failure_ms = view.failure_share(now_ms) * FAILURE_COST_MS
         jitter_ms = self._rng.random()
         return (
@@ -160,7 +170,7 @@
         usual_ms = self._latencies.setdefault(route, latency_ms)
         ratio = min(latency_ms / max(usual_ms, 1), SLOWEST)
         view.slowness += LATENCY_WEIGHT * (ratio - view.slowness)
-        self._latencies[route] = usual_ms + LATENCY_WEIGHT / 4 * (latency_ms - usual_ms)
+        self._latencies[route] = usual_ms + ROUTE_WEIGHT * (latency_ms - usual_ms)
 
     def overtaken(self, name: str, route: str, spent_ms: float) -> None:
         """Learn from a call that was given up while it ran.
