--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -156,21 +156,19 @@
         self._handler = handler
         self._web = WebServer()
         self._tables: list[NodeTable] = []
-        self._entry_port = 0
+        self.entry_port = 0
         self.metrics_port = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> 'Deployment':
         """Start both nodes and the upstream."""
         ports = free_ports(9)
-        await self._web.start(
-            'upstream', direct_server(self._serve, 1_000_000), HOST, ports[8], None
-        )
+        await self._web.start('upstream', self._upstream(), HOST, ports[8], None)
         self.cable = Cable(ports[0])
         await self.cable.start()
         await self._start_node('back', 'back', ports[:4], ports[8], self.cable.port)
         await self._start_node('entry', 'front', ports[4:8], ports[8], None)
-        self._entry_port = ports[5]
+        self.entry_port = ports[5]
         self.metrics_port = ports[7]
         self.nodes['back'].take_report(_report(ports[8]))
         self._session = aiohttp.ClientSession()
@@ -190,7 +188,7 @@
         named = {name.replace('_', '-'): text for name, text in headers.items()}
         async with self._session.request(
             method,
-            yarl.URL(f'http://{HOST}:{self._entry_port}{path}', encoded=True),
+            yarl.URL(f'http://{HOST}:{self.entry_port}{path}', encoded=True),
             headers={'Host': RULE_HOST, **named},
             data=body or None,
         ) as response:
@@ -202,6 +200,9 @@
         async with self._session.get(url) as response:
             return await response.text()
 
+    def _upstream(self) -> web.Server:
+        return direct_server(self._serve, 1_000_000, decompress=False)
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append(request)
         return await self._handler(request)
