--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -29,8 +29,6 @@
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import WebServer
 
-MS_PER_S = 1000
-
 STOP_MARGIN_MS = 400.0
 """The process ends this long before it would be killed."""
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Iterator
 
 import aiohttp
 
@@ -235,7 +235,7 @@
             compress=0,
             heartbeat=HEARTBEAT_S,
         )
-        socket = await within(_awaited(connecting), CONNECT_TIMEOUT_S)
+        socket = await within(connecting, CONNECT_TIMEOUT_S)
         peer = NodeIdentity.from_headers(socket._response.headers)  # noqa: SLF001
         if peer != self._peer:
             self._forget_sent()
@@ -305,9 +305,3 @@
 def _stop(timer: asyncio.TimerHandle, sending: 'asyncio.Future[None]') -> None:
     timer.cancel()
     sending.cancel()
-
-
-async def _awaited(
-    connecting: Awaitable[aiohttp.ClientWebSocketResponse],
-) -> aiohttp.ClientWebSocketResponse:
-    return await connecting
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -5,8 +5,8 @@
 from gentianmill.clock import Clock
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import GuardLoad
-from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
 from gentianmill.upstream_liveness import UpstreamLiveness
+from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
 from gentianmill.work_queue import WorkItem
 
 from gentianmill_mesh.crash_watch import CrashWatch
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/within.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/within.py
@@ -1,14 +1,14 @@
-"""Bounds the time of a coroutine."""
+"""Bounds the time of an awaitable."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any, TypeVar
+from collections.abc import Awaitable
+from typing import TypeVar
 
 Outcome = TypeVar('Outcome')
 
 
-async def within(work: Coroutine[Any, Any, Outcome], timeout_s: float) -> Outcome:
-    """Return the result of a coroutine, or end it when its time is over.
+async def within(work: Awaitable[Outcome], timeout_s: float) -> Outcome:
+    """Return the result of an awaitable, or end it when its time is over.
 
     ``asyncio.timeout`` of Python 3.11 leaves a cancellation behind if the work ends
     in the same turn of the loop in which its time ends; the next wait of the caller
--- a/packages/gentianmill/src/gentianmill/route_rules.py
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -3,9 +3,6 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 
-HIGHEST_PRIORITY = 0
-"""Rank of the most important routes."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Destination:
@@ -29,6 +26,7 @@
     target_latency_ms: float | None
     max_attempts: int
     priority: int
+    """Importance; 0 is the highest."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
