Serve callers that are connected when a node stops

A stopping node closed its listening socket at once; the kernel resets the connections that it has set up and the process has not accepted. A caller that had connected and not yet sent its request was cut as well.

Change: before the listening socket closes, a filter makes the kernel ignore new attempts, and connections already set up are accepted. The drain then waits up to 1 s for callers that are connected and idle.

Figures: test_web_server.py and test_drain.py fail without the change (ConnectionResetError; no reply) and pass with it.

--- a/packages/gentianmill-node/src/gentianmill_node/drain.py
+++ b/packages/gentianmill-node/src/gentianmill_node/drain.py
@@ -10,6 +10,10 @@
 MS_PER_S = 1000
 POLL_S = 0.05
 
+IDLE_CALLER_S = 1.0
+"""Time for a caller that is connected to send a request; its connection is closed
+after the answer. Closing it before would cut a request that is on its way."""
+
 log = component('drain')
 
 
@@ -33,6 +37,7 @@
 async def drain(
     settings: DrainModel,
     active: Callable[[], int],
+    connections: Callable[[], int],
     stop_accepting: Callable[[], Awaitable[None]],
 ) -> None:
     """Wait for the notice period, then until running calls have ended.
@@ -44,10 +49,12 @@
     Args:
         settings: Notice and longest wait.
         active: Returns the number of active calls.
+        connections: Returns the number of callers that are connected.
         stop_accepting: Takes no new connection of callers any more.
     """
     await asyncio.sleep(settings.notice_ms / MS_PER_S)
     await stop_accepting()
+    await wait_until_idle(connections, IDLE_CALLER_S)
     limit_s = settings.limit_ms / MS_PER_S
     if await wait_until_idle(active, limit_s):
         log.info('No call is running.')
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -68,7 +68,12 @@
     async def drain(self) -> None:
         """Refuse new work, finish running calls and write what is pending."""
         self.refuse_new_work()
-        await drain(self._settings.drain, self._active, self._stop_accepting)
+        await drain(
+            self._settings.drain,
+            self._active,
+            lambda: self._server.connections('caller'),
+            self._stop_accepting,
+        )
         await self._data.claims.close()
 
     def refuse_new_work(self) -> None:
--- a/packages/gentianmill-node/src/gentianmill_node/web_server.py
+++ b/packages/gentianmill-node/src/gentianmill_node/web_server.py
@@ -1,10 +1,27 @@
 """Start and stop the HTTP listeners."""
 
+import asyncio
+import dataclasses
+import socket
 import ssl
 
 from aiohttp import web
 
+from gentianmill_node.listen_queue import refuse_new_connections
+
 SHUTDOWN_TIMEOUT_S = 5.0
+BACKLOG = 1024
+"""Connections that the kernel keeps until the process accepts them."""
+
+HANDSHAKE_S = 0.05
+"""Handshakes under way end within this time; a round trip between availability
+zones takes 1 ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listener:
+    runner: web.BaseRunner
+    socket: socket.socket
 
 
 class WebServer:
@@ -12,7 +29,7 @@
 
     def __init__(self) -> None:
         """Create a server without listeners."""
-        self._runners: dict[str, web.BaseRunner] = {}
+        self._listeners: dict[str, _Listener] = {}
 
     async def start(
         self,
@@ -27,34 +44,47 @@
         Args:
             name: Name of the listener, used to stop it.
             served: Application or server that takes the requests.
-            host: Address to listen on.
+            host: IP address to listen on.
             port: TCP port.
             tls: TLS context of the listener, or None without TLS.
         """
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
         runner = _runner(served)
         await runner.setup()
-        site = web.TCPSite(
-            runner, host, port, ssl_context=tls, reuse_address=True, backlog=1024
-        )
+        site = web.SockSite(runner, listening, ssl_context=tls, backlog=BACKLOG)
         await site.start()
-        self._runners[name] = runner
+        self._listeners[name] = _Listener(runner, listening)
+
+    def connections(self, name: str) -> int:
+        """Return the number of open connections of a listener."""
+        listener = self._listeners.get(name)
+        if listener is None or listener.runner.server is None:
+            return 0
+        return len(listener.runner.server.connections)
 
     async def stop(self, name: str) -> None:
         """Stop a listener; requests that run are finished within the timeout."""
-        runner = self._runners.pop(name, None)
-        if runner:
-            await runner.cleanup()
+        listener = self._listeners.pop(name, None)
+        if listener:
+            await listener.runner.cleanup()
 
     async def stop_accepting(self, name: str) -> None:
-        """Close the listening socket; open connections stay."""
-        runner = self._runners.get(name)
-        if runner:
-            for site in tuple(runner.sites):
-                await site.stop()
+        """Close the listening socket; open connections stay.
+
+        Connections that the kernel has already set up are accepted first.
+        """
+        listener = self._listeners.get(name)
+        if listener is None:
+            return
+        refuse_new_connections(listener.socket)
+        await asyncio.sleep(HANDSHAKE_S)
+        for site in tuple(listener.runner.sites):
+            await site.stop()
 
     async def close(self) -> None:
         """Stop all listeners."""
-        for name in tuple(self._runners):
+        for name in tuple(self._listeners):
             await self.stop(name)
 
 
