Run a call without tasks of its own in the entry

Each turn of the event loop costs a system call, and a call through two nodes took about seven turns at its entry: a task for the first copy, one for the send, a wait on both.

Change: the first copy runs in the caller's task and a second one cancels it when it wins; a frame is handed to the transport at once; a free slot is taken without a timer; answers kept for a lost link expire in order, without a timer each; no digest is made while no request is under suspicion.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/crash_watch.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/crash_watch.py
@@ -44,6 +44,8 @@
 
     def refuses(self, call: GuardCall) -> bool:
         """Return whether a request is taken for the cause of crashes."""
+        if self._strikes.empty:
+            return False
         return self._strikes.refuses(_digest(call), self._clock.now_ms())
 
     def lost(self, call: GuardCall) -> None:
@@ -62,6 +64,8 @@
 
     def completed(self, call: GuardCall) -> None:
         """Record that a request was answered."""
+        if self._strikes.empty:
+            return
         digest = _digest(call)
         if self._strikes.completed(digest):
             self._tell([digest], cleared=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Coroutine
 
 from gentianmill.admission_share import ShareTable
 from gentianmill.call_tree import CallOrigin
@@ -15,7 +16,12 @@
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.route_rules import RouteRule
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
-from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.hedge_race import Hedge
+from gentianmill_mesh.http_message import (
+    FIRST_SERVER_ERROR,
+    HttpAnswer,
+    HttpRequest,
+)
 from gentianmill_mesh.relay_link import RelayReply
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.upstream_guard import (
@@ -49,7 +55,6 @@
 HEDGE_LOAD = 0.7
 """Load up to which a node is sent second copies, which must not feed overload."""
 
-FIRST_SERVER_ERROR = 500
 MS_PER_S = 1000
 
 log = component('entry')
@@ -168,17 +173,17 @@
 
     async def _call_hedged(self, attempt: Attempt, node: NodeRecord) -> GuardReply:
         """Call a node, and a second one if the first takes unusually long."""
-        first = asyncio.ensure_future(self._call(attempt, node))
-        calls = {first}
-        try:
-            await asyncio.wait(calls, timeout=self._hedge_delay_s(attempt))
-            second_node = None if first.done() else self._hedge_node(attempt)
-            if second_node is not None:
-                calls.add(asyncio.ensure_future(self._call(attempt, second_node)))
-            return await _best_reply(calls)
-        finally:
-            for call in calls:
-                call.cancel()
+        delay_s = self._hedge_delay_s(attempt)
+        if delay_s is None:
+            return await self._call(attempt, node)
+        hedge = Hedge(delay_s, lambda: self._second_call(attempt))
+        return await hedge.race(self._call(attempt, node))
+
+    def _second_call(
+        self, attempt: Attempt
+    ) -> Coroutine[None, None, GuardReply] | None:
+        node = self._hedge_node(attempt)
+        return None if node is None else self._call(attempt, node)
 
     def _hedge_delay_s(self, attempt: Attempt) -> float | None:
         if not attempt.rule.repeatable:
@@ -311,26 +316,3 @@
 def _reached_upstream(reply: GuardReply) -> bool:
     """Return whether an upstream saw the call; the retry bound counts that."""
     return reply.reason in REFUSED_BY_UPSTREAM
-
-
-async def _best_reply(calls: set['asyncio.Future[GuardReply]']) -> GuardReply:
-    """Return the first whole answer, or else the reply that tells most.
-
-    A reply that a call may have run goes before one that another did not.
-    """
-    replies: list[GuardReply] = []
-    waiting = calls
-    while waiting:
-        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        replies.extend(call.result() for call in done)
-        for reply in replies:
-            if reply.answer is not None and reply.answer.status < FIRST_SERVER_ERROR:
-                return reply
-    replies.sort(key=_tells_least)
-    return replies[0]
-
-
-def _tells_least(reply: GuardReply) -> int:
-    if reply.answer is not None:
-        return 0
-    return 2 if reply.outcome is Outcome.not_run else 1
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Sequence
 
+FIRST_SERVER_ERROR = 500
+
 HeaderPairs = Sequence[Sequence[bytes]]
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -25,6 +25,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_server import HEARTBEAT_S, MAX_FRAME_BYTES, RELAY_PATH
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.send_now import start_sending
 from gentianmill_mesh.wire_names import WireNames, restored
 from gentianmill_mesh.within import within
 from gentianmill_node.logs import component
@@ -129,7 +130,7 @@
         timer = asyncio.get_running_loop().call_later(
             max(left_ms, 0) / MS_PER_S, self._time_out, pending
         )
-        sending = asyncio.ensure_future(self._send_call(pending))
+        connecting = self._start(pending)
         try:
             return await pending.waiter
         except asyncio.CancelledError:
@@ -137,12 +138,12 @@
             raise
         finally:
             self._pending.pop(key, None)
-            _stop(timer, sending)
+            _stop(timer, connecting)
 
     async def post(self, frame: CrashNews | RulesRequest) -> None:
         """Send a frame that is not a call; it is lost if the link breaks."""
         if (self.connected or await self._connect()) and self._socket is not None:
-            await self._write(self._socket, frame)
+            self._write(self._socket, frame)
 
     async def close(self) -> None:
         """Close the connection; calls without an answer end."""
@@ -180,38 +181,43 @@
         self._cancel_remote(pending)
         pending.lost('deadline')
 
-    async def _send_call(self, pending: _Pending) -> None:
+    def _start(self, pending: _Pending) -> 'asyncio.Future[None] | None':
+        """Send a call at once, or return the task that connects first."""
+        if self.connected:
+            self._transmit(pending)
+            return None
+        return asyncio.ensure_future(self._connect_and_send(pending))
+
+    async def _connect_and_send(self, pending: _Pending) -> None:
         if not self.connected and not await self._connect():
             pending.lost('unreachable')
             return
-        if pending.sent or pending.waiter.done():
-            return
-        await self._transmit(pending)
+        if not (pending.sent or pending.waiter.done()):
+            self._transmit(pending)
 
-    async def _transmit(self, pending: _Pending) -> None:
+    def _transmit(self, pending: _Pending) -> None:
         socket = self._socket
         if socket is None:
             return
         left_ms = pending.deadline_ms - self._context.clock.now_ms()
         pending.frame.time_left_ms = max(int(left_ms), 0)
         pending.sent = True
-        await self._write(socket, pending.frame)
+        self._write(socket, pending.frame)
 
-    async def _write(
+    def _write(
         self,
         socket: aiohttp.ClientWebSocketResponse,
         frame: CrashNews | RelayCall | RelayCancel | RulesRequest,
     ) -> None:
         try:
-            await socket.send_bytes(encode(frame))
+            start_sending(socket.send_bytes(encode(frame)))
         except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
             # The reader of the connection ends too and sends the call again.
             log.info('Link broke.', peer=self._record.name, error=repr(error))
 
     def _cancel_remote(self, pending: _Pending) -> None:
         if pending.sent and self._socket is not None and not self._closed:
-            cancel = RelayCancel(pending.frame.key)
-            asyncio.ensure_future(self._write(self._socket, cancel))
+            self._write(self._socket, RelayCancel(pending.frame.key))
 
     async def _connect(self) -> bool:
         """Connect unless another call does so already; return whether it worked."""
@@ -294,7 +300,7 @@
         while self._pending and not self._closed:
             if await self._connect():
                 for pending in tuple(self._pending.values()):
-                    await self._transmit(pending)
+                    self._transmit(pending)
                 return
             for pending in tuple(self._pending.values()):
                 if pending.frame.repeatable or not pending.sent:
@@ -302,6 +308,9 @@
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
 
-def _stop(timer: asyncio.TimerHandle, sending: 'asyncio.Future[None]') -> None:
+def _stop(
+    timer: asyncio.TimerHandle, connecting: 'asyncio.Future[None] | None'
+) -> None:
     timer.cancel()
-    sending.cancel()
+    if connecting is not None:
+        connecting.cancel()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -1,6 +1,7 @@
 """Takes calls of other nodes for the own upstream."""
 
 import asyncio
+from collections import deque
 
 from aiohttp import WSMsgType, web
 
@@ -61,6 +62,9 @@
 
     def __init__(self) -> None:
         self.jobs: dict[int, _Job] = {}
+        self.ended: deque[tuple[float, int]] = deque()
+        """End and key of the calls whose answers are kept, oldest first."""
+
         self.socket: web.WebSocketResponse | None = None
         self.expiry: asyncio.TimerHandle | None = None
 
@@ -78,6 +82,17 @@
             REATTACH_MS / MS_PER_S, self._stop_repeatable
         )
 
+    def end(self, key: int, now_ms: float) -> None:
+        """Keep the answer of a call for a while, and forget old ones."""
+        self.ended.append((now_ms, key))
+        self.forget_until(now_ms - REMEMBERED_MS)
+
+    def forget_until(self, latest_ms: float) -> None:
+        """Forget the answers of calls that ended before a time."""
+        while self.ended and self.ended[0][0] < latest_ms:
+            _, key = self.ended.popleft()
+            self.jobs.pop(key, None)
+
     @property
     def forgotten(self) -> bool:
         """Return whether it is away and nothing of it runs or is remembered."""
@@ -134,7 +149,9 @@
 
     def forget_gone(self) -> None:
         """Forget senders that are away and have no calls here."""
+        latest_ms = self._clock.now_ms() - REMEMBERED_MS
         for identity, sender in tuple(self._senders.items()):
+            sender.forget_until(latest_ms)
             if sender.forgotten:
                 self._senders.pop(identity)
 
@@ -205,9 +222,7 @@
         answer = self._answer(frame, reply)
         job = sender.jobs[frame.key]
         job.answer = answer
-        asyncio.get_running_loop().call_later(
-            REMEMBERED_MS / MS_PER_S, sender.jobs.pop, frame.key, None
-        )
+        sender.end(frame.key, self._clock.now_ms())
         await _send(sender, answer)
 
     def _answer(self, frame: RelayCall, reply: GuardReply) -> RelayAnswer:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
@@ -56,11 +56,28 @@
         Args:
             item: The request; ``release`` must follow if it got a slot.
         """
+        now_ms = self._clock.now_ms()
+        dispatch = self._queue.offer(item, now_ms)
+        self._apply(dispatch)
+        if item.started_ms is not None:
+            return True
+        if item in dispatch.refused:
+            return False
+        return await self._wait(item, now_ms)
+
+    def release(self, item: WorkItem) -> None:
+        """Free the slot of a request."""
+        self._apply(self._queue.finish(item, self._clock.now_ms()))
+
+    def refuse_waiting(self) -> None:
+        """Give up all requests that wait."""
+        for item in self._queue.drain():
+            self._answer(item, admitted=False)
+
+    async def _wait(self, item: WorkItem, now_ms: float) -> bool:
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[bool] = loop.create_future()
         self._waiters[item] = waiter
-        now_ms = self._clock.now_ms()
-        self._apply(self._queue.offer(item, now_ms))
         left_ms = max(item.deadline_ms - now_ms - LATE_MARGIN_MS, 0)
         left_ms = min(left_ms, item.patience_ms)
         timer = loop.call_later(left_ms / MS_PER_S, self._give_up, item)
@@ -73,15 +90,6 @@
             timer.cancel()
             self._waiters.pop(item, None)
 
-    def release(self, item: WorkItem) -> None:
-        """Free the slot of a request."""
-        self._apply(self._queue.finish(item, self._clock.now_ms()))
-
-    def refuse_waiting(self) -> None:
-        """Give up all requests that wait."""
-        for item in self._queue.drain():
-            self._answer(item, admitted=False)
-
     def _abandon(self, item: WorkItem) -> None:
         if item.started_ms is None:
             self._queue.withdraw(item)
--- a/packages/gentianmill/src/gentianmill/crash_strikes.py
+++ b/packages/gentianmill/src/gentianmill/crash_strikes.py
@@ -28,6 +28,11 @@
         self._losses: deque[tuple[float, bytes]] = deque(maxlen=MAX_DIGESTS)
         self._strikes: OrderedDict[bytes, tuple[int, float]] = OrderedDict()
 
+    @property
+    def empty(self) -> bool:
+        """Return whether no request was lost in a crash lately."""
+        return not self._strikes
+
     def lost(self, digest: bytes, now_ms: float) -> None:
         """Record that the connection of a running request broke."""
         self._losses.append((now_ms, digest))
