Try unreachable nodes in the background instead of with calls

Cause: a node that could not be reached was paused for up to 2 s, then the next call tried it again and waited 1 s for the connection.

Change: a link that cannot connect keeps trying by itself, and the placement leaves its node out meanwhile. The connection is a module of its own beside the calls. Links close together and wait 0.2 s for the other side; a stopping node ends idle callers before its links.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -165,7 +165,7 @@
         nodes = [
             node
             for node in self._table.of_service(service)
-            if node.name != self._own.name
+            if node.name != self._own.name and self._links.reaches(node)
         ]
         if service == self._guard.service and self._guard.takes_calls:
             nodes.append(self._own)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -169,6 +169,7 @@
         latest_ms = begin_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
         while self._clock.now_ms() < latest_ms and not self._may_end(begin_ms):
             await asyncio.sleep(POLL_S)
+        await self._end_idle_callers()
         log.info('Stopped.', requests=self._entry.running)
         await self.close()
 
@@ -182,6 +183,15 @@
         await self._links.close()
         self._pool.close()
 
+    async def _end_idle_callers(self) -> None:
+        """Close connections on which no request is under way, before the links.
+
+        A request that came on one of them after that would be read and lost.
+        """
+        await self._web.stop_accepting('entry')
+        if not self._entry.running:
+            await self._web.stop('entry')
+
     def _tell_crash(self, digests: list[bytes], cleared: bool) -> None:
         news = CrashNews(digests=digests, cleared=cleared)
         for record in self._table.of_service(self._settings.service):
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -0,0 +1,189 @@
+"""The connection to another node: opened when needed, and again when it is lost."""
+
+import abc
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterator
+
+import aiohttp
+
+from gentianmill.clock import Clock
+from gentianmill.errors import GentianmillError
+from gentianmill.node_table import NodeRecord
+from gentianmill_mesh.relay_codec import RelayFrame, encode
+from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.relay_server import (
+    CLOSE_TIMEOUT_S,
+    HEARTBEAT_S,
+    MAX_FRAME_BYTES,
+    RELAY_PATH,
+)
+from gentianmill_mesh.send_now import start_sending
+from gentianmill_mesh.wire_names import WireNames
+from gentianmill_mesh.within import within
+from gentianmill_node.logs import component
+
+CONNECT_TIMEOUT_S = 1.0
+"""Two round trips between regions take 120 ms; a lost packet costs up to 1 s."""
+
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 2.0
+"""Pauses between attempts to reach a node; each costs a packet, and a node that is
+back waits this long for its first call."""
+
+log = component('relay')
+
+
+@dataclasses.dataclass(slots=True)
+class RelayContext:
+    """What all links of a node share."""
+
+    identity: NodeIdentity
+    session: aiohttp.ClientSession
+    clock: Clock
+    keys: Iterator[int]
+    names: WireNames
+    on_version: Callable[[NodeRecord, int], None]
+    on_rules: Callable[[bytes, str], object]
+
+
+class ConnectionUser(abc.ABC):
+    """Takes what a connection brings."""
+
+    @abc.abstractmethod
+    def take(self, message: bytes) -> None:
+        """Take a message.
+
+        Raises:
+            GentianmillError: If it is no valid frame; the connection is closed.
+        """
+
+    @abc.abstractmethod
+    def peer_restarted(self) -> None:
+        """Learn that the other process is not the one of the last connection."""
+
+    @abc.abstractmethod
+    async def recover(self) -> None:
+        """Handle the loss of the connection."""
+
+
+class RelayConnection:
+    """Connect to another node and keep trying while it cannot be reached."""
+
+    def __init__(
+        self, record: NodeRecord, context: RelayContext, user: ConnectionUser
+    ) -> None:
+        """Create a connection that is not open.
+
+        Args:
+            record: The other node.
+            context: What all links share.
+            user: Takes messages and losses.
+        """
+        self._record = record
+        self._context = context
+        self._user = user
+        self._socket: aiohttp.ClientWebSocketResponse | None = None
+        self._peer: NodeIdentity | None = None
+        self._closed = False
+        self._opening: asyncio.Task[None] | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._reaching: asyncio.Task[None] | None = None
+
+    @property
+    def connected(self) -> bool:
+        """Return whether frames can be sent."""
+        return self._socket is not None and not self._socket.closed
+
+    @property
+    def closed(self) -> bool:
+        """Return whether it was closed for good."""
+        return self._closed
+
+    @property
+    def unreachable(self) -> bool:
+        """Return whether the last attempts to connect failed; new ones are made."""
+        return self._reaching is not None and not self._reaching.done()
+
+    def send(self, frame: RelayFrame) -> bool:
+        """Send a frame if the connection is open, and return whether it is."""
+        socket = self._socket
+        if socket is None:
+            return False
+        try:
+            start_sending(socket.send_bytes(encode(frame)))
+        except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
+            # The reader ends too and starts the recovery.
+            log.info('Link broke.', peer=self._record.name, error=repr(error))
+        return True
+
+    async def connect(self) -> bool:
+        """Connect unless another call does so already; return whether it worked."""
+        if self._opening is None or self._opening.done():
+            self._opening = asyncio.ensure_future(self._open())
+        try:
+            await asyncio.shield(self._opening)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._start_reaching(error)
+            return False
+        return self.connected
+
+    async def close(self) -> None:
+        """Close the connection for good."""
+        self._closed = True
+        for task in (self._opening, self._reader, self._reaching):
+            if task is not None:
+                task.cancel()
+        if self._socket is not None:
+            await self._socket.close()
+
+    def _start_reaching(self, error: Exception) -> None:
+        if self.unreachable or self._closed:
+            return
+        log.info('No link.', peer=self._record.name, error=repr(error))
+        self._reaching = asyncio.ensure_future(self._reach())
+
+    async def _reach(self) -> None:
+        """Try again until the other node answers, so that no call has to try."""
+        pause_s = FIRST_PAUSE_S
+        while not self._closed:
+            await asyncio.sleep(pause_s)
+            if await self.connect():
+                log.info('Link regained.', peer=self._record.name)
+                return
+            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+
+    async def _open(self) -> None:
+        if self.connected:
+            return
+        url = f'http://{self._record.host}:{self._record.relay_port}{RELAY_PATH}'
+        connecting = self._context.session.ws_connect(
+            url,
+            headers=self._context.identity.headers(),
+            max_msg_size=MAX_FRAME_BYTES,
+            compress=0,
+            heartbeat=HEARTBEAT_S,
+            timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
+        )
+        socket = await within(connecting, CONNECT_TIMEOUT_S)
+        peer = NodeIdentity.from_headers(socket._response.headers)  # noqa: SLF001
+        if peer != self._peer:
+            self._user.peer_restarted()
+        self._peer = peer
+        self._socket = socket
+        self._reader = asyncio.ensure_future(self._read(socket))
+
+    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        try:
+            async for message in socket:
+                if message.type is not aiohttp.WSMsgType.BINARY:
+                    break
+                self._user.take(message.data)
+        except GentianmillError as error:
+            log.warning('Link closed.', peer=self._record.name, error=str(error))
+        finally:
+            if self._socket is socket:
+                self._socket = None
+        if not self._closed:
+            await socket.close()
+            await self._user.recover()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -3,12 +3,8 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-import aiohttp
-
-from gentianmill.clock import Clock
-from gentianmill.errors import GentianmillError
 from gentianmill.node_table import NodeRecord
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import (
@@ -20,26 +16,21 @@
     RulesReply,
     RulesRequest,
 )
-from gentianmill_mesh.http_message import HttpAnswer
-from gentianmill_mesh.relay_codec import decode, encode
-from gentianmill_mesh.relay_handshake import NodeIdentity
-from gentianmill_mesh.relay_server import HEARTBEAT_S, MAX_FRAME_BYTES, RELAY_PATH
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
-from gentianmill_mesh.send_now import start_sending
-from gentianmill_mesh.wire_names import WireNames, restored
-from gentianmill_mesh.within import within
-from gentianmill_node.logs import component
-
-CONNECT_TIMEOUT_S = 1.0
-"""Two round trips between regions take 120 ms; a lost packet costs up to 1 s."""
+from gentianmill_mesh.http_message import HttpAnswer
+from gentianmill_mesh.relay_codec import decode
+from gentianmill_mesh.relay_connection import (
+    ConnectionUser,
+    RelayConnection,
+    RelayContext,
+)
+from gentianmill_mesh.wire_names import restored
 
 RECONNECT_PAUSE_S = 0.25
 """Pause between attempts to reach the holder of work that may run only once."""
 
 MS_PER_S = 1000
 
-log = component('relay')
-
 
 @dataclasses.dataclass(slots=True)
 class RelayReply:
@@ -68,26 +59,13 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class RelayContext:
-    """What all links of a node share."""
-
-    identity: NodeIdentity
-    session: aiohttp.ClientSession
-    clock: Clock
-    keys: Iterator[int]
-    names: WireNames
-    on_version: Callable[['RelayLink', int], None]
-    on_rules: Callable[[bytes, str], object]
-
-
 def new_keys() -> Iterator[int]:
     """Return the numbers of the calls of one process."""
     return itertools.count(1)
 
 
-class RelayLink:
-    """A connection to another node, made when it is needed."""
+class RelayLink(ConnectionUser):
+    """Calls to another node, over a connection that is made when it is needed."""
 
     def __init__(self, record: NodeRecord, context: RelayContext) -> None:
         """Create a link without a connection.
@@ -99,11 +77,7 @@
         self._record = record
         self._context = context
         self._pending: dict[int, _Pending] = {}
-        self._socket: aiohttp.ClientWebSocketResponse | None = None
-        self._peer: NodeIdentity | None = None
-        self._connecting: asyncio.Task[None] | None = None
-        self._reader: asyncio.Task[None] | None = None
-        self._closed = False
+        self._connection = RelayConnection(record, context, self)
 
     @property
     def record(self) -> NodeRecord:
@@ -111,9 +85,9 @@
         return self._record
 
     @property
-    def connected(self) -> bool:
-        """Return whether the connection is open."""
-        return self._socket is not None and not self._socket.closed
+    def unreachable(self) -> bool:
+        """Return whether the last attempts to connect failed; new ones are made."""
+        return self._connection.unreachable
 
     async def call(self, call: GuardCall) -> RelayReply:
         """Run a call on the other node.
@@ -142,19 +116,49 @@
 
     async def post(self, frame: CrashNews | RulesRequest) -> None:
         """Send a frame that is not a call; it is lost if the link breaks."""
-        if (self.connected or await self._connect()) and self._socket is not None:
-            self._write(self._socket, frame)
+        if self._connection.connected or await self._connection.connect():
+            self._connection.send(frame)
 
     async def close(self) -> None:
         """Close the connection; calls without an answer end."""
-        self._closed = True
-        for task in (self._connecting, self._reader):
-            if task is not None:
-                task.cancel()
         for pending in tuple(self._pending.values()):
             pending.lost('link_closed')
-        if self._socket is not None:
-            await self._socket.close()
+        await self._connection.close()
+
+    def take(self, message: bytes) -> None:
+        """Take a message of the other node."""
+        frame = decode(message, self._record.name)
+        if isinstance(frame, RulesReply):
+            self._context.on_rules(frame.document, self._record.name)
+            return
+        if not isinstance(frame, RelayAnswer):
+            return
+        self._context.on_version(self._record, frame.rules_version)
+        pending = self._pending.get(frame.key)
+        if pending is not None:
+            pending.end(self._reply(frame, pending.frame), frame.load)
+
+    def peer_restarted(self) -> None:
+        """End calls that were sent to an earlier life of the other node."""
+        for pending in tuple(self._pending.values()):
+            if pending.sent:
+                pending.lost('peer_restarted')
+
+    async def recover(self) -> None:
+        """Send calls without an answer again on a new connection.
+
+        The other node joins them with the calls that it has. Work that may be
+        repeated is given up at the first failure, as another node can run it.
+        """
+        while self._pending and not self._connection.closed:
+            if await self._connection.connect():
+                for pending in tuple(self._pending.values()):
+                    self._transmit(pending)
+                return
+            for pending in tuple(self._pending.values()):
+                if pending.frame.repeatable or not pending.sent:
+                    pending.lost('link_lost')
+            await asyncio.sleep(RECONNECT_PAUSE_S)
 
     def _new_pending(self, call: GuardCall) -> _Pending:
         request = call.request
@@ -183,104 +187,27 @@
 
     def _start(self, pending: _Pending) -> 'asyncio.Future[None] | None':
         """Send a call at once, or return the task that connects first."""
-        if self.connected:
+        if self._connection.connected:
             self._transmit(pending)
             return None
         return asyncio.ensure_future(self._connect_and_send(pending))
 
     async def _connect_and_send(self, pending: _Pending) -> None:
-        if not self.connected and not await self._connect():
+        if not await self._connection.connect():
             pending.lost('unreachable')
             return
         if not (pending.sent or pending.waiter.done()):
             self._transmit(pending)
 
     def _transmit(self, pending: _Pending) -> None:
-        socket = self._socket
-        if socket is None:
-            return
         left_ms = pending.deadline_ms - self._context.clock.now_ms()
         pending.frame.time_left_ms = max(int(left_ms), 0)
-        pending.sent = True
-        self._write(socket, pending.frame)
-
-    def _write(
-        self,
-        socket: aiohttp.ClientWebSocketResponse,
-        frame: CrashNews | RelayCall | RelayCancel | RulesRequest,
-    ) -> None:
-        try:
-            start_sending(socket.send_bytes(encode(frame)))
-        except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
-            # The reader of the connection ends too and sends the call again.
-            log.info('Link broke.', peer=self._record.name, error=repr(error))
+        if self._connection.send(pending.frame):
+            pending.sent = True
 
     def _cancel_remote(self, pending: _Pending) -> None:
-        if pending.sent and self._socket is not None and not self._closed:
-            self._write(self._socket, RelayCancel(pending.frame.key))
-
-    async def _connect(self) -> bool:
-        """Connect unless another call does so already; return whether it worked."""
-        if self._connecting is None or self._connecting.done():
-            self._connecting = asyncio.ensure_future(self._open())
-        try:
-            await asyncio.shield(self._connecting)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            log.info('No link.', peer=self._record.name, error=repr(error))
-            return False
-        return self.connected
-
-    async def _open(self) -> None:
-        if self.connected:
-            return
-        url = f'http://{self._record.host}:{self._record.relay_port}{RELAY_PATH}'
-        connecting = self._context.session.ws_connect(
-            url,
-            headers=self._context.identity.headers(),
-            max_msg_size=MAX_FRAME_BYTES,
-            compress=0,
-            heartbeat=HEARTBEAT_S,
-        )
-        socket = await within(connecting, CONNECT_TIMEOUT_S)
-        peer = NodeIdentity.from_headers(socket._response.headers)  # noqa: SLF001
-        if peer != self._peer:
-            self._forget_sent()
-        self._peer = peer
-        self._socket = socket
-        self._reader = asyncio.ensure_future(self._read(socket))
-
-    def _forget_sent(self) -> None:
-        """End calls that were sent to an earlier life of the other node."""
-        for pending in tuple(self._pending.values()):
-            if pending.sent:
-                pending.lost('peer_restarted')
-
-    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        try:
-            async for message in socket:
-                if message.type is not aiohttp.WSMsgType.BINARY:
-                    break
-                self._take(message.data)
-        except GentianmillError as error:
-            log.warning('Link closed.', peer=self._record.name, error=str(error))
-        finally:
-            if self._socket is socket:
-                self._socket = None
-        if not self._closed:
-            await socket.close()
-            await self._recover()
-
-    def _take(self, message: bytes) -> None:
-        frame = decode(message, self._record.name)
-        if isinstance(frame, RulesReply):
-            self._context.on_rules(frame.document, self._record.name)
-            return
-        if not isinstance(frame, RelayAnswer):
-            return
-        self._context.on_version(self, frame.rules_version)
-        pending = self._pending.get(frame.key)
-        if pending is not None:
-            pending.end(self._reply(frame, pending.frame), frame.load)
+        if pending.sent:
+            self._connection.send(RelayCancel(pending.frame.key))
 
     def _reply(self, frame: RelayAnswer, call: RelayCall) -> GuardReply:
         outcome = Outcome(frame.outcome)
@@ -291,22 +218,6 @@
         answer = HttpAnswer(frame.status, headers, frame.body, frame.framed)
         return GuardReply(outcome, answer)
 
-    async def _recover(self) -> None:
-        """Send calls without an answer again on a new connection.
-
-        The other node joins them with the calls that it has. Work that may be
-        repeated is given up at the first failure, as another node can run it.
-        """
-        while self._pending and not self._closed:
-            if await self._connect():
-                for pending in tuple(self._pending.values()):
-                    self._transmit(pending)
-                return
-            for pending in tuple(self._pending.values()):
-                if pending.frame.repeatable or not pending.sent:
-                    pending.lost('link_lost')
-            await asyncio.sleep(RECONNECT_PAUSE_S)
-
 
 def _stop(
     timer: asyncio.TimerHandle, connecting: 'asyncio.Future[None] | None'
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -8,7 +8,8 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import RulesRequest
 from gentianmill_mesh.relay_handshake import NodeIdentity
-from gentianmill_mesh.relay_link import RelayContext, RelayLink, new_keys
+from gentianmill_mesh.relay_connection import RelayContext
+from gentianmill_mesh.relay_link import RelayLink, new_keys
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.wire_names import WireNames
 
@@ -64,8 +65,7 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for link in tuple(self._links.values()):
-            await link.close()
+        await asyncio.gather(*(link.close() for link in self._links.values()))
         if self._context is not None:
             await self._context.session.close()
 
@@ -81,16 +81,21 @@
             self._links[record.name] = link
         return link
 
-    def _on_version(self, link: RelayLink, version: int) -> None:
+    def reaches(self, record: NodeRecord) -> bool:
+        """Return whether a node may be reachable; False while attempts fail."""
+        link = self._links.get(record.name)
+        return link is None or not link.unreachable or _moved(link.record, record)
+
+    def _on_version(self, record: NodeRecord, version: int) -> None:
         if version > self._rules.version and version not in self._asking:
             self._asking.add(version)
-            asyncio.ensure_future(self._ask(link, version))
+            asyncio.ensure_future(self._ask(record, version))
 
-    async def _ask(self, link: RelayLink, version: int) -> None:
+    async def _ask(self, record: NodeRecord, version: int) -> None:
         await asyncio.sleep(ASK_DELAY_S)
         self._asking.discard(version)
         if self._rules.version < version:
-            await link.post(RulesRequest(self._rules.version))
+            await self.to(record).post(RulesRequest(self._rules.version))
 
 
 def _moved(known: NodeRecord, record: NodeRecord) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -27,6 +27,10 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Longest message: the largest body that callers may send, with headers."""
 
+CLOSE_TIMEOUT_S = 0.2
+"""Time for the other node to confirm the end of a connection; regions are 60 ms
+apart, there and back. aiohttp waits 10 s, beyond the time that a stop has."""
+
 HEARTBEAT_S = 1.2
 """Pings on a silent link; without a pong after half of it the link is closed."""
 
@@ -157,15 +161,17 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for socket in tuple(self._sockets):
-            await socket.close()
+        await asyncio.gather(*(socket.close() for socket in tuple(self._sockets)))
 
     async def _accept(self, request: web.Request) -> web.WebSocketResponse:
         identity = NodeIdentity.from_headers(request.headers)
         if identity is None:
             raise web.HTTPBadRequest(text='the handshake names no node')
         socket = web.WebSocketResponse(
-            max_msg_size=MAX_FRAME_BYTES, compress=False, heartbeat=HEARTBEAT_S
+            timeout=CLOSE_TIMEOUT_S,
+            max_msg_size=MAX_FRAME_BYTES,
+            compress=False,
+            heartbeat=HEARTBEAT_S,
         )
         socket.headers.update(self._identity.headers())
         await socket.prepare(request)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -100,12 +100,13 @@
 
 
 class Cable:
-    """A TCP relay whose connections can be reset, and refused from then on."""
+    """A TCP relay whose connections can be reset, refused or made silent."""
 
     def __init__(self, target_port: int) -> None:
         """Set where connections lead."""
         self.port = 0
         self.refusing = False
+        self.hanging = False
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -130,19 +131,21 @@
         self._writers |= {writer, far_writer}
         await asyncio.wait(
             {
-                asyncio.ensure_future(_copy(reader, far_writer)),
-                asyncio.ensure_future(_copy(far_reader, writer)),
+                asyncio.ensure_future(self._copy(reader, far_writer)),
+                asyncio.ensure_future(self._copy(far_reader, writer)),
             }
         )
 
-
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    try:
-        while data := await reader.read(65536):
-            writer.write(data)
-    except ConnectionError:
-        pass
-    writer.close()
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                if not self.hanging:
+                    writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
 
 
 class Deployment:
@@ -159,6 +162,8 @@
         self.entry_port = 0
         self.metrics_port = 0
         self._session: aiohttp.ClientSession | None = None
+        self._upstream_port = 0
+        self._sequence = 0
 
     async def __aenter__(self) -> 'Deployment':
         """Start both nodes and the upstream."""
@@ -170,7 +175,8 @@
         await self._start_node('entry', 'front', ports[4:8], ports[8], None)
         self.entry_port = ports[5]
         self.metrics_port = ports[7]
-        self.nodes['back'].take_report(_report(ports[8]))
+        self._upstream_port = ports[8]
+        self.report()
         self._session = aiohttp.ClientSession()
         return self
 
@@ -181,6 +187,12 @@
             await node.close()
         await self._web.close()
 
+    def report(self) -> None:
+        """Let the upstream tell its node that it is ready."""
+        self._sequence += 1
+        report = _report(self._upstream_port, self._sequence)
+        self.nodes['back'].take_report(report)
+
     async def call(
         self, path: str, method: str = 'GET', body: bytes = b'', **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
@@ -239,7 +251,7 @@
         self.nodes[name] = node
 
 
-def _report(port: int) -> UpstreamReport:
+def _report(port: int, sequence: int) -> UpstreamReport:
     return UpstreamReport(
         upstream_id='u1',
         service='back',
@@ -248,7 +260,7 @@
         zone='a',
         slots=SLOTS,
         draining=False,
-        sequence=1,
+        sequence=sequence,
         born_ms=1,
         cold_ms=0,
     )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -51,11 +51,16 @@
         """Answer each call."""
         self.script: list[GuardReply | None] = []
         self.sent: list[str] = []
+        self.unreachable: set[str] = set()
 
     def to(self, record: NodeRecord) -> '_Link':
         """Return the link to a node."""
         return _Link(self, record.name)
 
+    def reaches(self, record: NodeRecord) -> bool:
+        """Return whether a node is not known to be unreachable."""
+        return record.name not in self.unreachable
+
 
 class _Link:
     def __init__(self, links: _Links, name: str) -> None:
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -1,8 +1,10 @@
 """Requests across two nodes, with faults between them."""
 
 import asyncio
+import time
 
 from aiohttp import web
+from gentianmill_mesh.relay_connection import CONNECT_TIMEOUT_S
 from mesh_deployment import LIMITS, Deployment, Handler
 
 
@@ -184,6 +186,46 @@
     assert _play(unframed, scenario) == (b'ok', False)
 
 
+async def _timed_call(deployment: Deployment) -> float:
+    begin = time.monotonic()
+    status, _, _ = await deployment.call('/read/a')
+    assert status == 503
+    return time.monotonic() - begin
+
+
+def test_no_call_waits_for_a_node_that_is_away():
+    """Every so often a call tried a dead VM and was delayed by the time to connect."""
+
+    async def scenario(deployment: Deployment) -> tuple[float, int]:
+        deployment.cable.hanging = True
+        await deployment.call('/read/a')
+        slowest_s = 0
+        for _ in range(8):
+            slowest_s = max(slowest_s, await _timed_call(deployment))
+            await asyncio.sleep(0.1)
+        deployment.cable.hanging = False
+        await asyncio.sleep(2.5)
+        deployment.report()
+        return slowest_s, (await deployment.call('/read/a'))[0]
+
+    slowest_s, later = _play(_echo, scenario)
+    assert slowest_s < CONNECT_TIMEOUT_S / 2
+    assert later == 200
+
+
+def test_stop_does_not_wait_for_a_silent_node():
+    """A node that waited 10 s for a silent one was killed at the end of its time."""
+
+    async def scenario(deployment: Deployment) -> float:
+        await deployment.call('/read/a')
+        deployment.cable.hanging = True
+        begin = time.monotonic()
+        await deployment.nodes['back'].close()
+        return time.monotonic() - begin
+
+    assert _play(_echo, scenario) < CONNECT_TIMEOUT_S
+
+
 def test_metrics_count_requests_and_refusals():
     """On-call engineers have only logs and metrics."""
 
