--- a/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk_peer.py
@@ -14,6 +14,7 @@
 from gentianmill.messages import CallFrame
 from gentianmill.outcome import Outcome
 
+from gentianmill_node.bulk_blocks import block, head_block, open_blocks
 from gentianmill_node.bulk_source import BulkSource, open_source
 from gentianmill_node.call import Call
 from gentianmill_node.frames import decode, encode
@@ -26,6 +27,7 @@
 CALL_FRAME = 'X-Call-Frame'
 STEP = 'bulk'
 MS_PER_S = 1000
+ANSWERED = Outcome.answered.value
 _RANGE_HEADERS = ('Range', 'If-Range')
 
 
@@ -91,10 +93,12 @@
         response: web.StreamResponse | None = None
         try:
             async with self.open(call, extra) as source:
-                response = _response(source)
+                response = web.StreamResponse(headers={OUTCOME: ANSWERED})
                 await response.prepare(request)
+                await response.write(head_block(source))
                 async for chunk in source.chunks:
-                    await response.write(chunk)
+                    await response.write(block(chunk))
+                await response.write(block(b''))
         except GentianmillError as error:
             return error_response(error, call.request_id, '')
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -143,7 +147,7 @@
             timeout=aiohttp.ClientTimeout(total=left_s),
         ) as response:
             _raise_refusal(response, member)
-            yield open_source(response)
+            yield await open_blocks(response.content, member.node_id)
 
 
 def _frame(request: web.Request) -> CallFrame:
@@ -160,15 +164,6 @@
     raise GentianmillError(ErrorCode.protocol, STEP, peer, 'the frame is not a call')
 
 
-def _response(source: BulkSource) -> web.StreamResponse:
-    headers = dict(source.headers)
-    headers[OUTCOME] = Outcome.answered.value
-    response = web.StreamResponse(status=source.status, headers=headers)
-    if source.span:
-        response.content_length = source.span.length
-    return response
-
-
 def _raise_refusal(response: aiohttp.ClientResponse, member: Member) -> None:
     headers = response.headers
     outcome = Outcome(headers.get(OUTCOME, Outcome.unknown.value))
--- a/packages/gentianmill-node/src/gentianmill_node/bulk_source.py
+++ b/packages/gentianmill-node/src/gentianmill_node/bulk_source.py
@@ -50,23 +50,41 @@
 
 def open_source(response: aiohttp.ClientResponse) -> BulkSource:
     """Return the source that reads a response in chunks."""
-    return BulkSource(
-        status=response.status,
-        headers=end_to_end(response.headers),
-        span=_span(response),
-        etag=_strong_tag(response.headers.get('ETag', '')),
-        chunks=response.content.iter_chunked(CHUNK_BYTES),
+    return to_source(
+        response.status,
+        end_to_end(response.headers),
+        response.content_length,
+        response.content.iter_chunked(CHUNK_BYTES),
     )
 
 
-def _strong_tag(tag: str) -> str:
-    return '' if tag.startswith('W/') else tag
+def to_source(
+    status: int,
+    headers: dict[str, str],
+    length: int | None,
+    chunks: AsyncIterator[bytes],
+) -> BulkSource:
+    """Return the source of a response.
+
+    Args:
+        status: Its status.
+        headers: Its headers that concern the caller.
+        length: Length of its body, or None if it is not known.
+        chunks: Its body.
+    """
+    found = {name.lower(): text for name, text in headers.items()}
+    tag = found.get('etag', '')
+    return BulkSource(
+        status=status,
+        headers=headers,
+        span=_span(status, found, length),
+        etag='' if tag.startswith('W/') else tag,
+        chunks=chunks,
+    )
 
 
-def _span(response: aiohttp.ClientResponse) -> ByteRange | None:
-    match = _CONTENT_RANGE.match(response.headers.get('Content-Range', ''))
-    if match and response.status == STATUS_PARTIAL:
+def _span(status: int, headers: dict[str, str], length: int | None) -> ByteRange | None:
+    match = _CONTENT_RANGE.match(headers.get('content-range', ''))
+    if match and status == STATUS_PARTIAL:
         return ByteRange(int(match.group(1)), int(match.group(2)) + 1)
-    if response.content_length is None:
-        return None
-    return ByteRange(0, response.content_length)
+    return None if length is None else ByteRange(0, length)
