Send answers in one piece and compute placement costs once a call

Change: an answer is written as one head and the body, with the upstream's bytes; a caller who reads slowly delays its own next request. The part of a cost that concerns the route is computed once, the fading of failures only where there are some.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -6,6 +6,7 @@
 from gentianmill.clock import Clock
 from gentianmill_mesh.forwarder import CallerRequest, Forwarder
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.whole_answer import WholeAnswer
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.direct_server import direct_server
 from gentianmill_node.logs import component
@@ -63,12 +64,7 @@
             answer = HttpAnswer(STATUS_BAD_GATEWAY, [], b'fault\n')
         finally:
             self._running -= 1
-        if not answer.framed:
-            return await _send_unframed(request, answer)
-        response = _response(answer)
-        if self._closing:
-            response.force_close()
-        return response
+        return WholeAnswer(answer, closing=self._closing)
 
     async def _answer(self, request: web.BaseRequest) -> HttpAnswer:
         arrived_ms = self._clock.now_ms()
@@ -104,31 +100,3 @@
     if text is None or not text.strip().isdigit():
         return None
     return float(text)
-
-
-def _response(answer: HttpAnswer) -> web.Response:
-    response = web.Response(status=answer.status, body=answer.body)
-    for name, text in answer.headers:
-        response.headers.add(
-            name.decode(errors='replace'), text.decode(errors='replace')
-        )
-    return response
-
-
-async def _send_unframed(
-    request: web.BaseRequest, answer: HttpAnswer
-) -> web.StreamResponse:
-    """Send an answer whose end is the end of the connection.
-
-    aiohttp frames every answer of HTTP/1.1. A length of our own would vouch for a
-    body that may be cut short, so the bytes go to the transport directly.
-    """
-    reason = web.Response(status=answer.status).reason.encode()
-    lines = [b'HTTP/1.1 %d %b' % (answer.status, reason)]
-    lines.extend(b'%b: %b' % (name, text) for name, text in answer.headers)
-    lines.extend((b'Connection: close', b'', answer.body))
-    transport = request.transport
-    if transport is not None:
-        transport.write(b'\r\n'.join(lines))
-        transport.close()
-    raise ConnectionResetError('the answer ended with its connection')
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -49,6 +49,9 @@
 FAILURE_WEIGHT = 0.1
 """Weight of a new call in the share of failures."""
 
+NO_FAILURES = 0.0005
+"""Share of failures whose cost is 1 ms, less than the random part of a cost."""
+
 FAILURE_FADE_MS = 4000.0
 """Time after which a failure share without calls has fallen to a third."""
 
@@ -76,9 +79,11 @@
 
     def calls(self, now_ms: float) -> float:
         """Return the estimated number of calls that run or wait there."""
-        others = max(self.reported - self.own_at_report, 0)
-        age = (now_ms - self.reported_ms) / REPORT_AGE_MS
-        return self.own + others * max(1 - age, 0)
+        others = self.reported - self.own_at_report
+        age_ms = now_ms - self.reported_ms
+        if others <= 0 or age_ms >= REPORT_AGE_MS:
+            return self.own
+        return self.own + others * (1 - age_ms / REPORT_AGE_MS)
 
     def failure_share(self, now_ms: float) -> float:
         """Return the share of failed calls, faded since the last failure."""
@@ -119,33 +124,33 @@
         """
         best: NodeRecord | None = None
         best_cost = math.inf
+        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
         for node in nodes:
             if node.name in excluded:
                 continue
-            cost = self.cost_ms(node, route, now_ms)
+            cost = self._cost_ms(node, usual_ms, now_ms)
             if cost < best_cost:
                 best, best_cost = node, cost
         return best
 
     def cost_ms(self, node: NodeRecord, route: str, now_ms: float) -> float:
         """Return the expected cost of a call in ms; infinite while paused."""
+        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
+        return self._cost_ms(node, usual_ms, now_ms)
+
+    def _cost_ms(self, node: NodeRecord, usual_ms: float, now_ms: float) -> float:
+        """Return the cost of a call; runs for each node of a service at each call."""
         view = self._view(node)
         if now_ms < view.paused_until_ms:
             return math.inf
-        latency_ms = self._latencies.get(route, FIRST_LATENCY_MS) * view.slowness
-        load = self.load_share(node, now_ms)
-        wait_ms = max(load - FULL_SHARE, 0) * latency_ms * WAIT_FACTOR
-        spread_ms = load * latency_ms * SPREAD_FACTOR
-        failure_ms = view.failure_share(now_ms) * FAILURE_COST_MS
-        jitter_ms = self._rng.random()
-        return (
-            latency_ms
-            + wait_ms
-            + spread_ms
-            + failure_ms
-            + jitter_ms
-            + self._distance_ms(node)
-        )
+        load = view.calls(now_ms) / view.limit
+        relative = view.slowness * (1 + load * SPREAD_FACTOR)
+        if load > FULL_SHARE:
+            relative += view.slowness * (load - FULL_SHARE) * WAIT_FACTOR
+        cost_ms = usual_ms * relative + self._distance_ms(node) + self._rng.random()
+        if view.failures > NO_FAILURES:
+            cost_ms += view.failure_share(now_ms) * FAILURE_COST_MS
+        return cost_ms
 
     def start(self, name: str) -> None:
         """Take note of a call that is sent."""
@@ -188,7 +193,7 @@
     def load_share(self, node: NodeRecord, now_ms: float) -> float:
         """Return the calls that run or wait at a node relative to its limit."""
         view = self._view(node)
-        return view.calls(now_ms) / max(view.limit, 1)
+        return view.calls(now_ms) / view.limit
 
     def failed(self, name: str, now_ms: float) -> None:
         """Learn from a call that was lost or that the upstream failed."""
@@ -210,7 +215,7 @@
         view.reported = calls
         view.own_at_report = view.own
         view.reported_ms = now_ms
-        view.limit = limit
+        view.limit = max(limit, 1)
 
     def pause(self, name: str, now_ms: float) -> None:
         """Leave a node out that cannot run calls now."""
@@ -229,7 +234,7 @@
     def _view(self, node: NodeRecord) -> _NodeView:
         view = self._views.get(node.name)
         if view is None:
-            view = _NodeView(limit=node.slots)
+            view = _NodeView(limit=max(node.slots, 1))
             self._views[node.name] = view
         return view
 
--- /dev/null
+++ b/tests/test_whole_answer.py
@@ -0,0 +1,106 @@
+"""Answers that are sent to callers in one piece."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from gentianmill_mesh.http_message import HttpAnswer
+from gentianmill_mesh.whole_answer import WholeAnswer
+from gentianmill_node.direct_server import direct_server
+from gentianmill_node.web_server import WebServer
+from standins.processes import HOST, free_ports
+
+LIMIT_S = 5
+LONG_BODY = b'x' * 4_000_000
+"""More than the buffers of a connection hold."""
+
+GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+LAST_GET = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+
+
+def _exchange(
+    answer: HttpAnswer, request: bytes, *, closing: bool = False
+) -> tuple[bytes, bool]:
+    """Return what a caller reads, and whether the node closed the connection."""
+
+    async def handle(_request: web.BaseRequest) -> web.StreamResponse:
+        return WholeAnswer(answer, closing=closing)
+
+    async def scenario() -> tuple[bytes, bool]:
+        server = WebServer()
+        port = free_ports(1)[0]
+        await server.start('entry', direct_server(handle, 1000), HOST, port, None)
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(request)
+        received = b''
+        closed = True
+        try:
+            while chunk := await asyncio.wait_for(reader.read(65536), 0.5):
+                received += chunk
+        except TimeoutError:
+            closed = False
+        writer.close()
+        await server.close()
+        return received, closed
+
+    return asyncio.run(scenario())
+
+
+def test_headers_are_passed_on_byte_for_byte():
+    """Decoding a header as text would change bytes that are not UTF-8."""
+    answer = HttpAnswer(200, [[b'X-Name', b'\xe9t\xe9']], b'body')
+    received, closed = _exchange(answer, GET)
+    assert received == (
+        b'HTTP/1.1 200 OK\r\nX-Name: \xe9t\xe9\r\nContent-Length: 4\r\n\r\nbody'
+    )
+    assert not closed
+
+
+@pytest.mark.parametrize('status', [204, 304])
+def test_answers_without_a_body_have_no_length(status: int):
+    """A caller would wait for bytes that never come."""
+    received, _ = _exchange(HttpAnswer(status, [], b''), GET)
+    assert b'Content-Length' not in received
+    assert received.endswith(b'\r\n\r\n')
+
+
+def test_connection_ends_when_the_caller_or_the_node_wants_it():
+    """A stopping node that keeps connections open gets further requests."""
+    answer = HttpAnswer(200, [], b'body')
+    for request, closing in ((LAST_GET, False), (GET, True)):
+        received, closed = _exchange(answer, request, closing=closing)
+        assert closed
+        assert b'Connection: close' in received
+
+
+def test_unknown_statuses_are_passed_on():
+    """An upstream may use a status that the library does not know."""
+    received, _ = _exchange(HttpAnswer(299, [], b'body'), GET)
+    assert received.startswith(b'HTTP/1.1 299 ')
+
+
+def test_a_slow_reader_delays_its_own_next_request():
+    """Answers that nobody reads would pile up in the node's memory."""
+    started = []
+
+    async def handle(_request: web.BaseRequest) -> web.StreamResponse:
+        started.append(len(started))
+        return WholeAnswer(HttpAnswer(200, [], LONG_BODY), closing=False)
+
+    async def scenario() -> None:
+        server = WebServer()
+        port = free_ports(1)[0]
+        await server.start('entry', direct_server(handle, 1000), HOST, port, None)
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(GET * 5)
+        await asyncio.sleep(0.3)
+        assert len(started) == 1
+        async with asyncio.timeout(LIMIT_S):
+            for _ in range(5):
+                await reader.readuntil(b'\r\n\r\n')
+                assert await reader.readexactly(len(LONG_BODY)) == LONG_BODY
+        writer.close()
+        await server.close()
+
+    asyncio.run(scenario())
+    assert len(started) == 5
