End a stop after the requests under way, not at a pause of the callers

Cause: a stopping node waited until no request ran.

Change: 2.6 s after the signal the entry takes no more connections and ends each open one after its request; then the calls of other nodes are awaited. The cost of a node in another availability zone or region grows with the usual size of the route's answers, since bytes are paid: a page of 5 KiB stays near, small calls may cross.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -277,7 +277,9 @@
             self._placement.failed(node.name, now_ms)
         else:
             latency_ms = now_ms - started_ms
-            self._placement.answered(node.name, attempt.rule.name, latency_ms)
+            self._placement.answered(
+                node.name, attempt.rule.name, latency_ms, len(answer.body)
+            )
             self._hedges.observe(attempt.rule.name, latency_ms)
 
     def _learn_failure(
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -5,7 +5,6 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
 
 from aiohttp import web
 
@@ -183,8 +182,10 @@
         self._entry.close_connections()
         log.info('Stopping.', requests=self._entry.running)
         latest_ms = begin_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
-        await self._wait_until(lambda: self._may_end(begin_ms), latest_ms)
+        quiet_ms = min(begin_ms + QUIET_MS, latest_ms)
+        await asyncio.sleep(max(quiet_ms - self._clock.now_ms(), 0) / MS_PER_S)
         await self._end_callers(latest_ms)
+        await self._wait_until_idle(latest_ms)
         log.info('Stopped.', requests=self._entry.running)
         await self.close()
 
@@ -198,17 +199,19 @@
         await self._links.close()
         self._pool.close()
 
-    async def _wait_until(
-        self, condition: Callable[[], bool], latest_ms: float
-    ) -> None:
-        while self._clock.now_ms() < latest_ms and not condition():
+    async def _wait_until_idle(self, latest_ms: float) -> None:
+        """Wait for the calls of other nodes."""
+        while self._clock.now_ms() < latest_ms:
+            if not (self._guard.busy or self._relay.busy):
+                return
             await asyncio.sleep(POLL_S)
 
     async def _end_callers(self, latest_ms: float) -> None:
         """Take no more connections, and end each after the request under way.
 
-        Callers may send until the process is gone. The links stay open meanwhile,
-        as a request that was read needs them.
+        Callers may send until the process is gone, so waiting for a pause between
+        requests would take new ones up to the end and cut them there. The links
+        stay open meanwhile, as a request that was read needs them.
         """
         await self._web.stop_accepting('entry')
         left_ms = max(latest_ms - self._clock.now_ms(), 0)
@@ -231,11 +234,6 @@
                 self._dispatcher.forget_gone()
                 self._relay.forget_gone()
 
-    def _may_end(self, begin_ms: float) -> bool:
-        if self._clock.now_ms() - begin_ms < QUIET_MS:
-            return False
-        return not (self._entry.running or self._guard.busy or self._relay.busy)
-
     def _publish(self) -> None:
         takes_calls = self._guard.takes_calls and not self._stopping
         report = self._guard.status.report
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -14,6 +14,14 @@
 """Cost of another region: 60 ms there and back, and bytes at seven times the price
 of those between availability zones."""
 
+ZONE_KIB_MS = 8.0
+REGION_KIB_MS = 40.0
+"""Further cost of each KiB of an answer from another availability zone or region,
+as bytes are paid by volume: a catalogue page of 5 KiB costs ten times as much as
+one of the small calls below it."""
+
+BYTES_PER_KIB = 1024
+
 FULL_SHARE = 0.85
 """Load, relative to the limit, above which a wait is expected."""
 
@@ -106,6 +114,7 @@
         self._rng = rng
         self._views: dict[str, _NodeView] = {}
         self._latencies: dict[str, float] = {}
+        self._sizes_kib: dict[str, float] = {}
 
     def choose(
         self,
@@ -125,10 +134,13 @@
         best: NodeRecord | None = None
         best_cost = math.inf
         usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
+        size_kib = self._sizes_kib.get(route, 0)
         for node in nodes:
             if node.name in excluded:
                 continue
             cost = self._cost_ms(node, usual_ms, now_ms)
+            if node.zone != self._zone:
+                cost += self._distance_ms(node, size_kib)
             if cost < best_cost:
                 best, best_cost = node, cost
         return best
@@ -136,10 +148,11 @@
     def cost_ms(self, node: NodeRecord, route: str, now_ms: float) -> float:
         """Return the expected cost of a call in ms; infinite while paused."""
         usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
-        return self._cost_ms(node, usual_ms, now_ms)
+        size_kib = self._sizes_kib.get(route, 0)
+        return self._cost_ms(node, usual_ms, now_ms) + self._distance_ms(node, size_kib)
 
     def _cost_ms(self, node: NodeRecord, usual_ms: float, now_ms: float) -> float:
-        """Return the cost of a call; runs for each node of a service at each call."""
+        """Return the cost without that of distance; runs for each node at each call."""
         view = self._view(node)
         if now_ms < view.paused_until_ms:
             return math.inf
@@ -147,7 +160,7 @@
         relative = view.slowness * (1 + load * SPREAD_FACTOR)
         if load > FULL_SHARE:
             relative += view.slowness * (load - FULL_SHARE) * WAIT_FACTOR
-        cost_ms = usual_ms * relative + self._distance_ms(node) + self._rng.random()
+        cost_ms = usual_ms * relative + self._rng.random()
         if view.failures > NO_FAILURES:
             cost_ms += view.failure_share(now_ms) * FAILURE_COST_MS
         return cost_ms
@@ -161,13 +174,16 @@
         view = self._views.setdefault(name, _NodeView())
         view.own = max(view.own - 1, 0)
 
-    def answered(self, name: str, route: str, latency_ms: float) -> None:
+    def answered(
+        self, name: str, route: str, latency_ms: float, size_bytes: int = 0
+    ) -> None:
         """Learn from an answer.
 
         Args:
             name: The node that answered.
             route: Name of the route.
             latency_ms: Time from sending to the answer.
+            size_bytes: Length of its body.
         """
         view = self._views.setdefault(name, _NodeView())
         view.pause_ms = FIRST_PAUSE_MS
@@ -176,6 +192,9 @@
         ratio = min(latency_ms / max(usual_ms, 1), SLOWEST)
         view.slowness += LATENCY_WEIGHT * (ratio - view.slowness)
         self._latencies[route] = usual_ms + ROUTE_WEIGHT * (latency_ms - usual_ms)
+        size_kib = size_bytes / BYTES_PER_KIB
+        usual_kib = self._sizes_kib.setdefault(route, size_kib)
+        self._sizes_kib[route] = usual_kib + ROUTE_WEIGHT * (size_kib - usual_kib)
 
     def overtaken(self, name: str, route: str, spent_ms: float) -> None:
         """Learn from a call that was given up while it ran.
@@ -238,7 +257,9 @@
             self._views[node.name] = view
         return view
 
-    def _distance_ms(self, node: NodeRecord) -> float:
+    def _distance_ms(self, node: NodeRecord, size_kib: float) -> float:
         if node.zone == self._zone:
             return 0
-        return SAME_REGION_MS if node.region == self._region else OTHER_REGION_MS
+        if node.region == self._region:
+            return SAME_REGION_MS + size_kib * ZONE_KIB_MS
+        return OTHER_REGION_MS + size_kib * REGION_KIB_MS
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
+from gentianmill_mesh.mesh_node import QUIET_MS
 from gentianmill_mesh.relay_connection import CONNECT_TIMEOUT_S
 from mesh_deployment import LIMITS, Deployment, Handler
 
@@ -224,6 +225,31 @@
     assert not _play(work, scenario)
 
 
+def test_stop_under_steady_load_ends_in_time():
+    """A node that waited for a pause of its callers took requests until it was cut."""
+
+    async def work(_request: web.BaseRequest) -> web.StreamResponse:
+        await asyncio.sleep(0.5)
+        return web.Response(body=b'done')
+
+    async def scenario(deployment: Deployment) -> tuple[float, set[str]]:
+        lost: list[str] = []
+        callers = []
+        for _ in range(3):
+            callers.append(asyncio.ensure_future(_send_until_closed(deployment, lost)))
+            await asyncio.sleep(0.15)
+        begin = time.monotonic()
+        await deployment.nodes['entry'].stop()
+        spent_s = time.monotonic() - begin
+        await asyncio.gather(*callers)
+        seen = {request.headers['X-Attempt'] for request in deployment.seen}
+        return spent_s, seen & set(lost)
+
+    spent_s, cut = _play(work, scenario)
+    assert not cut
+    assert spent_s < QUIET_MS / 1000 + 1
+
+
 def test_answer_without_length_is_not_given_one():
     """A length of the node would vouch for a body that may be cut short."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -105,3 +105,15 @@
     table.merge([_node('x', incarnation=9, revision=9)])
     assert table.merge([_node('x', incarnation=2, revision=10, slots=5)])
     assert table.find('x').slots == 5
+
+
+def test_large_answers_stay_near_where_small_ones_cross():
+    """A large answer from another zone costs its bytes, a small one saves time."""
+    placements = {}
+    for size_bytes in (200, 8000):
+        placement = _placement()
+        for _ in range(50):
+            placement.answered('near', ROUTE, 60, size_bytes)
+            placement.answered('next', ROUTE, 40, size_bytes)
+        placements[size_bytes] = placement.choose([NEAR, NEXT], ROUTE, 0).name
+    assert placements == {200: 'next', 8000: 'near'}
