--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -122,6 +122,7 @@
         route: str,
         now_ms: float,
         excluded: Collection[str] = (),
+        haste: float = 1,
     ) -> NodeRecord | None:
         """Return the node with the lowest expected cost, or None.
 
@@ -130,10 +131,11 @@
             route: Name of the route.
             now_ms: Current time.
             excluded: Names of nodes that were tried already.
+            haste: Weight of the expected time against distance.
         """
         best: NodeRecord | None = None
         best_cost = math.inf
-        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
+        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS) * haste
         size_kib = self._sizes_kib.get(route, 0)
         for node in nodes:
             if node.name in excluded:
