--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -48,10 +48,6 @@
 """Part of the target latency that a new request may wait in a queue; a caller who
 is refused by then can still come back in time."""
 
-UNREPEATABLE_HASTE = 2.0
-"""Weight of time for requests that cannot be sent twice: a straggler at a slow
-upstream misses its deadline, and no second copy can save it."""
-
 HEDGE_FACTOR = 1.3
 HEDGE_EXTRA_MS = 20.0
 """A second copy is sent when the first takes this much longer than 95 in 100."""
@@ -163,7 +159,6 @@
             attempt.rule.name,
             self._clock.now_ms(),
             attempt.tried,
-            1 if attempt.rule.repeatable else UNREPEATABLE_HASTE,
         )
 
     def _candidates(self, service: str) -> list[NodeRecord]:
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -122,7 +122,6 @@
         route: str,
         now_ms: float,
         excluded: Collection[str] = (),
-        haste: float = 1,
     ) -> NodeRecord | None:
         """Return the node with the lowest expected cost, or None.
 
@@ -131,11 +130,10 @@
             route: Name of the route.
             now_ms: Current time.
             excluded: Names of nodes that were tried already.
-            haste: Weight of the expected time against distance.
         """
         best: NodeRecord | None = None
         best_cost = math.inf
-        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS) * haste
+        usual_ms = self._latencies.get(route, FIRST_LATENCY_MS)
         size_kib = self._sizes_kib.get(route, 0)
         for node in nodes:
             if node.name in excluded:
