--- a/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -14,6 +14,7 @@
 )
 from gentianmill_ctl.check import check_settings_file, check_sheet_file
 from gentianmill_ctl.drain import start_drain
+from gentianmill_ctl.explain import STANDARD_INPUT
 from gentianmill_ctl.result import EXIT_CODE_HELP
 from gentianmill_ctl.settle import ClaimName, Verdict
 from gentianmill_ctl.show import (
@@ -150,15 +151,15 @@
     return run_command(ask_node(start_drain, node, key_file), json)
 
 
-def explain(request_id: str, files: list[str], *, json: bool = False) -> int:
+def explain(request_id: str, *files: str, json: bool = False) -> int:
     """Tell the story of a request from logs; make no connection.
 
     Args:
         request_id: Id of the request as its caller sent it.
-        files: Logs of the nodes; ``-`` is standard input.
+        files: Logs of the nodes; standard input if there are none or for ``-``.
         json: Print JSON.
     """
-    return run_command(explained(request_id, files), json)
+    return run_command(explained(request_id, list(files) or [STANDARD_INPUT]), json)
 
 
 COMMANDS = (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,7 +1,9 @@
 """From the id of a failed request to its cause, by logs alone."""
 
 import json
+from pathlib import Path
 
+from gentianmill_ctl.cli import run
 from gentianmill_ctl.explain import explain_request
 
 LINES = [
@@ -49,3 +51,10 @@
     """An empty report would look like a request without decisions."""
     result = explain_request('zz', [_log(tmp_path, '')])
     assert 'zz' in result.lines[0]
+
+
+def test_the_command_takes_files_as_the_pages_say(tmp_path: Path, capsys):
+    """On-call engineers type the line of docs/OPERATIONS.md; it was refused."""
+    line = '{"request_id": "ab1", "event": "entry: Request refused.", "vm": "v"}'
+    assert run(['explain', 'ab1', _log(tmp_path, line), '--json']) == 0
+    assert 'Request refused.' in capsys.readouterr().out
