Build records of nodes for tests in one place and drop a public attribute

No behaviour changes: the pool keeps the time of a send itself, the gossip converts entries by msgspec, and four tests share one builder of records.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import NodeEntry, NodeNews
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_node.logs import component
@@ -97,15 +97,4 @@
 
 
 def _record(entry: NodeEntry) -> NodeRecord:
-    return NodeRecord(
-        name=entry.name,
-        incarnation=entry.incarnation,
-        revision=entry.revision,
-        host=entry.host,
-        relay_port=entry.relay_port,
-        service=entry.service,
-        zone=entry.zone,
-        region=entry.region,
-        slots=entry.slots,
-        state=NodeState(entry.state),
-    )
+    return msgspec.convert(entry, NodeRecord, from_attributes=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -67,9 +67,6 @@
             request_id: Name of the header with the id that upstreams echo.
         """
         super().__init__(loop)
-        self.used_ms = float(0)
-        """When the last request was sent, by the clock of the pool."""
-
         self._id_header = request_id
         self._expected_id: bytes | None = None
         self._waiter: asyncio.Future[HttpAnswer] | None = None
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -92,13 +92,14 @@
             UpstreamLostError: If there was no whole answer.
         """
         exchange = _Exchange(request, _head(request, extra), request_id, repeatable)
-        end_ms = self._clock.now_ms() + timeout_s * MS_PER_S
+        sent_ms = self._clock.now_ms()
+        end_ms = sent_ms + timeout_s * MS_PER_S
         kept = self._take_idle(repeatable)
         if kept is not None:
             try:
                 return await self._run_on(kept, exchange, end_ms)
             except UpstreamLostError as error:
-                if not (repeatable and self._was_forgotten(error, kept)):
+                if not (repeatable and self._was_forgotten(error, sent_ms)):
                     raise
                 forgotten = error
             try:
@@ -140,7 +141,6 @@
         if exchange.repeatable:
             self._repeatable.add(connection)
         now_ms = self._clock.now_ms()
-        connection.used_ms = now_ms
         timeout_s = max(end_ms - now_ms, 0) / MS_PER_S
         try:
             answer = await connection.exchange(
@@ -154,11 +154,9 @@
         self._give_back(connection)
         return answer
 
-    def _was_forgotten(
-        self, error: UpstreamLostError, connection: UpstreamConnection
-    ) -> bool:
+    def _was_forgotten(self, error: UpstreamLostError, sent_ms: float) -> bool:
         """Return whether the upstream had closed a kept connection before its use."""
-        spent_ms = self._clock.now_ms() - connection.used_ms
+        spent_ms = self._clock.now_ms() - sent_ms
         return error.kind is LossKind.after_send and spent_ms < FORGOTTEN_MS
 
     def _take_idle(self, repeatable: bool) -> UpstreamConnection | None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,7 +6,7 @@
 from gentianmill.admission_share import ShareTable
 from gentianmill.call_tree import CallOrigin
 from gentianmill.clock import MonotonicClock
-from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.outcome import Outcome
 from gentianmill.route_rules import Destination, RouteRule
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
@@ -16,6 +16,7 @@
 from gentianmill_mesh.upstream_guard import CRASH_SUSPECT, UPSTREAM_FULL, UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from mesh_upstream import NAMES
+from node_records import node_record
 
 WARM_CALLS = 64
 """Calls after which latencies are known and some retries are permitted."""
@@ -30,18 +31,7 @@
 
 
 def _node(name: str) -> NodeRecord:
-    return NodeRecord(
-        name=name,
-        incarnation=1,
-        revision=1,
-        host=name,
-        relay_port=1,
-        service='back',
-        zone='a',
-        region='r',
-        slots=50,
-        state=NodeState.serving,
-    )
+    return node_record(name, service='back', slots=50)
 
 
 class _Links:
--- a/tests/test_hedge_race.py
+++ b/tests/test_hedge_race.py
@@ -22,6 +22,15 @@
     return reply
 
 
+async def _slow(stopped: list[bool]) -> GuardReply:
+    """Reply late, and note if that is cancelled."""
+    try:
+        return await _reply(FIRST, LONG_S)
+    except asyncio.CancelledError:
+        stopped.append(True)
+        raise
+
+
 def _race(
     first: Coroutine, second: Coroutine | None
 ) -> Coroutine[None, None, GuardReply]:
@@ -46,15 +55,8 @@
     """The work of the copy that lost the race would go on for nobody."""
     stopped: list[bool] = []
 
-    async def slow() -> GuardReply:
-        try:
-            return await _reply(FIRST, LONG_S)
-        except asyncio.CancelledError:
-            stopped.append(True)
-            raise
-
     async def scenario() -> GuardReply:
-        return await _race(slow(), _reply(SECOND, 0))
+        return await _race(_slow(stopped), _reply(SECOND, 0))
 
     assert asyncio.run(scenario()) is SECOND
     assert stopped == [True]
@@ -87,15 +89,8 @@
     """Two copies would run on for a caller who has left."""
     stopped: list[bool] = []
 
-    async def slow() -> GuardReply:
-        try:
-            return await _reply(FIRST, LONG_S)
-        except asyncio.CancelledError:
-            stopped.append(True)
-            raise
-
     async def scenario() -> None:
-        race = asyncio.ensure_future(_race(slow(), slow()))
+        race = asyncio.ensure_future(_race(_slow(stopped), _slow(stopped)))
         await asyncio.sleep(DELAY_S * 3)
         race.cancel()
         with pytest.raises(asyncio.CancelledError):
--- a/tests/test_node_gossip.py
+++ b/tests/test_node_gossip.py
@@ -8,6 +8,7 @@
 from gentianmill.relay_messages import NodeEntry, NodeNews
 from gentianmill_mesh.node_gossip import FIRST_FANOUT, NodeGossip
 from gentianmill_mesh.relay_codec import decode, encode
+from node_records import node_record
 
 NODES = 200
 SEEDS = range(5)
@@ -16,18 +17,7 @@
 
 
 def _record(number: int, revision: int = 1) -> NodeRecord:
-    return NodeRecord(
-        name=f'n{number}',
-        incarnation=1,
-        revision=revision,
-        host=f'10.0.0.{number}',
-        relay_port=1,
-        service='s',
-        zone='z',
-        region='r',
-        slots=3,
-        state=NodeState.serving,
-    )
+    return node_record(f'n{number}', revision=revision)
 
 
 class _Network:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,21 +5,13 @@
 
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.placement import FIRST_PAUSE_MS, Placement
+from node_records import node_record
 
 ROUTE = 'r'
 
 
 def _node(name: str, zone: str = 'a1', region: str = 'a', **fields) -> NodeRecord:
-    defaults = {
-        'incarnation': 1,
-        'revision': 1,
-        'host': name,
-        'relay_port': 1,
-        'service': 's',
-        'slots': 10,
-        'state': NodeState.serving,
-    }
-    return NodeRecord(name=name, zone=zone, region=region, **(defaults | fields))
+    return node_record(name, zone=zone, region=region, **fields)
 
 
 NEAR = _node('near')
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,27 +4,17 @@
 import dataclasses
 from collections.abc import Callable
 
-from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_platform.store_ports import StoreNodes, StoreRules
 from mesh_deployment import JsonRules, rules_document
+from node_records import node_record
 from platform_store import FakeStore
 
 LIMIT_S = 10
 """Ends a run that hangs."""
 
-OWN = NodeRecord(
-    name='own',
-    incarnation=1,
-    revision=1,
-    host='h',
-    relay_port=1,
-    service='s',
-    zone='z',
-    region='r',
-    slots=3,
-    state=NodeState.serving,
-)
+OWN = node_record('own', slots=3)
 
 
 def _is_own(record: NodeRecord | None) -> bool:
