--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -95,20 +95,15 @@
         sent_ms = self._clock.now_ms()
         end_ms = sent_ms + timeout_s * MS_PER_S
         kept = self._take_idle(repeatable)
-        if kept is not None:
-            try:
-                return await self._run_on(kept, exchange, end_ms)
-            except UpstreamLostError as error:
-                if not (repeatable and self._was_forgotten(error, sent_ms)):
-                    raise
-                forgotten = error
-            try:
-                fresh = await self._open()
-            except UpstreamLostError as error:
-                # The first error tells more: the request may have run.
-                raise forgotten from error
-            return await self._run_on(fresh, exchange, end_ms)
-        return await self._run_on(await self._open(), exchange, end_ms)
+        if kept is None:
+            return await self._run_on(await self._open(), exchange, end_ms)
+        try:
+            return await self._run_on(kept, exchange, end_ms)
+        except UpstreamLostError as error:
+            if not (repeatable and self._was_forgotten(error, sent_ms)):
+                raise
+            fresh = await self._open_after(error)
+        return await self._run_on(fresh, exchange, end_ms)
 
     async def is_reachable(self) -> bool:
         """Return whether the upstream accepts a connection now."""
@@ -154,6 +149,13 @@
         self._give_back(connection)
         return answer
 
+    async def _open_after(self, loss: UpstreamLostError) -> UpstreamConnection:
+        """Open a connection, or raise the loss before: the request may have run."""
+        try:
+            return await self._open()
+        except UpstreamLostError as refused:
+            raise loss from refused
+
     def _was_forgotten(self, error: UpstreamLostError, sent_ms: float) -> bool:
         """Return whether the upstream had closed a kept connection before its use."""
         spent_ms = self._clock.now_ms() - sent_ms
