Keep room in the log for starts and stops

All lines share one rate; on a busy node decisions on requests use it up, and the lines of starts, stops and lost dependencies are dropped with them.

Change: decisions leave 100 lines of the burst to all others.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/log_sink.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/log_sink.py
@@ -13,6 +13,13 @@
 BURST_LINES = 600
 """Lines that may follow each other at once, such as at a crash."""
 
+RESERVED_LINES = 100
+"""Part of the burst that decisions on requests leave for starts, stops and lost
+dependencies; a busy node wrote no line of its stop."""
+
+DECISIONS = ('"event": "entry: ', '"event": "guard: ')
+"""Marks of the lines that grow with the load."""
+
 NS_PER_S = 1_000_000_000
 
 
@@ -44,7 +51,8 @@
 
     def write(self, text: str) -> None:
         """Write a line, or count it if it exceeds the rate or the buffer."""
-        if not self._take_token():
+        reserved = RESERVED_LINES if _is_decision(text) else 0
+        if not self._take_token(reserved):
             self._dropped['rate'] += 1
             return
         if self._waiting_bytes > BUFFER_BYTES:
@@ -57,12 +65,12 @@
         """Write what the descriptor takes now."""
         self._flush()
 
-    def _take_token(self) -> bool:
+    def _take_token(self, reserved: int) -> bool:
         now_ns = time.monotonic_ns()
         gained = (now_ns - self._filled_ns) * LINES_PER_S / NS_PER_S
         self._filled_ns = now_ns
         self._tokens = min(self._tokens + gained, BURST_LINES)
-        if self._tokens < 1:
+        if self._tokens < 1 + reserved:
             return False
         self._tokens -= 1
         return True
@@ -94,3 +102,7 @@
                 self._waiting[0] = line[written:]
                 return
             self._waiting.popleft()
+
+
+def _is_decision(text: str) -> bool:
+    return any(mark in text for mark in DECISIONS)
--- a/tests/test_log_sink.py
+++ b/tests/test_log_sink.py
@@ -53,3 +53,15 @@
     assert sink.dropped > 0
     os.close(reader)
     os.close(writer)
+
+
+def test_a_stop_is_logged_in_a_storm_of_decisions():
+    """The line of a stop was dropped among refusals, and nobody could explain it."""
+    reader, writer = os.pipe()
+    sink = LogSink(writer)
+    for _ in range(BURST_LINES * 2):
+        sink.write('{"event": "entry: Request refused."}\n')
+    sink.write('{"event": "node: Stopping."}\n')
+    assert b'node: Stopping.' in _read_all(reader)
+    os.close(reader)
+    os.close(writer)
