--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -3,10 +3,10 @@
 import asyncio
 
 import pytest
-from gentianmill.clock import ManualClock
+from gentianmill.clock import ManualClock, MonotonicClock
 from gentianmill_mesh.upstream_connection import UpstreamLostError
 from gentianmill_mesh.upstream_pool import UNREPEATABLE_IDLE_MS, UpstreamPool
-from mesh_upstream import NAMES, Script, ScriptedUpstream, run
+from mesh_upstream import NAMES, Script, ScriptedUpstream, request, run
 
 WHOLE = b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nContent-Length: 2\r\n\r\nok'
 
@@ -81,3 +81,30 @@
             return upstream.connections
 
     assert _play(scenario) == 1
+
+
+def test_an_early_answer_leaves_the_rest_of_its_body_in_place():
+    """Other bytes where a long body is due would become a request of their own."""
+    body = b'x' * 4_000_000
+    received: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(WHOLE)
+        await asyncio.sleep(0.2)
+        received.append(await reader.readexactly(len(body)))
+        received.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(WHOLE)
+
+    async def scenario() -> tuple[bytes, bytes]:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = UpstreamPool('127.0.0.1', port, NAMES, MonotonicClock())
+        first = await run(pool, request(b'/long', 'POST', body))
+        second = await run(pool, request(b'/next'))
+        server.close()
+        return first.body, second.body
+
+    assert _play(scenario) == (b'ok', b'ok')
+    assert received[0] == body
+    assert received[1].startswith(b'GET /next HTTP/1.1\r\n')
