Let payments be overtaken in the feature of whole answers

Cause: the feature failed twice in the whole script. Traced by a run that printed the order and how often each request ran: the one early lookup that was answered first had run twice. Its second copy was sent after the treasury was fast again, so it was rightly answered at once.

Change: the early requests are payments, which get no second copy. The check is the same: the first answer belongs to a later request, and each answer is whole and its caller's own.

--- a/features/steps/whole_answers.py
+++ b/features/steps/whole_answers.py
@@ -3,14 +3,14 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
-from callers import lookup, runs, send, send_all
+from callers import lookup, payment, runs, send, send_all
 from deployments import pairs_of
 from standins.processes import wait_for
 from standins.upstream import file_content
 
 LONG_MS = 10_000
-"""Within the 15 s that a lookup has; on a busy machine it took over 3 s until all
-lookups ran and the next ones were sent."""
+"""Longer than a busy machine needs to send the next requests, and within the 15 s
+that a lookup has."""
 
 FAST_MS = 5
 LITTLE_MS = '1000'
@@ -19,9 +19,19 @@
 CUT_AFTER = 1_000_000
 
 
+def _entry(context):
+    return pairs_of(context.deployment, 'biblioteca')[0].caller_url
+
+
+def _payments(context):
+    """Return payments; unlike lookups they get no second copy, which may be fast."""
+    entry = _entry(context)
+    return [(entry, payment('/tesoreria/cuotas')) for _ in range(COUNT)]
+
+
 def _lookups(context, **headers):
-    """Return lookups over entries that are not beside the treasury."""
-    entry = pairs_of(context.deployment, 'biblioteca')[0].caller_url
+    """Return lookups over an entry that is not beside the treasury."""
+    entry = _entry(context)
     return [
         (entry, lookup(f'/tesoreria/cuotas/m{number}', **headers))
         for number in range(COUNT)
@@ -50,13 +60,13 @@
     _set_latency(context, LONG_MS)
 
 
-@when('workshops look up their dues, and others once lookups are fast again')
+@when('workshops pay their dues, and others look them up once that is fast again')
 def when_overtaken(context):
     context.order = []
-    context.early = _lookups(context)
+    context.early = _payments(context)
     with ThreadPoolExecutor(COUNT * 2) as pool:
         first = [pool.submit(_send_noting_order, context, one) for one in context.early]
-        wait_for(lambda: _all_run(context, context.early), 'the lookups to run')
+        wait_for(lambda: _all_run(context, context.early), 'the payments to run')
         _set_latency(context, FAST_MS)
         rest = [
             pool.submit(_send_noting_order, context, one) for one in _lookups(context)
@@ -93,13 +103,13 @@
     return reply.outcome == 'answered' and len(runs(context.deployment, work)) > 1
 
 
-@then('later lookups were answered before earlier ones')
+@then('later lookups were answered before earlier payments')
 def then_overtaken(context):
     early = {work.request_id for _, work in context.early}
     assert context.order[0] not in early, context.order
 
 
-@then('each workshop gets the whole answer to its own lookup')
+@then('each workshop gets the whole answer to its own request')
 @then('each other workshop gets the whole answer to its own lookup')
 def then_own(context):
     for reply in context.replies:
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -1,11 +1,11 @@
 Feature: Each caller receives the whole answer to its own request
   Answers may come late and out of order, and downloads may break off.
 
-  Scenario: Later lookups are answered before earlier ones
+  Scenario: Later lookups are answered before earlier payments
     Given dues lookups take long
-    When workshops look up their dues, and others once lookups are fast again
-    Then later lookups were answered before earlier ones
-    And each workshop gets the whole answer to its own lookup
+    When workshops pay their dues, and others look them up once that is fast again
+    Then later lookups were answered before earlier payments
+    And each workshop gets the whole answer to its own request
 
   Scenario: An answer comes after its caller gave up
     Given dues lookups take long
