Take the way between nodes off the time of a call

Cause: a guard reckoned the time left from the arrival of a call, so its word that a call had not run, and its upstream's own answer at the end of the time, came to the entry after the entry had given up, 60 ms late from another region. Calls without any time left were sent all the same. Both ended as "nothing is known" (502, 504), after which callers may not send unsafe requests again.

Change: answers tell how long their call took, links estimate the round trip from that, and calls are sent with the time that remains without it. Callers are told when to come back by the time that they have left now, not by what they had at first.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -4,7 +4,7 @@
 import random
 
 from gentianmill.clock import Clock
-from gentianmill.return_time import return_after_ms
+from gentianmill.return_time import LEAST_MS, return_after_ms
 from gentianmill.route_rules import RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
@@ -113,7 +113,7 @@
     def _refusal(
         self, caller: CallerRequest, reason: str, share: float = 1
     ) -> HttpAnswer:
-        pause_ms = return_after_ms(share, caller.time_left_ms, self._rng)
+        pause_ms = return_after_ms(share, self._left_ms(caller), self._rng)
         log.info(
             'Request refused.',
             request_id=caller.request_id,
@@ -125,8 +125,24 @@
         pause_s = b'%.2f' % (pause_ms / MS_PER_S)
         return HttpAnswer(STATUS_UNAVAILABLE, [[b'Retry-After', pause_s]], b'not run\n')
 
+    def _left_ms(self, caller: CallerRequest) -> float | None:
+        """Return for how long the caller still waits, or None if it did not say."""
+        if caller.time_left_ms is None:
+            return None
+        return max(caller.arrived_ms + caller.time_left_ms - self._clock.now_ms(), 0)
+
+    def _is_over(self, caller: CallerRequest, attempt: Attempt) -> bool:
+        """Return whether nothing is left for which a reader could come back.
+
+        The caller of work that runs at most once must still learn that it did not.
+        """
+        if attempt.reason != 'deadline' or not attempt.rule.repeatable:
+            return False
+        left_ms = self._left_ms(caller)
+        return left_ms is not None and left_ms < LEAST_MS
+
     def _failure(self, caller: CallerRequest, attempt: Attempt) -> HttpAnswer:
-        if not attempt.runs:
+        if not (attempt.runs or self._is_over(caller, attempt)):
             share = self._admission.share(attempt.rule)
             return self._refusal(caller, attempt.reason, share)
         self._metrics.on_decision('failed', attempt.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -17,6 +17,7 @@
     RulesReply,
     RulesRequest,
 )
+from gentianmill.round_trip import RoundTrip
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpAnswer
 from gentianmill_mesh.relay_codec import decode
@@ -25,6 +26,7 @@
     RelayConnection,
     RelayContext,
 )
+from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.wire_names import restored
 
 RECONNECT_PAUSE_S = 0.25
@@ -48,6 +50,7 @@
     frame: RelayCall
     deadline_ms: float
     waiter: 'asyncio.Future[RelayReply]'
+    started_ms: float
     sent: bool = False
 
     def end(self, reply: GuardReply, load: GuardLoad | None = None) -> None:
@@ -79,6 +82,7 @@
         self._context = context
         self._pending: dict[int, _Pending] = {}
         self._connection = RelayConnection(record, context, self)
+        self._round_trip = RoundTrip()
 
     @property
     def record(self) -> NodeRecord:
@@ -142,6 +146,8 @@
         self._context.on_version(self._record, frame.rules_version)
         pending = self._pending.get(frame.key)
         if pending is not None:
+            total_ms = self._context.clock.now_ms() - pending.started_ms
+            self._round_trip.observe(total_ms, frame.spent_ms)
             pending.end(self._reply(frame, pending.frame), frame.load)
 
     def peer_restarted(self) -> None:
@@ -185,7 +191,7 @@
             is_repeat=call.is_repeat,
         )
         waiter = asyncio.get_running_loop().create_future()
-        return _Pending(frame, call.deadline_ms, waiter)
+        return _Pending(frame, call.deadline_ms, waiter, now_ms)
 
     def _time_out(self, pending: _Pending) -> None:
         self._cancel_remote(pending)
@@ -206,7 +212,17 @@
             self._transmit(pending)
 
     def _transmit(self, pending: _Pending) -> None:
+        """Send a call with the time that the other node has for it.
+
+        Both ways between the nodes are taken off: the guard's word that a call has
+        not run, and the upstream's own answer at the end of its time, must be here
+        before the caller is told that nothing is known.
+        """
         left_ms = pending.deadline_ms - self._context.clock.now_ms()
+        left_ms -= self._round_trip.ms
+        if left_ms <= LATE_MARGIN_MS and not pending.sent:
+            pending.lost('deadline')
+            return
         pending.frame.time_left_ms = max(int(left_ms), 0)
         if self._connection.send(pending.frame):
             pending.sent = True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -240,19 +240,22 @@
 
     async def _run(self, sender: _Sender, frame: RelayCall) -> None:
         reply = GuardReply.unknown('cancelled')
+        arrived_ms = self._clock.now_ms()
         try:
-            reply = await self._guard.run(_guard_call(frame, self._clock.now_ms()))
+            reply = await self._guard.run(_guard_call(frame, arrived_ms))
         except asyncio.CancelledError:
             log.debug('Call cancelled.', key=frame.key)
         except Exception:
             log.exception('Call failed by a fault in the node.', key=frame.key)
-        answer = self._answer(frame, reply)
+        answer = self._answer(frame, reply, arrived_ms)
         job = sender.jobs[frame.key]
         job.answer = answer
         sender.end(frame.key, self._clock.now_ms())
         await _send(sender, answer)
 
-    def _answer(self, frame: RelayCall, reply: GuardReply) -> RelayAnswer:
+    def _answer(
+        self, frame: RelayCall, reply: GuardReply, arrived_ms: float
+    ) -> RelayAnswer:
         answer = reply.answer
         return RelayAnswer(
             key=frame.key,
@@ -264,6 +267,7 @@
             framed=answer.framed if answer else True,
             rules_version=self._rules.version,
             load=self._guard.load(frame.route),
+            spent_ms=int(self._clock.now_ms() - arrived_ms),
         )
 
     def _compact(
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -99,6 +99,9 @@
         int, Meta(description='Version of the routing rules that the sender knows.')
     ]
     load: GuardLoad
+    spent_ms: Annotated[
+        int, Meta(description='Time from the arrival of the call to this answer.')
+    ]
 
 
 class RelayCancel(Frame):
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -102,13 +102,14 @@
 
 
 class Cable:
-    """A TCP relay whose connections can be reset, refused or made silent."""
+    """A TCP relay whose connections can be delayed, reset, refused or made silent."""
 
     def __init__(self, target_port: int) -> None:
         """Set where connections lead."""
         self.port = 0
         self.refusing = False
         self.hanging = False
+        self.delay_s = float(0)
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -141,10 +142,11 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(65536):
                 if not self.hanging:
-                    writer.write(data)
+                    loop.call_later(self.delay_s, writer.write, data)
         except ConnectionError:
             pass
         writer.close()
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -265,6 +265,32 @@
     assert _play(unframed, scenario) == (b'ok', False)
 
 
+def test_payment_without_time_left_is_called_not_run():
+    """It was sent with no time, and its caller was told that nothing is known."""
+
+    async def scenario(deployment: Deployment) -> tuple[int, bool, int]:
+        await deployment.call('/pay/warm', method='POST')
+        deployment.seen.clear()
+        status, _, headers = await deployment.call(
+            '/pay/a', method='POST', X_Time_Left='20'
+        )
+        return status, 'Retry-After' in headers, len(deployment.seen)
+
+    assert _play(_echo, scenario) == (503, True, 0)
+
+
+def test_time_between_nodes_is_taken_off():
+    """The guard's last word on a call from another region came after its end."""
+
+    async def scenario(deployment: Deployment) -> int:
+        deployment.cable.delay_s = 0.03
+        await deployment.call('/read/warm')
+        await deployment.call('/read/a', X_Time_Left='700')
+        return int(deployment.seen[-1].headers['X-Time-Left'])
+
+    assert 500 < _play(_echo, scenario) <= 620
+
+
 async def _timed_call(deployment: Deployment) -> float:
     begin = time.monotonic()
     status, _, _ = await deployment.call('/read/a')
