Ask no further node for a call whose time is over

Change: the dispatcher goes on only while a guard would still take the call. Test: test_call_without_time_is_offered_once, which failed before.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -24,6 +24,7 @@
 )
 from gentianmill_mesh.relay_link import RelayReply
 from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.upstream_guard import (
     CRASH_SUSPECT,
     REFUSED_BY_UPSTREAM,
@@ -303,7 +304,7 @@
     def _may_go_on(self, attempt: Attempt, reply: GuardReply) -> bool:
         if reply.answer is not None and reply.answer.status != FIRST_SERVER_ERROR:
             return False
-        is_late = self._clock.now_ms() >= attempt.deadline_ms
+        is_late = self._clock.now_ms() >= attempt.deadline_ms - LATE_MARGIN_MS
         if is_late or reply.reason == CRASH_SUSPECT:
             return False
         if reply.outcome is Outcome.not_run and not _reached_upstream(reply):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -26,6 +26,7 @@
 FAILURE = GuardReply(Outcome.answered, HttpAnswer(500, [], b'failed'))
 LOST = GuardReply.unknown('upstream_lost')
 REFUSED = GuardReply.not_run('draining')
+LATE = GuardReply.not_run('deadline')
 FULL = GuardReply.not_run(UPSTREAM_FULL)
 SUSPECT = GuardReply.not_run(CRASH_SUSPECT)
 
@@ -82,19 +83,25 @@
     )
 
 
-def _attempt(*, repeatable: bool, is_repeat: bool = False) -> Attempt:
+def _attempt(
+    *, repeatable: bool, is_repeat: bool = False, left_ms: float = 2000
+) -> Attempt:
     return Attempt(
         request=HttpRequest('GET', b'/', [], b''),
         request_id='1',
         rule=_rule(repeatable=repeatable),
         service='back',
         origin=CallOrigin(0, None, is_repeat),
-        deadline_ms=MonotonicClock().now_ms() + 2000,
+        deadline_ms=MonotonicClock().now_ms() + left_ms,
     )
 
 
 def _run(
-    script: list[GuardReply | None], *, repeatable: bool, warm: int = WARM_CALLS
+    script: list[GuardReply | None],
+    *,
+    repeatable: bool,
+    warm: int = WARM_CALLS,
+    left_ms: float = 2000,
 ) -> tuple[HttpAnswer | None, int, Attempt]:
     """Return answer, number of sends and attempt, after some usual calls."""
 
@@ -111,7 +118,7 @@
             await dispatcher.run(_attempt(repeatable=True))
         links.sent.clear()
         links.script = list(script)
-        attempt = _attempt(repeatable=repeatable)
+        attempt = _attempt(repeatable=repeatable, left_ms=left_ms)
         answer = await dispatcher.run(attempt)
         return answer, len(set(links.sent)), attempt
 
@@ -143,6 +150,12 @@
     assert (answer.status, sends) == (200, 2)
 
 
+def test_call_without_time_is_offered_once():
+    """Each further node would be asked for work that nobody can use any more."""
+    answer, sends, _ = _run([LATE, LATE], repeatable=True, left_ms=2)
+    assert (answer, sends) == (None, 1)
+
+
 def test_attempts_of_the_route_bound_the_sends():
     """The operator says to how many upstreams a request may be sent."""
     answer, sends, _ = _run([LOST, LOST, LOST], repeatable=True)
