Delete the records of nodes that are gone for good

A node that read the table anew after a lost history did not notice rows deleted meanwhile. A table of more than 500 rows was followed from the version of its last page, so that changes between two pages were lost.

Change: each record has three keepers by rendezvous hashing (gone_nodes). A keeper that cannot reach a node for 60 s, while it reaches most others, deletes the row unless it has changed. Nodes take deletions over, also those that a whole read shows by what is missing; a deleted record does not come back by a late rumour, and a node in touch is kept. A node whose own row was deleted writes it again. Links to unknown nodes are closed.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -21,6 +21,7 @@
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from gentianmill_mesh.node_gossip import NodeGossip
+from gentianmill_mesh.node_reaper import NodeReaper
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
@@ -47,6 +48,10 @@
 TICK_S = 0.25
 """Pause between two looks at the upstream's signs of life."""
 
+REAP_S = 15
+"""Pause between two looks at the nodes whose records this one keeps, a quarter of the
+time after which they count as gone."""
+
 FORGET_TICKS = 240
 """A minute between two rounds that forget nodes; 230 are replaced a day."""
 
@@ -100,6 +105,10 @@
             self._links,
             random.Random(),  # noqa: S311
         )
+        self._table.spare_if(self._links.is_connected)
+        self._reaper = NodeReaper(
+            settings.node, self._table, self._links, registry, self._clock
+        )
         self._relay = RelayServer(
             self._identity,
             self._guard,
@@ -126,7 +135,7 @@
         self._guard.crashes.announce_by(self._tell_crash)
         self._web = WebServer()
         self._stopping = False
-        self._ticker: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def ready(self) -> bool:
@@ -152,7 +161,7 @@
         await self._listen('metrics', metrics, settings.metrics)
         await self._source.start(self._rules)
         await self._registry.start(self._table, self._gossip.announce)
-        self._ticker = asyncio.ensure_future(self._tick())
+        self._tasks.extend(map(asyncio.ensure_future, (self._tick(), self._reap())))
         log.info(
             'Started.',
             node=settings.node,
@@ -192,8 +201,8 @@
 
     async def close(self) -> None:
         """Close everything at once."""
-        if self._ticker is not None:
-            self._ticker.cancel()
+        for task in self._tasks:
+            task.cancel()
         await self._source.close()
         await self._registry.close()
         await asyncio.gather(self._relay.close(), self._links.close())
@@ -231,8 +240,18 @@
             await asyncio.sleep(TICK_S)
             self._guard.check()
             if not number % FORGET_TICKS:
-                self._dispatcher.forget_gone()
-                self._relay.forget_gone()
+                self._forget_gone()
+
+    async def _reap(self) -> None:
+        while not self._stopping:
+            await asyncio.sleep(REAP_S)
+            await self._reaper.check()
+
+    def _forget_gone(self) -> None:
+        self._table.forget_deleted()
+        self._links.forget_gone()
+        self._dispatcher.forget_gone()
+        self._relay.forget_gone()
 
     def _publish(self) -> None:
         takes_calls = self._guard.takes_calls and not self._stopping
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_reaper.py
@@ -0,0 +1,62 @@
+"""Deletes the records of nodes that are gone for good."""
+
+import asyncio
+
+from gentianmill.clock import Clock
+from gentianmill.gone_nodes import GoneNodes, WatchedNode
+from gentianmill.node_table import NodeTable
+from gentianmill_mesh.ports import NodeRegistry
+from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_node.logs import component
+
+log = component('registry')
+
+
+class NodeReaper:
+    """Check the nodes whose records the own node keeps."""
+
+    def __init__(
+        self,
+        own_name: str,
+        table: NodeTable,
+        links: RelayLinks,
+        registry: NodeRegistry,
+        clock: Clock,
+    ) -> None:
+        """Create a reaper; call ``check`` now and then.
+
+        Args:
+            own_name: Name of the own node.
+            table: Records of all nodes.
+            links: Links to the other nodes.
+            registry: Keeps the records.
+            clock: Clock of the node.
+        """
+        self._gone = GoneNodes(own_name)
+        self._table = table
+        self._links = links
+        self._registry = registry
+        self._clock = clock
+
+    async def check(self) -> None:
+        """Try to reach the watched nodes and delete the records of those gone."""
+        watched = self._gone.watched(self._table.records)
+        reached = await asyncio.gather(
+            *(self._links.to(node.record).reach() for node in watched)
+        )
+        for node, is_reached in zip(watched, reached, strict=True):
+            if self._gone.is_gone(node, is_reached, self._clock.now_ms()):
+                await self._delete(node)
+
+    async def _delete(self, node: WatchedNode) -> None:
+        if not self._links.is_in_touch:
+            log.info('Node kept, few others are reached.', node=node.record.name)
+            return
+        if await self._registry.delete(node.record):
+            log.info(
+                'Node deleted.',
+                node=node.record.name,
+                state=node.record.state.value,
+                revision=node.record.revision,
+                place=node.place,
+            )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -38,6 +38,17 @@
     def publish(self, record: NodeRecord) -> None:
         """Tell the others about the own node, again and again until it worked."""
 
+    @abc.abstractmethod
+    async def delete(self, record: NodeRecord) -> bool:
+        """Delete the record of a node that is gone, if it has not changed since.
+
+        Args:
+            record: The record as the registry has it.
+
+        Returns:
+            Whether the registry no longer has it.
+        """
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Stop."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -94,6 +94,11 @@
         """Return whether the connection is open."""
         return self._connection.connected
 
+    @property
+    def busy(self) -> bool:
+        """Return whether calls wait for answers."""
+        return bool(self._pending)
+
     @property
     def unreachable(self) -> bool:
         """Return whether the last attempts to connect failed; new ones are made."""
@@ -124,9 +129,13 @@
             self._pending.pop(key, None)
             _stop(timer, connecting)
 
+    async def reach(self) -> bool:
+        """Return whether the other node can be reached; connects if needed."""
+        return self.connected or await self._connection.connect()
+
     async def post(self, frame: CrashNews | NodeNews | RulesRequest) -> None:
         """Send a frame that is not a call; it is lost if the link breaks."""
-        if self._connection.connected or await self._connection.connect():
+        if await self.reach():
             self._connection.send(frame)
 
     async def close(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -16,6 +16,9 @@
 ASK_DELAY_S = 0.3
 """The own source usually brings new rules within this time."""
 
+MOST_FAILING = 0.5
+"""Part of the links that may fail; a node beyond it is more likely cut off itself."""
+
 
 class RelayLinks:
     """Keep one link for each other node."""
@@ -91,6 +94,21 @@
         link = self._links.get(record.name)
         return link is not None and link.connected
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Return whether this node reaches most others that it tried."""
+        links = self._links.values()
+        failing = sum(link.unreachable for link in links)
+        is_any_open = any(link.connected for link in links)
+        return is_any_open and failing <= len(links) * MOST_FAILING
+
+    def forget_gone(self) -> None:
+        """Close the links to nodes that are no longer known."""
+        for name, link in tuple(self._links.items()):
+            if self._table.find(name) is None and not (link.connected or link.busy):
+                self._links.pop(name)
+                asyncio.ensure_future(link.close())
+
     def _on_version(self, record: NodeRecord, version: int) -> None:
         if version > self._rules.version and version not in self._asking:
             self._asking.add(version)
--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -2,7 +2,11 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+MAX_DELETED = 1024
+"""Deletions that are remembered, four days of them at the design size; a record that
+is told later than that comes back until its keepers find it again."""
 
 
 class NodeState(enum.StrEnum):
@@ -44,6 +48,8 @@
         """Know no node."""
         self._records: dict[str, NodeRecord] = {}
         self._by_service: dict[str, list[NodeRecord]] = {}
+        self._deleted: dict[str, int] = {}
+        self._is_in_touch: Callable[[NodeRecord], bool] | None = None
 
     def __len__(self) -> int:
         """Return the number of nodes."""
@@ -78,12 +84,59 @@
             self._index()
         return changed
 
-    def remove(self, name: str) -> None:
-        """Forget a node."""
-        if self._records.pop(name, None) is not None:
+    def spare_if(self, is_in_touch: Callable[[NodeRecord], bool]) -> None:
+        """Keep deleted records of nodes that are in touch.
+
+        The node that asked for the deletion could not reach them; they write their
+        records again as soon as they see that these are gone.
+
+        Args:
+            is_in_touch: Tells whether the node of a record can be reached now.
+        """
+        self._is_in_touch = is_in_touch
+
+    def remove(self, name: str, revision: int) -> None:
+        """Take note that the record of a node was deleted.
+
+        Args:
+            name: The node.
+            revision: The registry's version of the deletion; an older record of the
+                node that is told later is not taken.
+        """
+        self._deleted.pop(name, None)
+        self._deleted[name] = revision
+        while len(self._deleted) > MAX_DELETED:
+            self._deleted.pop(next(iter(self._deleted)))
+        self.forget_deleted()
+
+    def retain(self, names: Iterable[str], revision: int) -> None:
+        """Take note of all records that the registry had at a version.
+
+        Args:
+            names: Their nodes; the records of others were deleted before.
+            revision: The registry's version; newer records stay.
+        """
+        kept = set(names)
+        for record in self.records:
+            if record.name not in kept and record.revision < revision:
+                self.remove(record.name, revision)
+
+    def forget_deleted(self) -> None:
+        """Forget the nodes whose deleted records were kept while they were in touch."""
+        gone = [
+            record.name
+            for record in self._records.values()
+            if record.revision < self._deleted.get(record.name, 0)
+            and not (self._is_in_touch and self._is_in_touch(record))
+        ]
+        for name in gone:
+            self._records.pop(name)
+        if gone:
             self._index()
 
     def _is_news(self, record: NodeRecord) -> bool:
+        if record.revision < self._deleted.get(record.name, 0):
+            return False
         known = self._records.get(record.name)
         return known is None or record.is_newer_than(known)
 
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -114,6 +114,14 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        open_writers = [
+            writer for writer in self._writers if not writer.transport.is_closing()
+        ]
+        return len(open_writers) // 2
+
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import dataclasses
+from collections.abc import Callable
 
 from aiohttp import web
 from gentianmill_mesh.mesh_settings import Address
@@ -17,6 +18,7 @@
     key: str
     value: str
     version: int
+    deleted: bool = False
 
 
 class FakeStore:
@@ -33,6 +35,10 @@
         self.forgotten = 0
         """Version up to which changes are no longer known."""
 
+        self.page_rows = 500
+        self.before_page: Callable[[], None] | None = None
+        """Called before the second page of a read, and the ones after it."""
+
         self._rows: dict[tuple[str, str], _Row] = {}
         self._changed = asyncio.Event()
         self._web = WebServer()
@@ -67,11 +73,15 @@
     def content(self, table: str, key: str) -> bytes | None:
         """Return what a row holds."""
         row = self._rows.get((table, key))
-        return None if row is None else base64.b64decode(row.value)
+        return None if row is None or row.deleted else base64.b64decode(row.value)
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row, as another writer does."""
+        self._put(table, key, '', deleted=True)
 
-    def _put(self, table: str, key: str, value: str) -> None:
+    def _put(self, table: str, key: str, value: str, *, deleted: bool = False) -> None:
         self.version += 1
-        self._rows[table, key] = _Row(table, key, value, self.version)
+        self._rows[table, key] = _Row(table, key, value, self.version, deleted)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -83,13 +93,15 @@
         return await handler(request)
 
     async def _get(self, request: web.Request) -> web.Response:
+        start = request.query.get('from', '')
+        if start and self.before_page is not None:
+            self.before_page()
         rows = [
             row
-            for row in self._rows.values()
-            if row.table == request.query['table']
-            and row.key >= request.query.get('from', '')
+            for key, row in sorted(self._rows.items())
+            if key[0] == request.query['table'] and key[1] >= start and not row.deleted
         ]
-        return self._page(rows)
+        return self._page(rows, self.page_rows)
 
     async def _feed(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
@@ -104,8 +116,16 @@
         return self._page(self._after(request.query['table'], after))
 
     async def _transact(self, request: web.Request) -> web.StreamResponse:
-        for row in (await request.json())['writes']:
+        entries = await request.json()
+        for row in entries['expectedRevision']:
+            known = self._rows.get((row['table'], row['key']))
+            version = known.version if known else 0
+            if version != row['rowVersion']:
+                return web.json_response({'rows': []}, status=412)
+        for row in entries['writes']:
             self._put(row['table'], row['key'], row['value'])
+        for row in entries['remove']:
+            self.remove(row['table'], row['key'])
         if self.losing_answers:
             self.losing_answers -= 1
             request.transport.abort()
@@ -118,7 +138,7 @@
             if row.table == table and row.version > version
         ]
 
-    def _page(self, rows: list[_Row]) -> web.Response:
+    def _page(self, rows: list[_Row], most: int = 500) -> web.Response:
         described = [
             {
                 'table': row.table,
@@ -126,13 +146,14 @@
                 'key': row.key,
                 'value': row.value,
                 'rowVersion': row.version,
+                'tombstone': row.deleted,
             }
-            for row in rows
+            for row in rows[:most]
         ]
         return web.json_response(
             {
                 'rows': described,
-                'hasMore': False,
+                'hasMore': len(rows) > most,
                 'rowVersion': self.version,
                 'now': '0ms',
             }
--- /dev/null
+++ b/tests/test_node_reaper.py
@@ -0,0 +1,86 @@
+"""Who asks the registry to delete the records of nodes that are gone."""
+
+import asyncio
+
+from gentianmill.clock import Clock
+from gentianmill.gone_nodes import GONE_MS, KEEPER_STEP_MS, KEEPERS
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill_mesh.node_reaper import NodeReaper
+from node_records import node_record
+
+LONG_MS = GONE_MS + KEEPERS * KEEPER_STEP_MS
+
+
+class _Clock(Clock):
+    def __init__(self) -> None:
+        self.ms = float(0)
+
+    def now_ms(self) -> float:
+        return self.ms
+
+
+class _Link:
+    def __init__(self, *, reachable: bool) -> None:
+        self._reachable = reachable
+
+    async def reach(self) -> bool:
+        """Return whether the node is there."""
+        return self._reachable
+
+
+class _Links:
+    def __init__(self) -> None:
+        self.away: set[str] = set()
+        self.is_in_touch = True
+
+    def to(self, record: NodeRecord) -> _Link:
+        """Return the link to a node."""
+        return _Link(reachable=record.name not in self.away)
+
+
+class _Registry:
+    def __init__(self) -> None:
+        self.deleted: list[str] = []
+
+    async def delete(self, record: NodeRecord) -> bool:
+        """Take note of a deletion."""
+        self.deleted.append(record.name)
+        return True
+
+
+def _reap(links: _Links, *, times_ms: tuple[float, ...]) -> list[str]:
+    clock = _Clock()
+    registry = _Registry()
+    table = NodeTable()
+    table.merge([node_record(name) for name in ('own', 'a', 'b', 'c')])
+    reaper = NodeReaper('own', table, links, registry, clock)
+
+    async def check() -> None:
+        for now_ms in times_ms:
+            clock.ms = now_ms
+            await reaper.check()
+
+    asyncio.run(check())
+    return registry.deleted
+
+
+def test_node_that_is_away_for_long_is_deleted():
+    """Records that nobody deletes cost each node attempts to connect for good."""
+    links = _Links()
+    links.away = {'b'}
+    assert _reap(links, times_ms=(0, LONG_MS)) == ['b']
+
+
+def test_node_that_is_away_briefly_is_kept():
+    """A restart takes some seconds."""
+    links = _Links()
+    links.away = {'b'}
+    assert not _reap(links, times_ms=(0, GONE_MS / 2))
+
+
+def test_node_that_reaches_few_others_deletes_none():
+    """A node that is cut off would delete the records of all that it watches."""
+    links = _Links()
+    links.away = {'a', 'b', 'c'}
+    links.is_in_touch = False
+    assert not _reap(links, times_ms=(0, LONG_MS))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,6 +4,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_platform.store_ports import StoreNodes, StoreRules
@@ -184,3 +186,84 @@
         await registry.close()
 
     _play(scenario)
+
+
+def test_record_of_a_node_that_is_gone_is_deleted():
+    """Rows of VMs that are gone stayed in the table for good."""
+
+    async def scenario(store: FakeStore) -> None:
+        registry, table = await _follow_nodes(store)
+        store.put('nodes', 'gone', msgspec.json.encode(node_record('gone')))
+        registry.publish(OWN)
+        await _until(lambda: table.find('gone') is not None)
+        assert await registry.delete(table.find('gone'))
+        assert table.find('gone') is None
+        assert store.content('nodes', 'gone') is None
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_record_that_changed_is_not_deleted():
+    """A node that has come back would be unknown until it notices."""
+
+    async def scenario(store: FakeStore) -> None:
+        registry, table = await _follow_nodes(store)
+        store.put('nodes', 'back', msgspec.json.encode(node_record('back')))
+        registry.publish(OWN)
+        await _until(lambda: table.find('back') is not None)
+        known = table.find('back')
+        store.put('nodes', 'back', msgspec.json.encode(node_record('back')))
+        assert not await registry.delete(known)
+        assert store.content('nodes', 'back') is not None
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_own_record_that_was_deleted_is_written_again():
+    """A node that was cut off for long would get no work after its return."""
+
+    async def scenario(store: FakeStore) -> None:
+        registry, table = await _follow_nodes(store)
+        registry.publish(OWN)
+        await _until(lambda: _is_own(table.find('own')))
+        store.remove('nodes', 'own')
+        await registry.poll_now()
+        await _until(lambda: store.content('nodes', 'own') is not None)
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_deletion_before_a_lost_history_is_found():
+    """A table that is read anew lacks the rows that were deleted meanwhile."""
+
+    async def scenario(store: FakeStore) -> None:
+        registry, table = await _follow_nodes(store)
+        store.put('nodes', 'gone', msgspec.json.encode(node_record('gone')))
+        registry.publish(OWN)
+        await _until(lambda: table.find('gone') is not None)
+        store.remove('nodes', 'gone')
+        store.version += 10
+        store.forgotten = store.version
+        await registry.poll_now()
+        await _until(lambda: table.find('gone') is None)
+        await registry.close()
+
+    _play(scenario)
+
+
+def test_changes_between_two_pages_are_found():
+    """A row that changes while a long table is read would stay old."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.page_rows = 1
+        for name in ('a', 'b'):
+            store.put('nodes', name, b'first')
+        store.before_page = lambda: store.put('nodes', 'a', b'second')
+        snapshot = await store.client.read('nodes')
+        changes = await store.client.changes('nodes', snapshot.version, 0)
+        assert b'second' in {row.content for row in changes.rows}
+
+    _play(scenario)
