Close links between nodes that nobody uses

Cause: a link stays open for good after one call or rumour, and each open link is pinged from both ends when silent for 1.2 s. With 610 nodes a node would send some 500 pings a second.

Change: a link without frames for 10 s is closed, unless answers are awaited; the next call opens another. Tests: two of test_mesh_nodes.py; the first failed before.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable, Iterator
 
 import aiohttp
@@ -31,6 +32,12 @@
 """Pauses between attempts to reach a node; each costs a packet, and a node that is
 back waits this long for its first call."""
 
+IDLE_MS = 10_000.0
+"""A link without frames for this long is closed. Open links are pinged, and at the
+design size a node would ping 609 others, of which it calls a few dozen."""
+
+MS_PER_S = 1000
+
 log = component('relay')
 
 
@@ -50,6 +57,11 @@
 class ConnectionUser(abc.ABC):
     """Takes what a connection brings."""
 
+    @property
+    @abc.abstractmethod
+    def busy(self) -> bool:
+        """Return whether answers are awaited."""
+
     @abc.abstractmethod
     def take(self, message: bytes) -> None:
         """Take a message.
@@ -89,6 +101,8 @@
         self._opening: asyncio.Task[None] | None = None
         self._reader: asyncio.Task[None] | None = None
         self._reaching: asyncio.Task[None] | None = None
+        self._closing: asyncio.Future[bool] | None = None
+        self._used_ms = -math.inf
 
     @property
     def connected(self) -> bool:
@@ -110,6 +124,7 @@
         socket = self._socket
         if socket is None:
             return False
+        self._used_ms = self._context.clock.now_ms()
         try:
             start_sending(socket.send_bytes(encode(frame)))
         except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
@@ -171,7 +186,9 @@
             self._user.peer_restarted()
         self._peer = peer
         self._socket = socket
+        self._used_ms = self._context.clock.now_ms()
         self._reader = asyncio.ensure_future(self._read(socket))
+        self._close_later(socket, IDLE_MS)
 
     async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         try:
@@ -181,9 +198,26 @@
                 self._user.take(message.data)
         except GentianmillError as error:
             log.warning('Link closed.', peer=self._record.name, error=str(error))
-        finally:
-            if self._socket is socket:
-                self._socket = None
-        if not self._closed:
-            await socket.close()
+        is_current = self._socket is socket
+        if is_current:
+            self._socket = None
+        await socket.close()
+        if is_current and not self._closed:
             await self._user.recover()
+
+    def _close_later(
+        self, socket: aiohttp.ClientWebSocketResponse, pause_ms: float
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause_ms / MS_PER_S, self._close_if_idle, socket)
+
+    def _close_if_idle(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        """Close a connection that has not been used; the next call opens another."""
+        if self._socket is not socket:
+            return
+        idle_ms = self._context.clock.now_ms() - self._used_ms
+        if self._user.busy or idle_ms < IDLE_MS:
+            self._close_later(socket, max(IDLE_MS - idle_ms, IDLE_MS / 2))
+            return
+        self._socket = None
+        self._closing = asyncio.ensure_future(socket.close())
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -97,6 +97,12 @@
         for table in self._tables:
             table.merge([record])
 
+    async def delete(self, record: NodeRecord) -> bool:
+        """Remove a record from all tables."""
+        for table in self._tables:
+            table.remove(record.name, record.revision + 1)
+        return True
+
     async def close(self) -> None:
         """Do nothing."""
 
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -291,6 +291,34 @@
     assert 500 < _play(_echo, scenario) <= 620
 
 
+def test_link_without_calls_is_closed_and_opened_again(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """At the design size a node would keep and ping a link to each of 609 others."""
+    monkeypatch.setattr('gentianmill_mesh.relay_connection.IDLE_MS', 150)
+
+    async def scenario(deployment: Deployment) -> tuple[int, int, int, int]:
+        first, _, _ = await deployment.call('/read/a')
+        connected = deployment.cable.connections
+        await asyncio.sleep(0.6)
+        idle = deployment.cable.connections
+        again, _, _ = await deployment.call('/read/a')
+        return first, connected, idle, again
+
+    assert _play(_echo, scenario) == (200, 1, 0, 200)
+
+
+def test_link_with_a_slow_call_stays_open(monkeypatch: pytest.MonkeyPatch):
+    """A payment that runs for longer than links rest must keep its link."""
+    monkeypatch.setattr('gentianmill_mesh.relay_connection.IDLE_MS', 100)
+
+    async def scenario(deployment: Deployment) -> tuple[int, bytes, int]:
+        status, body, _ = await deployment.call('/pay/a', method='POST')
+        return status, body, len(deployment.seen)
+
+    assert _play(_pay_slowly(), scenario) == (200, b'paid', 1)
+
+
 async def _timed_call(deployment: Deployment) -> float:
     begin = time.monotonic()
     status, _, _ = await deployment.call('/read/a')
