Ping a link only while answers are awaited on it

Cause: every open link was pinged from both ends after 1.2 s of silence.

Change: silence_watch pings 1.2 s after the last frame while answers are awaited, and at once with a call on a link that rested for longer, so that a link that fell silent while it rested is given up 0.6 s after the call instead of up to 1.8 s. The other side sends no pings: it closes the link of a node that awaits answers and was silent for 3 s, and links that nobody closed after a minute. Closing a link whose other side does not read is bounded.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -239,6 +239,7 @@
         for number in itertools.count(1):
             await asyncio.sleep(TICK_S)
             self._guard.check()
+            self._relay.check()
             if not number % FORGET_TICKS:
                 self._forget_gone()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -2,9 +2,10 @@
 
 import abc
 import asyncio
+import contextlib
 import dataclasses
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 
 import aiohttp
 
@@ -15,11 +16,11 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_server import (
     CLOSE_TIMEOUT_S,
-    HEARTBEAT_S,
     MAX_FRAME_BYTES,
     RELAY_PATH,
 )
 from gentianmill_mesh.send_now import start_sending
+from gentianmill_mesh.silence_watch import SilenceWatch
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_mesh.within import within
 from gentianmill_node.logs import component
@@ -101,7 +102,9 @@
         self._opening: asyncio.Task[None] | None = None
         self._reader: asyncio.Task[None] | None = None
         self._reaching: asyncio.Task[None] | None = None
-        self._closing: asyncio.Future[bool] | None = None
+        self._closing: asyncio.Future[None] | None = None
+        self._recovery: asyncio.Future[None] | None = None
+        self._watch: SilenceWatch | None = None
         self._used_ms = -math.inf
 
     @property
@@ -125,11 +128,9 @@
         if socket is None:
             return False
         self._used_ms = self._context.clock.now_ms()
-        try:
-            start_sending(socket.send_bytes(encode(frame)))
-        except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
-            # The reader ends too and starts the recovery.
-            log.info('Link broke.', peer=self._record.name, error=repr(error))
+        self._write(socket.send_bytes(encode(frame)))
+        if self._watch is not None:
+            self._watch.asked()
         return True
 
     async def connect(self) -> bool:
@@ -146,11 +147,13 @@
     async def close(self) -> None:
         """Close the connection for good."""
         self._closed = True
-        for task in (self._opening, self._reader, self._reaching):
+        for task in (self._opening, self._reader, self._reaching, self._recovery):
             if task is not None:
                 task.cancel()
+        if self._watch is not None:
+            self._watch.stop()
         if self._socket is not None:
-            await self._socket.close()
+            await _close(self._socket)
 
     def _start_reaching(self, error: Exception) -> None:
         if self.unreachable or self._closed:
@@ -177,7 +180,7 @@
             headers=self._context.identity.headers(),
             max_msg_size=MAX_FRAME_BYTES,
             compress=0,
-            heartbeat=HEARTBEAT_S,
+            autoping=False,
             timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
         )
         socket = await within(connecting, CONNECT_TIMEOUT_S)
@@ -187,24 +190,51 @@
         self._peer = peer
         self._socket = socket
         self._used_ms = self._context.clock.now_ms()
-        self._reader = asyncio.ensure_future(self._read(socket))
+        self._watch = SilenceWatch(
+            self._context.clock,
+            lambda: self._socket is socket and self._user.busy,
+            lambda: self._write(socket.ping()),
+            lambda: self._lose(socket),
+        )
+        self._reader = asyncio.ensure_future(self._read(socket, self._watch))
         self._close_later(socket, IDLE_MS)
 
-    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+    def _write(self, sending: Coroutine[object, object, None]) -> None:
+        try:
+            start_sending(sending)
+        except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
+            # The reader ends too and starts the recovery.
+            log.info('Link broke.', peer=self._record.name, error=repr(error))
+
+    async def _read(
+        self, socket: aiohttp.ClientWebSocketResponse, watch: SilenceWatch
+    ) -> None:
         try:
             async for message in socket:
-                if message.type is not aiohttp.WSMsgType.BINARY:
+                watch.heard()
+                if message.type is aiohttp.WSMsgType.BINARY:
+                    self._user.take(message.data)
+                elif message.type is not aiohttp.WSMsgType.PONG:
                     break
-                self._user.take(message.data)
         except GentianmillError as error:
             log.warning('Link closed.', peer=self._record.name, error=str(error))
+        watch.stop()
         is_current = self._socket is socket
         if is_current:
             self._socket = None
-        await socket.close()
+        await _close(socket)
         if is_current and not self._closed:
             await self._user.recover()
 
+    def _lose(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        """Give up a connection whose other side does not answer."""
+        if self._socket is not socket or self._closed:
+            return
+        log.info('Link silent.', peer=self._record.name)
+        self._socket = None
+        self._closing = asyncio.ensure_future(_close(socket))
+        self._recovery = asyncio.ensure_future(self._user.recover())
+
     def _close_later(
         self, socket: aiohttp.ClientWebSocketResponse, pause_ms: float
     ) -> None:
@@ -220,4 +250,10 @@
             self._close_later(socket, max(IDLE_MS - idle_ms, IDLE_MS / 2))
             return
         self._socket = None
-        self._closing = asyncio.ensure_future(socket.close())
+        self._closing = asyncio.ensure_future(_close(socket))
+
+
+async def _close(socket: aiohttp.ClientWebSocketResponse) -> None:
+    """Close a connection; one whose other side does not read is cut."""
+    with contextlib.suppress(TimeoutError):
+        await within(socket.close(), 2 * CLOSE_TIMEOUT_S)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -22,6 +22,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.send_now import start_sending
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames, compact
 from gentianmill_node.logs import component
@@ -33,8 +34,13 @@
 """Time for the other node to confirm the end of a connection; regions are 60 ms
 apart, there and back. aiohttp waits 10 s, beyond the time that a stop has."""
 
-HEARTBEAT_S = 1.2
-"""Pings on a silent link; without a pong after half of it the link is closed."""
+SENDER_SILENT_MS = 3000.0
+"""Silence of a node that awaits answers: it pings 1.2 s after the last frame, and a
+lost packet delays that by a second."""
+
+UNUSED_MS = 60_000.0
+"""Silence of a node that awaits nothing: it closes a link after 10 s without use, so
+one that is still open has lost its sender."""
 
 REATTACH_MS = 1500.0
 """How long repeatable work goes on after the link of its sender was lost."""
@@ -71,6 +77,10 @@
         self.ended: deque[tuple[float, int]] = deque()
         """End and key of the calls whose answers are kept, oldest first."""
 
+        self.running = 0
+        """Calls that have not ended."""
+
+        self.heard_ms = float(0)
         self.socket: web.WebSocketResponse | None = None
         self.expiry: asyncio.TimerHandle | None = None
 
@@ -90,6 +100,7 @@
 
     def end(self, key: int, now_ms: float) -> None:
         """Keep the answer of a call for a while, and forget old ones."""
+        self.running -= 1
         self.ended.append((now_ms, key))
         self.forget_until(now_ms - REMEMBERED_MS)
 
@@ -147,15 +158,12 @@
         self._clock = clock
         self._senders: dict[NodeIdentity, _Sender] = {}
         self._sockets: set[web.WebSocketResponse] = set()
+        self._closing: asyncio.Future[bool] | None = None
 
     @property
     def busy(self) -> bool:
         """Return whether a call of another node has not ended."""
-        return any(
-            not job.task.done()
-            for sender in self._senders.values()
-            for job in sender.jobs.values()
-        )
+        return any(sender.running for sender in self._senders.values())
 
     def app(self) -> web.Application:
         """Return the web application of the listener."""
@@ -171,6 +179,17 @@
             if sender.forgotten:
                 self._senders.pop(identity)
 
+    def check(self) -> None:
+        """Close the links of nodes that have fallen silent."""
+        now_ms = self._clock.now_ms()
+        for identity, sender in self._senders.items():
+            longest_ms = SENDER_SILENT_MS if sender.running else UNUSED_MS
+            if sender.socket is None or now_ms - sender.heard_ms < longest_ms:
+                continue
+            log.info('Sender silent.', peer=identity.name, running=sender.running)
+            self._closing = asyncio.ensure_future(sender.socket.close())
+            sender.detach(sender.socket)
+
     async def close(self) -> None:
         """Close all links."""
         await asyncio.gather(*(socket.close() for socket in tuple(self._sockets)))
@@ -183,12 +202,13 @@
             timeout=CLOSE_TIMEOUT_S,
             max_msg_size=MAX_FRAME_BYTES,
             compress=False,
-            heartbeat=HEARTBEAT_S,
+            autoping=False,
         )
         socket.headers.update(self._identity.headers())
         await socket.prepare(request)
         sender = self._senders.setdefault(identity, _Sender())
         sender.attach(socket)
+        sender.heard_ms = self._clock.now_ms()
         self._sockets.add(socket)
         try:
             await self._serve(sender, socket, identity.name)
@@ -202,9 +222,15 @@
     ) -> None:
         try:
             async for message in socket:
-                if message.type is not WSMsgType.BINARY:
+                sender.heard_ms = self._clock.now_ms()
+                if message.type is WSMsgType.BINARY:
+                    self._take(sender, decode(message.data, peer))
+                elif message.type is WSMsgType.PING:
+                    start_sending(socket.pong(message.data))
+                else:
                     break
-                self._take(sender, decode(message.data, peer))
+        except ConnectionError as error:
+            log.info('Link broke.', peer=peer, error=repr(error))
         except GentianmillError as error:
             log.warning('Link closed.', peer=peer, error=str(error))
             await socket.close()
@@ -235,6 +261,7 @@
         if known is None:
             task = asyncio.ensure_future(self._run(sender, frame))
             sender.jobs[frame.key] = _Job(frame.repeatable, task)
+            sender.running += 1
         elif known.answer is not None:
             asyncio.ensure_future(_send(sender, known.answer))
 
