--- a/packages/gentianmill/src/gentianmill/retry_pace.py
+++ b/packages/gentianmill/src/gentianmill/retry_pace.py
@@ -19,12 +19,15 @@
 SLOT_MS = 500
 """Resolution of the windows."""
 
-BURST_RATIO = 0.03
+BURST_RATIO = 0.06
 """Retries per call of the window that may be spent at once."""
 
+PEAK_DECAY = 0.995
+"""Factor per slot of the highest burst, above which growth counts as new: swings of
+the calls from slot to slot must not fill the burst again."""
+
 LEAST_BURST = 1.0
-"""A node that has just started may send one retry; the platform's bound allows two
-for each node."""
+"""Retries that a node with few calls may save up."""
 
 STEP_MS = 100.0
 """Pause between two corrections of the permit, a few calls of the narrow service."""
@@ -38,6 +41,9 @@
 """Corrections of the permit: a tenth is reached after a second, and recovery from it
 takes four, so that requests admitted on trial cost few retries."""
 
+MOST_STEPS = 100
+"""Corrections that a pause counts as: the permit is whole again after half of them."""
+
 LEAST_PERMIT = 0.05
 
 
@@ -56,14 +62,16 @@
         self._slot_calls = 0
         self._recent = 0
         self._earlier = 0
-        self._tokens = LEAST_BURST
+        self._tokens = float(0)
+        self._peak = LEAST_BURST
         self._filled_ms = -math.inf
         self._permit = float(1)
+        self._wanted = False
         self._corrected_ms = -math.inf
 
-    @property
-    def permit(self) -> float:
+    def permit(self, now_ms: float) -> float:
         """Return the share of requests whose retries can be granted."""
+        self._refill(now_ms)
         return self._permit
 
     def on_call(self, now_ms: float) -> None:
@@ -73,6 +81,10 @@
         if start_ms > self._slot_ms:
             self._start_slot(start_ms)
         self._slot_calls += 1
+        if self._burst > self._peak:
+            # A service that begins to be called has its burst at once.
+            self._tokens += self._burst - self._peak
+            self._peak = self._burst
 
     def on_forced_retry(self, now_ms: float) -> None:
         """Count one retry that another node decided, above this call."""
@@ -92,6 +104,7 @@
             reserve: Part of the burst that must remain for others.
         """
         self._refill(now_ms)
+        self._wanted = True
         granted = self._tokens >= 1 + reserve * self._burst
         self._tokens -= granted
         return granted
@@ -113,19 +126,23 @@
         self._correct(now_ms)
 
     def _correct(self, now_ms: float) -> None:
-        if now_ms - self._corrected_ms < STEP_MS:
+        passed_ms = now_ms - self._corrected_ms
+        if passed_ms < STEP_MS:
             return
         self._corrected_ms = now_ms
         level = max(self._tokens, 0) / self._burst
-        if level < SCARCE_LEVEL:
+        if self._wanted and level < SCARCE_LEVEL:
             self._permit = max(self._permit * FALL_FACTOR, LEAST_PERMIT)
-        elif level > PLENTY_LEVEL:
-            self._permit = min(self._permit * RISE_FACTOR, 1)
+        elif level > PLENTY_LEVEL or not self._wanted:
+            steps = min(passed_ms / STEP_MS, MOST_STEPS)
+            self._permit = min(self._permit * RISE_FACTOR**steps, 1)
+        self._wanted = False
 
     def _start_slot(self, start_ms: float) -> None:
         self._slots.append((self._slot_ms, self._slot_calls))
         self._slot_ms = start_ms
         self._slot_calls = 0
+        self._peak = max(self._peak * PEAK_DECAY, LEAST_BURST)
         earliest_ms = start_ms - WINDOW_MS - SHIFT_MS
         while self._slots and self._slots[0][0] < earliest_ms:
             self._slots.popleft()
