Read no list of trusted authorities at the start

Cause: aiohttp builds its TLS contexts when it is imported, which reads the machine's list of authorities: 34 to 37 ms of 0.25 to 0.32 s of processor time of a start (2 ms without the list).

No connection there uses TLS. Test: test_no_list_of_authorities_is_read, which failed before.

--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -25,3 +25,24 @@
         text=True,
     )
     assert not loaded.stdout.strip()
+
+
+AUTHORITIES = """
+import runpy, ssl, sys, types
+program = types.ModuleType('gentianmill_platform.program')
+program.main = lambda: print(len(ssl.create_default_context().get_ca_certs()))
+sys.modules['gentianmill_platform.program'] = program
+runpy.run_path('run.py')
+"""
+
+
+def test_no_list_of_authorities_is_read():
+    """No connection of a node there uses TLS, and the list costs 35 ms a start."""
+    loaded = subprocess.run(
+        [sys.executable, '-c', AUTHORITIES],
+        cwd=ROOT / 'platform',
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert loaded.stdout.strip() == '0'
