Let second copies of slow calls not cut admission

Change: only retries of failed calls count for the permit, and second copies leave a fifth of the burst to them.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -43,6 +43,9 @@
 ORDINARY_RESERVE = 0.3
 """Part of the retries that calls of ordinary rank leave to the most important ones."""
 
+HEDGE_RESERVE = 0.2
+"""Part that second copies of slow calls leave to calls that failed."""
+
 MAX_OFFERS = 8
 """Sends of one call to upstreams that turn calls away: at a chance of 0.45 the last is
 reached by 1 call in 70."""
@@ -182,11 +185,13 @@
             self._shares.limit(service, pace)
         return pace
 
-    def _may_retry(self, attempt: Attempt) -> bool:
-        is_ordinary = attempt.origin.rank >= TOP_RANKS
-        reserve = ORDINARY_RESERVE if is_ordinary else 0
+    def _may_retry(
+        self, attempt: Attempt, reserve: float = 0, *, is_needed: bool = True
+    ) -> bool:
+        if attempt.origin.rank >= TOP_RANKS:
+            reserve += ORDINARY_RESERVE
         pace = self._pace(attempt.service)
-        return pace.try_retry(self._clock.now_ms(), reserve)
+        return pace.try_retry(self._clock.now_ms(), reserve, is_needed=is_needed)
 
     def _choose(self, attempt: Attempt) -> NodeRecord | None:
         """Return a node that was not tried, or else one whose upstream rejected it.
@@ -247,7 +252,7 @@
             return None
         if self._placement.load_share(node, now_ms) > HEDGE_LOAD:
             return None
-        if not self._may_retry(attempt):
+        if not self._may_retry(attempt, HEDGE_RESERVE, is_needed=False):
             return None
         log.info(
             'Second copy sent.',
--- a/packages/gentianmill/src/gentianmill/retry_pace.py
+++ b/packages/gentianmill/src/gentianmill/retry_pace.py
@@ -96,15 +96,19 @@
         self._refill(now_ms)
         return max(self._tokens, 0) / self._burst
 
-    def try_retry(self, now_ms: float, reserve: float = 0) -> bool:
+    def try_retry(
+        self, now_ms: float, reserve: float = 0, *, is_needed: bool = True
+    ) -> bool:
         """Spend one retry and return whether there was one.
 
         Args:
             now_ms: Current time.
             reserve: Part of the burst that must remain for others.
+            is_needed: Whether the request fails without it; a second copy of a slow
+                call is no reason to admit fewer requests.
         """
         self._refill(now_ms)
-        self._wanted = True
+        self._wanted = self._wanted or is_needed
         granted = self._tokens >= 1 + reserve * self._burst
         self._tokens -= granted
         return granted
--- a/tests/test_retry_pace.py
+++ b/tests/test_retry_pace.py
@@ -75,6 +75,15 @@
     assert pace.permit(32_000) == 1
 
 
+def test_second_copies_do_not_cut_admission():
+    """After an overload many calls are slow, and requests were refused for it."""
+    pace = RetryPace(RATIO)
+    for number in range(2000):
+        pace.on_call(number * 10)
+        pace.try_retry(number * 10, is_needed=False)
+    assert pace.permit(20_000) == 1
+
+
 def test_permit_is_whole_while_retries_suffice():
     """A second copy now and then is no reason to refuse requests."""
     pace = RetryPace(RATIO)
