Revert the repeated offers of rejected calls and the paced retries

In the deployment the permit reaches the entries by way of reports that mix several nodes, and payments, let in four times as often as the told share, use up the retries of their nodes. Retries would have to be shared between the nodes of a service by rank first.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -12,7 +12,7 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.outcome import Outcome
 from gentianmill.placement import Placement
-from gentianmill.retry_pace import RetryPace
+from gentianmill.retry import RetryThrottle
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.route_rules import RouteRule
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
@@ -28,7 +28,6 @@
 from gentianmill_mesh.upstream_guard import (
     CRASH_SUSPECT,
     REFUSED_BY_UPSTREAM,
-    UPSTREAM_FULL,
     UpstreamGuard,
 )
 from gentianmill_node.logs import component
@@ -36,23 +35,12 @@
 MAX_REDIRECTS = 4
 """Nodes that may refuse a call before its caller is told to come back."""
 
-RETRY_RATIO = 0.13
-"""Retries per call of a service, calls made by repeated requests included. With the
-burst of ``RetryPace`` that is 0.19; the platform's bound over all nodes is 0.2."""
+RETRY_RATIO = 0.16
+"""Retries per call of a service, calls made by repeated requests included. The
+platform's bound over all nodes is 0.2; the rest is for windows that differ."""
 
-ORDINARY_RESERVE = 0.3
-"""Part of the retries that calls of ordinary rank leave to the most important ones."""
-
-HEDGE_RESERVE = 0.2
-"""Part that second copies of slow calls leave to calls that failed."""
-
-MAX_OFFERS = 8
-"""Sends of one call to upstreams that turn calls away: at a chance of 0.45 the last is
-reached by 1 call in 70."""
-
-OFFER_PAUSE_S = 0.01
-"""Pause before a call is offered again to an upstream that has just rejected it; its
-slots are free again after some 15 ms."""
+ORDINARY_USE = 0.7
+"""Part of the permitted retries that calls of ordinary rank may use."""
 
 TOP_RANKS = 2
 """Ranks of the most important priority: inner calls and new requests."""
@@ -87,11 +75,8 @@
     runs: int = 0
     """Upstreams that may have run it."""
 
-    rejected_by: set[str] = dataclasses.field(default_factory=set)
-    """Nodes whose upstreams got it and did not run it."""
-
-    offers: int = 0
-    """Sends that ended with a rejection by an upstream."""
+    rejections: int = 0
+    """Upstreams that got it and did not run it."""
 
     reason: str = 'no_node'
     """Why it has no answer yet."""
@@ -99,24 +84,7 @@
     @property
     def sends_left(self) -> int:
         """Return to how many more upstreams the rule lets it be sent."""
-        return self.rule.max_attempts - self.runs - len(self.rejected_by)
-
-    @property
-    def may_be_offered_again(self) -> bool:
-        """Return whether an upstream that rejected it may be sent it once more."""
-        return self.offers < MAX_OFFERS and not self.rejected_by <= self.tried
-
-    def rejected(self, name: str, reason: str) -> None:
-        """Take note of a node whose upstream did not run it.
-
-        Args:
-            name: The node.
-            reason: Why; an upstream that is full may take it later.
-        """
-        self.offers += 1
-        self.rejected_by.add(name)
-        if reason == UPSTREAM_FULL:
-            self.tried.discard(name)
+        return self.rule.max_attempts - self.runs - self.rejections
 
 
 class Dispatcher:
@@ -149,7 +117,7 @@
         self._clock = clock
         self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
         self._hedges = HedgePolicy()
-        self._paces: dict[str, RetryPace] = {}
+        self._throttles: dict[str, RetryThrottle] = {}
 
     async def run(self, attempt: Attempt) -> HttpAnswer | None:
         """Return the answer of an upstream, or None.
@@ -157,10 +125,10 @@
         Args:
             attempt: The request; its ``runs`` and ``reason`` tell why there is none.
         """
-        pace = self._pace(attempt.service)
-        pace.on_call(self._clock.now_ms())
+        throttle = self._throttle(attempt.service)
+        throttle.on_call(self._clock.now_ms())
         if attempt.origin.is_repeat:
-            pace.on_forced_retry(self._clock.now_ms())
+            throttle.on_forced_retry(self._clock.now_ms())
         answer: HttpAnswer | None = None
         while node := self._choose(attempt):
             reply = await self._call_hedged(attempt, node)
@@ -169,49 +137,30 @@
                 attempt.reason = reply.reason
             if not self._may_go_on(attempt, reply):
                 break
-            if attempt.sends_left <= 0:
-                await asyncio.sleep(OFFER_PAUSE_S)
         return answer
 
     def forget_gone(self) -> None:
         """Forget what was learned of nodes that are no longer known."""
         self._placement.keep({node.name for node in self._table.records})
 
-    def _pace(self, service: str) -> RetryPace:
-        pace = self._paces.get(service)
-        if pace is None:
-            pace = RetryPace(RETRY_RATIO)
-            self._paces[service] = pace
-            self._shares.limit(service, pace)
-        return pace
-
-    def _may_retry(
-        self, attempt: Attempt, reserve: float = 0, *, is_needed: bool = True
-    ) -> bool:
-        if attempt.origin.rank >= TOP_RANKS:
-            reserve += ORDINARY_RESERVE
-        pace = self._pace(attempt.service)
-        return pace.try_retry(self._clock.now_ms(), reserve, is_needed=is_needed)
+    def _throttle(self, service: str) -> RetryThrottle:
+        return self._throttles.setdefault(service, RetryThrottle(RETRY_RATIO))
 
-    def _choose(self, attempt: Attempt) -> NodeRecord | None:
-        """Return a node that was not tried, or else one whose upstream rejected it.
-
-        An upstream that rejects a part of its calls may take the next one, and does
-        not count as a further upstream.
-        """
-        fresh = attempt.tried | attempt.rejected_by
-        nodes = self._candidates(attempt.service)
-        node = self._best(nodes, attempt, fresh) if attempt.sends_left > 0 else None
-        if node is None and attempt.rejected_by:
-            known = [node for node in nodes if node.name in attempt.rejected_by]
-            node = self._best(known, attempt, attempt.tried)
-        return node
-
-    def _best(
-        self, nodes: list[NodeRecord], attempt: Attempt, excluded: set[str]
-    ) -> NodeRecord | None:
+    def _may_retry(self, attempt: Attempt) -> bool:
+        throttle = self._throttle(attempt.service)
         now_ms = self._clock.now_ms()
-        return self._placement.choose(nodes, attempt.rule.name, now_ms, excluded)
+        is_ordinary = attempt.origin.rank >= TOP_RANKS
+        if is_ordinary and throttle.used_share(now_ms) > ORDINARY_USE:
+            return False
+        return throttle.try_retry(now_ms)
+
+    def _choose(self, attempt: Attempt) -> NodeRecord | None:
+        return self._placement.choose(
+            self._candidates(attempt.service),
+            attempt.rule.name,
+            self._clock.now_ms(),
+            attempt.tried,
+        )
 
     def _candidates(self, service: str) -> list[NodeRecord]:
         nodes = [
@@ -252,7 +201,7 @@
             return None
         if self._placement.load_share(node, now_ms) > HEDGE_LOAD:
             return None
-        if not self._may_retry(attempt, HEDGE_RESERVE, is_needed=False):
+        if not self._may_retry(attempt):
             return None
         log.info(
             'Second copy sent.',
@@ -278,8 +227,7 @@
             self._placement.end(node.name)
         if relayed.reply.outcome is Outcome.not_run:
             attempt.runs -= 1
-            if _reached_upstream(relayed.reply):
-                attempt.rejected(node.name, relayed.reply.reason)
+            attempt.rejections += _reached_upstream(relayed.reply)
         self._learn(attempt, node, relayed, started_ms)
         return relayed.reply
 
@@ -363,7 +311,7 @@
             return len(attempt.tried) <= MAX_REDIRECTS
         if reply.outcome is not Outcome.not_run and not attempt.rule.repeatable:
             return False
-        if attempt.sends_left <= 0 and not attempt.may_be_offered_again:
+        if attempt.sends_left <= 0:
             return False
         return self._may_retry(attempt)
 
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -11,8 +11,6 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from gentianmill.retry_pace import RetryPace
-
 STEP_MS = 200.0
 """Pause between two corrections; reports need about as long per level."""
 
@@ -95,7 +93,6 @@
         """Know no service."""
         self._reports: dict[str, _Report] = {}
         self._below: dict[str, set[str]] = {}
-        self._paces: dict[str, RetryPace] = {}
 
     def learn(self, route: str, shares: Mapping[str, int], now_ms: float) -> None:
         """Take over the report on an answer.
@@ -116,26 +113,14 @@
             known.share += REPORT_WEIGHT * (share - known.share)
             known.at_ms = now_ms
 
-    def limit(self, service: str, pace: RetryPace) -> None:
-        """Let the retries that are left bound the share of a service.
-
-        Args:
-            service: The service.
-            pace: Its retries from this node.
-        """
-        self._paces[service] = pace
-
     def add_below(self, route: str, services: Iterable[str]) -> None:
         """Record that calls of a route go to services."""
         self._below.setdefault(route, set()).update(services)
 
     def shares(self, route: str, now_ms: float) -> dict[str, int]:
-        """Return the shares of the services below a route, in thousandths.
-
-        They are cut by the retries that the upstream's calls to a service have left.
-        """
+        """Return the shares of the services below a route, in thousandths."""
         return {
-            service: int(self._share_above(service, now_ms) * WHOLE)
+            service: int(self._share(service, now_ms) * WHOLE)
             for service in self._below.get(route, ())
         }
 
@@ -144,12 +129,6 @@
         below = self._below.get(route, ())
         return min((self._share(service, now_ms) for service in below), default=1)
 
-    def _share_above(self, service: str, now_ms: float) -> float:
-        """Return the share for requests whose calls from here go to a service."""
-        pace = self._paces.get(service)
-        permit = 1 if pace is None else pace.permit(now_ms)
-        return self._share(service, now_ms) * permit
-
     def _share(self, service: str, now_ms: float) -> float:
         report = self._reports.get(service)
         if report is None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,7 +1,6 @@
 """What is sent to a second node, and what never is."""
 
 import asyncio
-import itertools
 
 import pytest
 from gentianmill.admission_share import ShareTable
@@ -10,16 +9,11 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.outcome import Outcome
 from gentianmill.route_rules import Destination, RouteRule
-from gentianmill_mesh.dispatcher import MAX_OFFERS, Attempt, Dispatcher
+from gentianmill_mesh.dispatcher import Attempt, Dispatcher
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_link import RelayReply
-from gentianmill_mesh.upstream_guard import (
-    CRASH_SUSPECT,
-    OTHER_UPSTREAM,
-    UPSTREAM_FULL,
-    UpstreamGuard,
-)
+from gentianmill_mesh.upstream_guard import CRASH_SUSPECT, UPSTREAM_FULL, UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from mesh_upstream import NAMES
 from node_records import node_record
@@ -33,7 +27,6 @@
 LOST = GuardReply.unknown('upstream_lost')
 REFUSED = GuardReply.not_run('draining')
 LATE = GuardReply.not_run('deadline')
-MISDIRECTED = GuardReply.not_run(OTHER_UPSTREAM)
 FULL = GuardReply.not_run(UPSTREAM_FULL)
 SUSPECT = GuardReply.not_run(CRASH_SUSPECT)
 
@@ -132,11 +125,6 @@
     return asyncio.run(scenario())
 
 
-def _endless(reply: GuardReply) -> list[GuardReply | None]:
-    """Return a script that is longer than any number of sends."""
-    return list(itertools.repeat(reply, 50))
-
-
 def test_payment_that_may_have_run_is_never_sent_again():
     """A payment whose connection broke may have been made."""
     answer, sends, attempt = _run([LOST], repeatable=False)
@@ -162,24 +150,6 @@
     assert (answer.status, sends) == (200, 2)
 
 
-def test_rejected_call_is_offered_again_to_the_same_upstreams():
-    """When all upstreams reject a part of their calls, few trees of calls succeed."""
-    answer, nodes, attempt = _run([FULL, FULL, FULL], repeatable=True, warm=400)
-    assert (answer.status, nodes, attempt.offers) == (200, 2, 3)
-
-
-def test_rejected_call_is_not_offered_for_ever():
-    """An upstream that rejects all calls would be sent each of them without end."""
-    answer, nodes, attempt = _run(_endless(FULL), repeatable=True, warm=400)
-    assert (answer, nodes, attempt.offers) == (None, 2, MAX_OFFERS)
-
-
-def test_call_for_another_upstream_is_not_offered_there_again():
-    """An upstream that is not the one expected will not become it."""
-    answer, nodes, attempt = _run(_endless(MISDIRECTED), repeatable=True)
-    assert (answer, nodes, attempt.offers) == (None, 2, 2)
-
-
 def test_call_without_time_is_offered_once():
     """Each further node would be asked for work that nobody can use any more."""
     answer, sends, _ = _run([LATE, LATE], repeatable=True, left_ms=2)
