Refuse links that are meant for another node

Cause: addresses of VMs that are gone are given to others. A node with the old and the new record opened two links to the same process, which answered all calls on the newer one, where nobody waited for the answers of the other.

Change: the handshake names the node that is meant, and another one answers 421. Test: test_node_at_the_address_of_one_that_is_gone_gets_its_own_calls_only, which failed before (504).

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -13,7 +13,7 @@
 from gentianmill.errors import GentianmillError
 from gentianmill.node_table import NodeRecord
 from gentianmill_mesh.relay_codec import RelayFrame, encode
-from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
 from gentianmill_mesh.relay_server import (
     CLOSE_TIMEOUT_S,
     MAX_FRAME_BYTES,
@@ -177,7 +177,7 @@
         url = f'http://{self._record.host}:{self._record.relay_port}{RELAY_PATH}'
         connecting = self._context.session.ws_connect(
             url,
-            headers=self._context.identity.headers(),
+            headers=self._context.identity.headers() | {PEER_HEADER: self._record.name},
             max_msg_size=MAX_FRAME_BYTES,
             compress=0,
             autoping=False,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
@@ -6,6 +6,10 @@
 NODE_HEADER = 'X-Node'
 INCARNATION_HEADER = 'X-Incarnation'
 
+PEER_HEADER = 'X-Peer'
+"""Name of the node that the caller means; addresses of VMs that are gone are given to
+others."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeIdentity:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -19,7 +19,7 @@
 )
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
-from gentianmill_mesh.relay_handshake import NodeIdentity
+from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.send_now import start_sending
@@ -198,6 +198,11 @@
         identity = NodeIdentity.from_headers(request.headers)
         if identity is None:
             raise web.HTTPBadRequest(text='the handshake names no node')
+        meant = request.headers.get(PEER_HEADER)
+        if meant not in {None, self._identity.name}:
+            # A second link of the same process would take the answers of the first.
+            log.info('Link for another node.', peer=identity.name, meant=meant)
+            raise web.HTTPMisdirectedRequest(text='this is another node')
         socket = web.WebSocketResponse(
             timeout=CLOSE_TIMEOUT_S,
             max_msg_size=MAX_FRAME_BYTES,
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -211,6 +211,11 @@
         report = _report(self._upstream_port, self._sequence)
         self.nodes['back'].take_report(report)
 
+    @property
+    def table(self) -> NodeTable:
+        """Return the records that the entry knows."""
+        return self._tables[-1]
+
     async def call(
         self, path: str, method: str = 'GET', body: bytes = b'', **headers: str
     ) -> tuple[int, bytes, dict[str, str]]:
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -1,6 +1,7 @@
 """Requests across two nodes, with faults between them."""
 
 import asyncio
+import dataclasses
 import itertools
 import time
 
@@ -319,6 +320,19 @@
     assert _play(_pay_slowly(), scenario) == (200, b'paid', 1)
 
 
+def test_node_at_the_address_of_one_that_is_gone_gets_its_own_calls_only():
+    """Two links to one process took each other's answers, and payments were lost."""
+
+    async def scenario(deployment: Deployment) -> set[int]:
+        back = deployment.table.find('back')
+        gone = dataclasses.replace(back, name='gone')
+        deployment.table.merge([gone])
+        calls = [deployment.call('/pay/a', method='POST') for _ in range(12)]
+        return {status for status, _, _ in await asyncio.gather(*calls)}
+
+    assert _play(_echo, scenario) == {200}
+
+
 async def _timed_call(deployment: Deployment) -> float:
     begin = time.monotonic()
     status, _, _ = await deployment.call('/read/a')
