Leave no second owner of a descriptor when connecting is given up

If a connection is cancelled while uvloop takes over aiohttp's socket, uvloop closes the descriptor and the socket object keeps its number. The object is part of a cycle; once that is collected, it closes the number again, which is another connection's by then, and two connections share a number.

Change: the loop detaches the socket object if connecting fails.

--- a/packages/gentianmill-node/src/gentianmill_node/event_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/event_loop.py
@@ -1,14 +1,20 @@
 """The event loop of the node."""
 
+import asyncio
 import os
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import uvloop
 
 
 class EventLoop(uvloop.Loop):
-    """A uvloop that looks up numeric addresses without its thread pool."""
+    """A uvloop with two corrections for the way in which aiohttp connects.
+
+    It looks up numeric addresses without its thread pool, and a connection that is
+    given up while it is made leaves no second owner of its file descriptor.
+    """
 
     async def getaddrinfo(
         self,
@@ -46,6 +52,38 @@
             flags=flags,
         )
 
+    async def create_connection(
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: socket.socket | None = None,
+        **options: Any,
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+        """Connect, as the base class does.
+
+        If it is cancelled, uvloop closes the descriptor of a given socket and the
+        socket object does not know. Once it is collected as garbage it closes the
+        same number again, which may be another connection by then, and the answers
+        of two connections get mixed.
+
+        Args:
+            protocol_factory: Returns the protocol of the connection.
+            host: Host to connect to, without a socket.
+            port: Its port.
+            sock: A connected socket, which the loop takes over.
+            options: Further options of the base class.
+        """
+        try:
+            return await super().create_connection(
+                protocol_factory, host, port, sock=sock, **options
+            )
+        except BaseException:
+            if sock is not None:
+                sock.detach()
+            raise
+
 
 def new_event_loop() -> EventLoop:
     """Create the loop of the process without io_uring, which uvloop uses if let."""
