--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -33,9 +33,10 @@
 """Pauses between attempts to reach a node; each costs a packet, and a node that is
 back waits this long for its first call."""
 
-IDLE_MS = 10_000.0
-"""A link without frames for this long is closed. Open links are pinged, and at the
-design size a node would ping 609 others, of which it calls a few dozen."""
+IDLE_MS = 60_000.0
+"""A link without frames for this long is closed, which bounds the memory for links at
+the design size; nothing is sent on an idle link, and a handshake between regions costs
+as many bytes as ten small calls."""
 
 MS_PER_S = 1000
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -38,8 +38,8 @@
 """Silence of a node that awaits answers: it pings 1.2 s after the last frame, and a
 lost packet delays that by a second."""
 
-UNUSED_MS = 60_000.0
-"""Silence of a node that awaits nothing: it closes a link after 10 s without use, so
+UNUSED_MS = 180_000.0
+"""Silence of a node that awaits nothing: it closes a link after 60 s without use, so
 one that is still open has lost its sender."""
 
 REATTACH_MS = 1500.0
