Add a fault soak of real nodes on loopback addresses

Starts platform/run.py for each VM with an upstream, a store and callers that keep their connections, and harms them from outside: signals that stop, pause, kill, restart and reload; relays that silence and reset the way to the store and to upstreams, or lose what comes back; a store that fails and forgets; new rules; upstreams that lose answers. It checks from what callers and upstreams saw: at most once, refusals that are true, whole and own answers, the upstream that was meant, stops in time, service after the last fault, and no cut request while only planned work happens.

Links between nodes are harmed by signals only, as nodes tell each other their own addresses.

--- /dev/null
+++ b/tests/fault_soak/promises.py
@@ -0,0 +1,77 @@
+"""What must hold whatever happens, from what callers and upstreams have seen."""
+
+from collections.abc import Iterator
+
+from fault_soak.callers import Told
+from fault_soak.faults import Faults
+from fault_soak.place import Place
+
+REFUSALS = frozenset((408, 421, 429, 503))
+"""Statuses that promise that a request has not run and never will."""
+
+LEAST_SERVED = 0.9
+"""Part of the requests that is served once everything is well again."""
+
+LEAST_JUDGED = 20
+
+
+def broken_promises(
+    told: list[Told], places: list[Place], faults: Faults, recovered_s: float
+) -> list[str]:
+    """Return a line for each promise that was broken.
+
+    Args:
+        told: How each request ended for its caller.
+        places: The VMs, whose upstreams know what ran.
+        faults: What was done to them.
+        recovered_s: Time from which on requests must be served again.
+    """
+    ran: dict[str, int] = {}
+    wrong = [line for place in places for line in place.upstream.wrong]
+    for place in places:
+        for request_id, times in place.upstream.ran.items():
+            ran[request_id] = ran.get(request_id, 0) + times
+    broken = [*wrong, *(line for end in told for line in _broken(end, ran))]
+    broken.extend(f'{name} did not stop in time' for name in faults.late_stops)
+    broken.extend(_unrecovered(told, recovered_s))
+    return broken
+
+
+def _broken(end: Told, ran: dict[str, int]) -> Iterator[str]:
+    times = ran.get(end.request_id, 0)
+    if end.unsafe and times > 1:
+        yield f'{end.request_id}: ran {times} times'
+    if end.unsafe and end.status in REFUSALS and times:
+        yield f'{end.request_id}: refused with {end.status} and has run'
+    if end.status == 200 and not _is_own(end):
+        yield f'{end.request_id}: answered with {end.body[:40]!r}'
+    if end.status == 200 and not times:
+        yield f'{end.request_id}: answered and has not run'
+
+
+def _is_own(end: Told) -> bool:
+    return end.body == f'{end.request_id} back'.encode() * 20
+
+
+def _unrecovered(told: list[Told], recovered_s: float) -> Iterator[str]:
+    late = [end for end in told if end.at_s >= recovered_s]
+    served = sum(end.status == 200 for end in late)
+    if len(late) < LEAST_JUDGED or served < LEAST_SERVED * len(late):
+        yield f'{served} of {len(late)} served after the last fault'
+
+
+def interrupted(told: list[Told], places: list[Place]) -> list[str]:
+    """Return requests that ran and whose callers got no answer.
+
+    Planned work alone must not cause any.
+
+    Args:
+        told: How each request ended for its caller.
+        places: The VMs.
+    """
+    ran = {name for place in places for name in place.upstream.ran}
+    return [
+        f'{end.request_id}: ran and was cut'
+        for end in told
+        if not end.status and end.request_id in ran
+    ]
--- /dev/null
+++ b/tests/fault_soak/soak_store.py
@@ -0,0 +1,60 @@
+"""The store of a soak, with an operator who changes the routing rules."""
+
+import json
+
+from platform_store import FakeStore
+
+from fault_soak.callers import HOST_HEADER, READ_PREFIX
+from fault_soak.place import UNSAFE_PREFIX
+
+SERVICES = ('front', 'back', 'back')
+
+
+class SoakStore(FakeStore):
+    """A store with an operator who changes the routing rules."""
+
+    def __init__(self) -> None:
+        """Start without rules."""
+        super().__init__()
+        self._rules_version = 0
+
+    def next_rules(self) -> None:
+        """Write the next version; all of them serve the same routes."""
+        self._rules_version += 3
+        self.put('op', 'config', json.dumps(_rules(self._rules_version)).encode())
+
+
+def _rules(version: int) -> dict[str, object]:
+    return {
+        'version': version,
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 1_000_000,
+            'headerTimeout': '3000ms',
+            'idleTimeout': '15s',
+        },
+        'listeners': [
+            {
+                'host': HOST_HEADER,
+                'rules': [
+                    _route('pay', UNSAFE_PREFIX, 'unsafe', 0),
+                    _route('read', READ_PREFIX, 'safe', 1),
+                ],
+            }
+        ],
+        'clusters': [
+            {'name': name, 'healthCheckPath': '/health', 'maxConnections': 100}
+            for name in set(SERVICES)
+        ],
+    }
+
+
+def _route(name: str, prefix: str, kind: str, priority: int) -> dict[str, object]:
+    return {
+        'name': name,
+        'kind': kind,
+        'priority': priority,
+        'targetLatency': '500ms',
+        'match': {'prefix': prefix},
+        'action': {'service': 'back', 'timeout': '3s', 'maxAttempts': 2},
+    }
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -1,6 +1,5 @@
 """A few nodes in one process, each with an upstream, and a relay that can be cut."""
 
-import asyncio
 import dataclasses
 import json
 from collections.abc import Awaitable, Callable
@@ -8,6 +7,7 @@
 import aiohttp
 import yarl
 from aiohttp import web
+from cable import Cable
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
 from gentianmill.upstream_status import UpstreamReport
@@ -107,65 +107,6 @@
         """Do nothing."""
 
 
-class Cable:
-    """A TCP relay whose connections can be delayed, reset, refused or made silent."""
-
-    def __init__(self, target_port: int) -> None:
-        """Set where connections lead."""
-        self.port = 0
-        self.refusing = False
-        self.hanging = False
-        self.delay_s = float(0)
-        self._target_port = target_port
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-
-    @property
-    def connections(self) -> int:
-        """Return the number of open connections."""
-        open_writers = [
-            writer for writer in self._writers if not writer.transport.is_closing()
-        ]
-        return len(open_writers) // 2
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def reset(self) -> None:
-        """End all connections."""
-        for writer in tuple(self._writers):
-            writer.transport.abort()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        if self.refusing:
-            writer.transport.abort()
-            return
-        far_reader, far_writer = await asyncio.open_connection(HOST, self._target_port)
-        self._writers |= {writer, far_writer}
-        await asyncio.wait(
-            {
-                asyncio.ensure_future(self._copy(reader, far_writer)),
-                asyncio.ensure_future(self._copy(far_reader, writer)),
-            }
-        )
-
-    async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            while data := await reader.read(65536):
-                if not self.hanging:
-                    loop.call_later(self.delay_s, writer.write, data)
-        except ConnectionError:
-            pass
-        writer.close()
-
-
 class Deployment:
     """Nodes ``entry`` and ``back``; only ``back`` has an upstream of service back."""
 
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -43,16 +43,16 @@
         self._changed = asyncio.Event()
         self._web = WebServer()
         self._client: Store | None = None
+        self.port = free_ports(1)[0]
 
     async def __aenter__(self) -> 'FakeStore':
         """Listen on a free port."""
-        port = free_ports(1)[0]
         app = web.Application(middlewares=[self._fail])
         app.router.add_get('/-/rows-get', self._get)
         app.router.add_get('/-/rows-feed', self._feed)
         app.router.add_post('/-/rows-tx', self._transact)
-        await self._web.start('store', app, HOST, port, None)
-        self._client = Store(Address(HOST, port))
+        await self._web.start('store', app, HOST, self.port, None)
+        self._client = Store(Address(HOST, self.port))
         await self._client.start()
         return self
 
--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,75 @@
+"""A short play of the fault soak, and the seeds in which it found something."""
+
+import asyncio
+
+import pytest
+from fault_soak.callers import Told
+from fault_soak.deployment import play
+from fault_soak.faults import Faults
+from fault_soak.place import Place
+from fault_soak.promises import broken_promises, interrupted
+
+SECONDS = 6
+VMS = 4
+
+OWN = b'r1 back' * 20
+
+
+class _Upstream:
+    def __init__(self, ran: dict[str, int]) -> None:
+        self.ran = ran
+        self.wrong: list[str] = []
+
+
+class _Place(Place):
+    def __init__(self, **ran: int) -> None:
+        self.upstream = _Upstream(ran)
+
+
+class _Faults(Faults):
+    def __init__(self) -> None:
+        self.late_stops: list[str] = []
+
+
+def _told(status: int, body: bytes = OWN, *, unsafe: bool = True) -> Told:
+    return Told('r1', unsafe, status, body, 0)
+
+
+def _broken(end: Told, **ran: int) -> list[str]:
+    lines = broken_promises([end], [_Place(**ran)], _Faults(), recovered_s=1)
+    return [line for line in lines if line.startswith('r1')]
+
+
+@pytest.mark.parametrize('planned', [True, False])
+def test_no_promise_is_broken(planned: bool):
+    """Guards against faults that show only with real processes and signals."""
+    played = asyncio.run(play(7, SECONDS, VMS, planned=planned))
+    assert not played.broken
+    assert played.served > 100
+
+
+def test_double_run_is_noticed():
+    """A soak that notices nothing would pass whatever the nodes do."""
+    assert _broken(_told(200), r1=2)
+    assert not _broken(_told(200), r1=1)
+    assert not _broken(_told(200, unsafe=False), r1=2)
+
+
+def test_false_refusal_is_noticed():
+    """A caller who is told that nothing ran pays again."""
+    assert _broken(_told(503), r1=1)
+    assert not _broken(_told(503))
+    assert not _broken(_told(504), r1=1)
+
+
+def test_foreign_and_cut_answers_are_noticed():
+    """An answer of another request tells a caller what others do."""
+    assert _broken(_told(200, b'r2 back' * 20), r1=1)
+    assert _broken(_told(200, OWN[:-1]), r1=1)
+    assert _broken(_told(200))
+
+
+def test_interrupted_request_is_noticed():
+    """Planned work must cost no request."""
+    assert interrupted([_told(0)], [_Place(r1=1)])
+    assert not interrupted([_told(0)], [_Place()])
