--- a/tests/fault_soak/__main__.py
+++ b/tests/fault_soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the fault soak: ``python -m fault_soak``."""
 
 import asyncio
+import logging
 import sys
 
 import defopt
@@ -20,6 +21,8 @@
         seconds: How long faults come in each play.
         vms: Number of VMs in a play.
     """
+    # Upstreams that cut a connection on purpose would fill the output.
+    logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     failed = []
     for seed in range(first, first + seeds):
         played = asyncio.run(play(seed, seconds, vms, planned=seed % PLANNED_EACH == 0))
