--- a/tests/fault_soak/deployment.py
+++ b/tests/fault_soak/deployment.py
@@ -7,11 +7,10 @@
 import shutil
 from pathlib import Path
 
-import aiohttp
 
 from fault_soak.callers import Callers
 from fault_soak.faults import Faults
-from fault_soak.place import PORTS, ROOT, Place
+from fault_soak.place import ROOT, Place
 from fault_soak.promises import broken_promises, interrupted
 from fault_soak.soak_store import SERVICES, SoakStore
 
@@ -65,7 +64,7 @@
 ) -> Played:
     for place in places:
         await place.start()
-    await asyncio.wait_for(_until_ready(places), START_LIMIT_S)
+    await _until_ready(places)
     callers = Callers(places, CALLERS_PER_PLACE, seed)
     faults = Faults(places, store, seed, planned=planned)
     callers.start()
@@ -84,20 +83,8 @@
 
 
 async def _until_ready(places: list[Place]) -> None:
-    async with aiohttp.ClientSession() as session:
-        for place in places:
-            while not await _is_ready(session, place):
-                await asyncio.sleep(0.1)
-
-
-async def _is_ready(session: aiohttp.ClientSession, place: Place) -> bool:
-    url = f'http://{place.ip}:{PORTS["ready"]}/-/ready'
-    try:
-        async with session.get(url, timeout=aiohttp.ClientTimeout(total=1)) as answer:
-            return answer.status == 200
-    except (aiohttp.ClientError, TimeoutError):
-        # It starts; the next question finds it.
-        return False
+    waits = asyncio.gather(*(place.until_ready() for place in places))
+    await asyncio.wait_for(waits, START_LIMIT_S)
 
 
 def _places(folder: Path, store: SoakStore, vms: int, seed: int) -> list[Place]:
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -42,6 +42,9 @@
         end_s = loop.time() + seconds
         running: set[asyncio.Future[None]] = set()
         while loop.time() < end_s:
+            for place in self._places:
+                if place.name not in self._harmed:
+                    place.restart_if_ended()
             free = [place for place in self._places if place.name not in self._harmed]
             if len(free) > len(self._places) // 2:
                 fault = self._rng.choice(self._kinds())
@@ -80,7 +83,7 @@
         if not await place.wait_for_end(STOP_LIMIT_S):
             self.late_stops.append(place.name)
         place.start_node()
-        await asyncio.sleep(1)
+        await place.until_ready()
 
     async def _hang_up(self, place: Place) -> None:
         place.send_signal(signal.SIGHUP)
@@ -93,7 +96,7 @@
         await place.wait_for_end(1)
         await asyncio.sleep(self._rng.uniform(0, 1))
         place.start_node()
-        await asyncio.sleep(1)
+        await place.until_ready()
 
     async def _pause(self, place: Place) -> None:
         place.send_signal(signal.SIGSTOP)
--- a/tests/fault_soak/place.py
+++ b/tests/fault_soak/place.py
@@ -78,7 +78,9 @@
         self.upstream = Upstream(ip, service, rng)
         self.to_upstream = Cable(UPSTREAM_PORT, ip)
         self.to_store = Cable(store_port)
-        self.exits: list[int] = []
+        self.own_ends: list[int] = []
+        """Exit codes of node processes that nobody ended."""
+
         self._folder = folder
         self._born = 1
         self._sequence = 0
@@ -129,13 +131,37 @@
         steps = int(limit_s / 0.05)
         for _ in range(steps):
             if process.poll() is not None:
-                self.exits.append(process.returncode)
+                self._process = None
                 return True
             await asyncio.sleep(0.05)
         process.kill()
         process.wait()
+        self._process = None
         return False
 
+    def restart_if_ended(self) -> None:
+        """Start the node process again if it ended by itself, as the platform does."""
+        if self._process is not None and self._process.poll() is not None:
+            self.own_ends.append(self._process.returncode)
+            self.start_node()
+
+    async def until_ready(self) -> None:
+        """Wait until the node says that it is ready."""
+        async with aiohttp.ClientSession() as session:
+            while not await self._is_ready(session):
+                self.restart_if_ended()
+                await asyncio.sleep(0.1)
+
+    async def _is_ready(self, session: aiohttp.ClientSession) -> bool:
+        url = f'http://{self.ip}:{PORTS["ready"]}/-/ready'
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with session.get(url, timeout=timeout) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            # It starts; the next question finds it.
+            return False
+
     async def close(self) -> None:
         """End everything on the VM."""
         if self._beating is not None:
--- a/tests/fault_soak/promises.py
+++ b/tests/fault_soak/promises.py
@@ -33,6 +33,11 @@
             ran[request_id] = ran.get(request_id, 0) + times
     broken = [*wrong, *(line for end in told for line in _broken(end, ran))]
     broken.extend(f'{name} did not stop in time' for name in faults.late_stops)
+    broken.extend(
+        f'{place.name} ended by itself with {code}'
+        for place in places
+        for code in place.own_ends
+    )
     broken.extend(_unrecovered(told, recovered_s))
     return broken
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -24,6 +24,7 @@
 class _Place(Place):
     def __init__(self, **ran: int) -> None:
         self.upstream = _Upstream(ran)
+        self.own_ends: list[int] = []
 
 
 class _Faults(Faults):
@@ -40,10 +41,18 @@
     return [line for line in lines if line.startswith('r1')]
 
 
-@pytest.mark.parametrize('planned', [True, False])
-def test_no_promise_is_broken(planned: bool):
+@pytest.mark.parametrize(
+    ('seed', 'planned'),
+    [
+        (7, True),
+        (7, False),
+        # A node that was told to reload while it started ended by itself.
+        (9, True),
+    ],
+)
+def test_no_promise_is_broken(seed: int, planned: bool):
     """Guards against faults that show only with real processes and signals."""
-    played = asyncio.run(play(7, SECONDS, VMS, planned=planned))
+    played = asyncio.run(play(seed, SECONDS, VMS, planned=planned))
     assert not played.broken
     assert played.served > 100
 
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -27,22 +27,34 @@
     assert not loaded.stdout.strip()
 
 
-AUTHORITIES = """
-import runpy, ssl, sys, types
+RUN_INSTEAD = """
+import os, runpy, signal, ssl, sys, types
 program = types.ModuleType('gentianmill_platform.program')
-program.main = lambda: print(len(ssl.create_default_context().get_ca_certs()))
+program.main = lambda: {code}
 sys.modules['gentianmill_platform.program'] = program
 runpy.run_path('run.py')
 """
 
 
-def test_no_list_of_authorities_is_read():
-    """No connection of a node there uses TLS, and the list costs 35 ms a start."""
-    loaded = subprocess.run(
-        [sys.executable, '-c', AUTHORITIES],
+def _run_instead(code: str) -> str:
+    """Run an expression in place of the program and return what it printed."""
+    run = subprocess.run(
+        [sys.executable, '-c', RUN_INSTEAD.format(code=code)],
         cwd=ROOT / 'platform',
         capture_output=True,
         check=True,
         text=True,
     )
-    assert loaded.stdout.strip() == '0'
+    return run.stdout.strip()
+
+
+def test_no_list_of_authorities_is_read():
+    """No connection of a node there uses TLS, and the list costs 35 ms a start."""
+    code = 'print(len(ssl.create_default_context().get_ca_certs()))'
+    assert _run_instead(code) == '0'
+
+
+def test_early_signal_to_reload_does_not_end_the_process():
+    """A node that was told to reload while it started was gone (soak seed 9)."""
+    code = '(os.kill(os.getpid(), signal.SIGHUP), print("alive"))'
+    assert _run_instead(code) == 'alive'
