Count and log arrivals at upstreams by their cause

Each call now says why it is sent (first, retry, hedge, inherited), the pool reports what it sends again by itself, and guards log the counts once a second while repeats are among them, with the calls whose request is not known to run. No decision changes; RelayCall carries the cause instead of a flag.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 
 from gentianmill.admission_share import ShareTable
+from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallOrigin
 from gentianmill.clock import Clock
 from gentianmill.hedge import HedgePolicy
@@ -127,7 +128,7 @@
         """
         throttle = self._throttle(attempt.service)
         throttle.on_call(self._clock.now_ms())
-        if attempt.origin.is_repeat:
+        if attempt.origin.cause.is_repeat:
             throttle.on_forced_retry(self._clock.now_ms())
         answer: HttpAnswer | None = None
         while node := self._choose(attempt):
@@ -184,7 +185,7 @@
         self, attempt: Attempt
     ) -> Coroutine[None, None, GuardReply] | None:
         node = self._hedge_node(attempt)
-        return None if node is None else self._call(attempt, node)
+        return None if node is None else self._call(attempt, node, Cause.hedge)
 
     def _hedge_delay_s(self, attempt: Attempt) -> float | None:
         if not attempt.rule.repeatable:
@@ -211,14 +212,16 @@
         )
         return node
 
-    async def _call(self, attempt: Attempt, node: NodeRecord) -> GuardReply:
+    async def _call(
+        self, attempt: Attempt, node: NodeRecord, again: Cause = Cause.retry
+    ) -> GuardReply:
         attempt.tried.add(node.name)
-        is_repeat = attempt.origin.is_repeat or attempt.runs > 0
+        cause = again if attempt.runs else attempt.origin.cause
         attempt.runs += 1
         started_ms = self._clock.now_ms()
         self._placement.start(node.name)
         try:
-            relayed = await self._send(node, self._guard_call(attempt, is_repeat))
+            relayed = await self._send(node, self._guard_call(attempt, cause))
         except asyncio.CancelledError:
             spent_ms = self._clock.now_ms() - started_ms
             self._placement.overtaken(node.name, attempt.rule.name, spent_ms)
@@ -237,7 +240,7 @@
             return RelayReply(reply, self._guard.load(call.route))
         return await self._links.to(node).call(call)
 
-    def _guard_call(self, attempt: Attempt, is_repeat: bool) -> GuardCall:
+    def _guard_call(self, attempt: Attempt, cause: Cause) -> GuardCall:
         return GuardCall(
             service=attempt.service,
             request=attempt.request,
@@ -247,7 +250,7 @@
             repeatable=attempt.rule.repeatable,
             caller_service=self._own.service,
             route=attempt.rule.name,
-            is_repeat=is_repeat,
+            cause=cause,
         )
 
     def _patience_ms(self, attempt: Attempt) -> float:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gentianmill.arrivals import Cause
 from gentianmill.outcome import Outcome
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 
@@ -20,7 +21,8 @@
     repeatable: bool
     caller_service: str
     route: str
-    is_repeat: bool
+    cause: Cause
+    """Why it is sent."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -2,6 +2,7 @@
 
 import resource
 from collections import Counter as Tally
+from collections.abc import Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from aioprometheus.histogram import Histogram as LabelledHistogram
@@ -31,6 +32,7 @@
         self._histograms: dict[str, LabelledHistogram] = {}
         self._requests = self._counter('requests', 'Requests by route and end.')
         self._decisions = self._counter('decisions', 'Decisions by kind and reason.')
+        self._arrivals = self._counter('arrivals', 'Arrivals at the upstream by cause.')
         # aioprometheus encodes labels as JSON for each addition, so counts are
         # added up here until they are rendered.
         self._ended: Tally[tuple[str, str]] = Tally()
@@ -59,6 +61,11 @@
         """Record a decision, such as ``refused`` for the reason ``overloaded``."""
         self._decided[kind, reason] += 1
 
+    def on_arrivals(self, total: Mapping[str, int]) -> None:
+        """Take over the arrivals at the upstream so far, by cause."""
+        for cause, count in total.items():
+            self._arrivals.set({'cause': str(cause)}, count)
+
     def set_gauge(self, name: str, doc: str, level: float) -> None:
         """Set a gauge.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -13,6 +13,7 @@
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.arrival_log import ArrivalLog
 from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.dispatcher import Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
@@ -52,6 +53,9 @@
 """Pause between two looks at the nodes whose records this one keeps, a quarter of the
 time after which they count as gone."""
 
+ARRIVAL_TICKS = 4
+"""A second between two log lines on repeats, which tell when a budget was used."""
+
 FORGET_TICKS = 240
 """A minute between two rounds that forget nodes; 230 are replaced a day."""
 
@@ -133,6 +137,7 @@
             self._clock,
         )
         self._guard.crashes.announce_by(self._tell_crash)
+        self._arrival_log = ArrivalLog(self._guard)
         self._web = WebServer()
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -240,6 +245,8 @@
             await asyncio.sleep(TICK_S)
             self._guard.check()
             self._relay.check()
+            if not number % ARRIVAL_TICKS:
+                self._arrival_log.write()
             if not number % FORGET_TICKS:
                 self._forget_gone()
 
@@ -293,6 +300,7 @@
         )
         for name, doc, level in gauges:
             self._metrics.set_gauge(name, doc, level)
+        self._metrics.on_arrivals(self._guard.arrivals.total)
         text, content_type = self._metrics.render()
         return web.Response(body=text, headers={'Content-Type': content_type})
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -197,7 +197,7 @@
             repeatable=call.repeatable,
             caller_service=call.caller_service,
             route=call.route,
-            is_repeat=call.is_repeat,
+            cause=call.cause.value,
         )
         waiter = asyncio.get_running_loop().create_future()
         return _Pending(frame, call.deadline_ms, waiter, now_ms)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import WSMsgType, web
 
+from gentianmill.arrivals import Cause
 from gentianmill.clock import Clock
 from gentianmill.errors import GentianmillError
 from gentianmill.relay_messages import (
@@ -320,7 +321,7 @@
         repeatable=frame.repeatable,
         caller_service=frame.caller_service,
         route=frame.route,
-        is_repeat=frame.is_repeat,
+        cause=Cause(frame.cause),
     )
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -1,6 +1,7 @@
 """The last check before the upstream: its queue, limit and state."""
 
 from gentianmill.admission_share import WHOLE, AdmissionShare, ShareTable
+from gentianmill.arrivals import Arrivals, Cause
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
 from gentianmill.outcome import Outcome
@@ -67,6 +68,13 @@
         self._liveness = UpstreamLiveness()
         self._crashes = CrashWatch(pool, clock)
         self._stopping = False
+        self._arrivals = Arrivals()
+        pool.on_resend(lambda: self._arrivals.add(Cause.resend))
+
+    @property
+    def arrivals(self) -> Arrivals:
+        """Return what reached the upstream, by cause."""
+        return self._arrivals
 
     @property
     def service(self) -> str:
@@ -198,7 +206,8 @@
         ]
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
-        self._tree.start(tree_id, call.rank, call.route, call.is_repeat)
+        self._tree.start(tree_id, call.rank, call.route, call.cause)
+        self._arrivals.add(call.cause)
         try:
             answer = await self._pool.run(
                 call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from gentianmill.clock import Clock
 
@@ -65,6 +66,7 @@
         self._idle: list[tuple[UpstreamConnection, float]] = []
         self._opened = 0
         self._repeatable: set[UpstreamConnection] = set()
+        self._on_resend: Callable[[], None] = _ignore
 
     @property
     def opened(self) -> int:
@@ -106,8 +108,13 @@
             if not (repeatable and self._was_forgotten(error, sent_ms)):
                 raise
             fresh = await self._open_after(error)
+        self._on_resend()
         return await self._run_on(fresh, exchange, end_ms)
 
+    def on_resend(self, take: Callable[[], None]) -> None:
+        """Set what is called when a request is sent a second time."""
+        self._on_resend = take
+
     async def is_reachable(self) -> bool:
         """Return whether the upstream accepts a connection now."""
         try:
@@ -203,6 +210,10 @@
             connection.close()
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 def _usable_ms(connection: UpstreamConnection) -> float:
     if connection.idle_limit_ms is None:
         return IDLE_LIMIT_MS
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from gentianmill.arrivals import Cause
+
 ID_SEPARATOR = '.'
 """Ends the id of the caller in the id of a call that it makes."""
 
@@ -18,8 +20,8 @@
     parent_route: str | None
     """Route of the request for which an upstream makes it; None if it is new."""
 
-    is_repeat: bool = False
-    """Whether that request is a repeat, so that the call is one too."""
+    cause: Cause = Cause.first
+    """Inherited if that request is a repeat, as its calls count as repeats too."""
 
     @property
     def is_inner(self) -> bool:
@@ -38,9 +40,15 @@
     def __init__(self) -> None:
         """Start without running requests."""
         self._running: dict[str, CallOrigin] = {}
+        self._orphans = 0
+
+    @property
+    def orphans(self) -> int:
+        """Return the calls so far whose request was not known to run."""
+        return self._orphans
 
     def start(
-        self, request_id: str, rank: int, route: str, is_repeat: bool = False
+        self, request_id: str, rank: int, route: str, cause: Cause = Cause.first
     ) -> None:
         """Take note of a request that starts on the upstream.
 
@@ -48,10 +56,12 @@
             request_id: Its id.
             rank: Its order in the queue.
             route: Name of its route.
-            is_repeat: Whether an upstream may have run it before.
+            cause: Why it was sent to the upstream.
         """
         self._running[request_id] = CallOrigin(
-            rank - rank % RANKS_PER_PRIORITY, route, is_repeat
+            rank - rank % RANKS_PER_PRIORITY,
+            route,
+            Cause.inherited if cause.is_repeat else Cause.first,
         )
 
     def end(self, request_id: str) -> None:
@@ -68,5 +78,6 @@
         parent_id = request_id.rpartition(ID_SEPARATOR)[0]
         parent = self._running.get(parent_id)
         if parent is None:
+            self._orphans += bool(parent_id)
             return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
         return parent
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -71,11 +71,8 @@
         str, Meta(description='Service on the VM where the request began.')
     ]
     route: Annotated[str, Meta(description='Name of its route.')]
-    is_repeat: Annotated[
-        bool,
-        Meta(
-            description='Whether an upstream may have run it before, or the request for which it is made.'
-        ),
+    cause: Annotated[
+        str, Meta(description='Why it is sent: first, retry, hedge or inherited.')
     ]
 
 
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -119,7 +119,7 @@
         self._web = WebServer()
         self._tables: list[NodeTable] = []
         self.entry_port = 0
-        self.metrics_port = 0
+        self._metrics_ports: dict[str, int] = {}
         self._session: aiohttp.ClientSession | None = None
         self._upstream_port = 0
         self._sequence = 0
@@ -133,7 +133,7 @@
         await self._start_node('back', 'back', ports[:4], ports[8], self.cable.port)
         await self._start_node('entry', 'front', ports[4:8], ports[8], None)
         self.entry_port = ports[5]
-        self.metrics_port = ports[7]
+        self._metrics_ports = {'back': ports[3], 'entry': ports[7]}
         self._upstream_port = ports[8]
         self.report()
         self._session = aiohttp.ClientSession()
@@ -170,9 +170,9 @@
         ) as response:
             return response.status, await response.read(), dict(response.headers)
 
-    async def metrics(self) -> str:
-        """Return the metrics of the entry."""
-        url = f'http://{HOST}:{self.metrics_port}/metrics'
+    async def metrics(self, node: str = 'entry') -> str:
+        """Return the metrics of a node."""
+        url = f'http://{HOST}:{self._metrics_ports[node]}/metrics'
         async with self._session.get(url) as response:
             return await response.text()
 
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -1,5 +1,6 @@
 """Tests of the recognition of inner calls."""
 
+from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallTree
 
 
@@ -30,6 +31,6 @@
 def test_calls_of_a_repeat_are_repeats():
     """The platform's bound counts the calls of a repeated request as retries."""
     tree = CallTree()
-    tree.start('root', 1, 'r', is_repeat=True)
-    assert tree.origin('root.1', 2).is_repeat
-    assert not tree.origin('new', 2).is_repeat
+    tree.start('root', 1, 'r', Cause.retry)
+    assert tree.origin('root.1', 2).cause is Cause.inherited
+    assert tree.origin('new', 2).cause is Cause.first
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -83,15 +83,13 @@
     )
 
 
-def _attempt(
-    *, repeatable: bool, is_repeat: bool = False, left_ms: float = 2000
-) -> Attempt:
+def _attempt(*, repeatable: bool, left_ms: float = 2000) -> Attempt:
     return Attempt(
         request=HttpRequest('GET', b'/', [], b''),
         request_id='1',
         rule=_rule(repeatable=repeatable),
         service='back',
-        origin=CallOrigin(0, None, is_repeat),
+        origin=CallOrigin(0, None),
         deadline_ms=MonotonicClock().now_ms() + left_ms,
     )
 
--- a/tests/test_mesh_nodes.py
+++ b/tests/test_mesh_nodes.py
@@ -388,6 +388,16 @@
     assert 'gentianmill_rules_version 1' in text
 
 
+def test_metrics_count_arrivals_by_cause():
+    """Repeats beyond the budget could not be told from first arrivals."""
+
+    async def scenario(deployment: Deployment) -> str:
+        await deployment.call('/read/a')
+        return await deployment.metrics('back')
+
+    assert 'gentianmill_arrivals_total{cause="first"} 1' in _play(_echo, scenario)
+
+
 def test_request_that_crashes_its_upstream_is_refused_in_the_end():
     """A caller who sends such a request again and again takes a service down."""
 
