Log first arrivals of seconds without repeats with the next line

The line says what came since the line before, but dropped the first arrivals of seconds in which no repeat came, so the share of repeats read from it was too high.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
@@ -1,6 +1,5 @@
 """Logs what reached the upstream, so that a used budget can be explained."""
 
-from gentianmill.arrivals import Cause
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_node.logs import component
 
@@ -20,9 +19,9 @@
         self._orphans = 0
 
     def write(self) -> None:
-        """Log what came since the last call, if it was more than first arrivals."""
-        counts = self._guard.arrivals.take_new()
+        """Log what came since the last line, if it was more than first arrivals."""
         orphans = self._guard.tree.orphans - self._orphans
-        self._orphans += orphans
-        if orphans or counts.keys() - {Cause.first.value}:
+        if orphans or self._guard.arrivals.fresh_repeats:
+            self._orphans += orphans
+            counts = self._guard.arrivals.take_new()
             log.info('Repeats arrived.', orphans=orphans, **counts)
--- a/packages/gentianmill/src/gentianmill/arrivals.py
+++ b/packages/gentianmill/src/gentianmill/arrivals.py
@@ -35,6 +35,12 @@
         """Start without arrivals."""
         self._total: Counter[Cause] = Counter()
         self._reported: Counter[Cause] = Counter()
+        self._fresh_repeats = False
+
+    @property
+    def fresh_repeats(self) -> bool:
+        """Return whether repeats came since the last call of ``take_new``."""
+        return self._fresh_repeats
 
     @property
     def total(self) -> Counter[Cause]:
@@ -44,9 +50,11 @@
     def add(self, cause: Cause) -> None:
         """Count one arrival."""
         self._total[cause] += 1
+        self._fresh_repeats |= cause.is_repeat
 
     def take_new(self) -> dict[str, int]:
         """Return the arrivals by cause since the last call."""
         fresh = self._total - self._reported
         self._reported = self._total.copy()
+        self._fresh_repeats = False
         return {cause.value: count for cause, count in fresh.items()}
