--- /dev/null
+++ b/tests/call_fleet.py
@@ -0,0 +1,242 @@
+"""Nodes of several services that call each other, in virtual time and one process."""
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Sequence
+
+from gentianmill.admission_share import ShareTable
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.route_rules import Destination, RouteRule
+from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.dispatcher import Attempt, Dispatcher
+from gentianmill_mesh.guard_call import GuardCall
+from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
+from gentianmill_mesh.relay_link import RelayReply
+from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
+from gentianmill_mesh.upstream_guard import UpstreamGuard
+from mesh_upstream import NAMES
+from node_records import node_record
+from virtual_time import LoopClock
+
+SLOTS = 60
+LINK_S = 0.0005
+WORK_S = 0.02
+TIME_MS = 4000.0
+FAILED = 500
+
+CALLS = {'a': ('b', 2), 'b': ('c', 1), 'c': ('d', 3), 'd': ('', 0)}
+"""What a request at a service calls, and how often, one after the other."""
+
+Fault = Callable[[str, float], float]
+"""Returns the share of answers that a node loses at a time in s."""
+
+
+class Fleet:
+    """Nodes with upstreams that run requests, call others and lose answers.
+
+    An arrival is a repeat if its id reached the service before, or if the run that
+    makes the call is a repeat itself; nothing that the nodes say is used for that.
+    """
+
+    def __init__(self, nodes_per_service: int, fault: Fault, rng: random.Random):
+        """Create the nodes; call it in the running loop.
+
+        Args:
+            nodes_per_service: Nodes of each service.
+            fault: Which answers are lost.
+            rng: Decides which answers are lost, and times.
+        """
+        self.rng = rng
+        self.fault = fault
+        self.requests: dict[str, list[float]] = defaultdict(list)
+        self.repeats: dict[str, list[float]] = defaultdict(list)
+        self.ends: Counter[int] = Counter()
+        self._seen: set[str] = set()
+        self._repeated: set[str] = set()
+        self.nodes: dict[str, _Node] = {}
+        records = [
+            node_record(f'{service}{number}', service=service, slots=SLOTS)
+            for service in CALLS
+            for number in range(nodes_per_service)
+        ]
+        for record in records:
+            self.nodes[record.name] = _Node(self, record, records)
+
+    async def call(self, entry: str, service: str) -> None:
+        """Send a request of a caller."""
+        number = self.rng.getrandbits(48)
+        answer = await self.nodes[entry].send(f'{number:x}', service)
+        self.ends[answer.status if answer else 0] += 1
+
+    def made(self, call_id: str, by_repeat: bool) -> None:
+        """Note a call that a run makes."""
+        if by_repeat:
+            self._repeated.add(call_id)
+
+    def arrived(self, request_id: str, service: str, now_s: float) -> bool:
+        """Note an arrival and return whether it is a repeat."""
+        is_repeat = request_id in self._seen or request_id in self._repeated
+        self._seen.add(request_id)
+        if is_repeat:
+            self.repeats[service].append(now_s)
+        return is_repeat
+
+    def worst_excess(self, window_s: float, ratio: float) -> dict[str, float]:
+        """Return, per service, the most repeats beyond a ratio of the requests.
+
+        Args:
+            window_s: Length of the sliding windows.
+            ratio: Repeats per request that are permitted.
+        """
+        return {
+            service: max(
+                (
+                    _within(times, start_s, window_s)
+                    - ratio * _most(self.requests[service], start_s, window_s)
+                    for start_s in times
+                ),
+                default=0,
+            )
+            for service, times in self.repeats.items()
+        }
+
+
+def _within(times: Sequence[float], start_s: float, window_s: float) -> int:
+    return sum(start_s <= at_s < start_s + window_s for at_s in times)
+
+
+def _most(times: Sequence[float], start_s: float, window_s: float) -> int:
+    """Return the requests in a window, the one before, or half a window before."""
+    starts = (start_s, start_s - window_s / 2, start_s - window_s)
+    return max(_within(times, start, window_s) for start in starts)
+
+
+class _Node:
+    def __init__(
+        self, fleet: Fleet, record: NodeRecord, records: Sequence[NodeRecord]
+    ) -> None:
+        self._fleet = fleet
+        self._record = record
+        clock = LoopClock()
+        shares = ShareTable()
+        table = NodeTable()
+        table.merge(records)
+        self._upstream = _Upstream(fleet, self, record)
+        self.guard = UpstreamGuard(record.service, self._upstream, NAMES, shares, clock)
+        self.guard.take_report(_report(record))
+        self._dispatcher = Dispatcher(
+            table, record, self.guard, _Links(fleet), shares, clock
+        )
+        self._clock = clock
+
+    async def send(self, request_id: str, service: str) -> HttpAnswer | None:
+        """Bring a request from this node to a service."""
+        self._fleet.requests[service].append(asyncio.get_running_loop().time())
+        attempt = Attempt(
+            request=HttpRequest(
+                'GET', b'/', [[b'x-attempt', request_id.encode()]], b''
+            ),
+            request_id=request_id,
+            rule=_rule(service),
+            service=service,
+            origin=self.guard.tree.origin(request_id, 1),
+            deadline_ms=self._clock.now_ms() + TIME_MS,
+        )
+        return await self._dispatcher.run(attempt)
+
+
+class _Upstream:
+    """Stands for the pool of connections and the upstream behind it."""
+
+    def __init__(self, fleet: Fleet, node: _Node, record: NodeRecord) -> None:
+        self._fleet = fleet
+        self._node = node
+        self._record = record
+
+    def on_resend(self, _take: object) -> None:
+        """Do nothing, as nothing is sent again here."""
+
+    async def is_reachable(self) -> bool:
+        """Return that the upstream never crashes."""
+        return True
+
+    async def run(
+        self, request: HttpRequest, request_id: bytes, *_: object
+    ) -> HttpAnswer:
+        """Run a request.
+
+        Raises:
+            UpstreamLostError: If its answer is lost.
+        """
+        text = request_id.decode()
+        service = self._record.service
+        now_s = asyncio.get_running_loop().time()
+        is_repeat = self._fleet.arrived(text, service, now_s)
+        await asyncio.sleep(WORK_S * self._fleet.rng.uniform(0.5, 1.5))
+        below, times = CALLS[service]
+        for number in range(times):
+            call_id = f'{text}.{self._fleet.rng.getrandbits(32):x}{number}'
+            self._fleet.made(call_id, is_repeat)
+            answer = await self._node.send(call_id, below)
+            if answer is None or answer.status >= FAILED:
+                return HttpAnswer(FAILED, [], b'')
+        if self._fleet.rng.random() < self._fleet.fault(self._record.name, now_s):
+            raise UpstreamLostError(LossKind.after_send, 'the answer is lost')
+        return HttpAnswer(200, [], b'ok')
+
+
+class _Links:
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def reaches(self, _record: NodeRecord) -> bool:
+        """Return that all nodes are reachable."""
+        return True
+
+    def to(self, record: NodeRecord) -> '_Link':
+        """Return the link to a node."""
+        return _Link(self._fleet.nodes[record.name].guard)
+
+
+class _Link:
+    def __init__(self, guard: UpstreamGuard) -> None:
+        self._guard = guard
+
+    async def call(self, call: GuardCall) -> RelayReply:
+        """Run a call on the other node."""
+        await asyncio.sleep(LINK_S)
+        reply = await self._guard.run(call)
+        load = self._guard.load(call.route)
+        await asyncio.sleep(LINK_S)
+        return RelayReply(reply, load)
+
+
+def _rule(service: str) -> RouteRule:
+    return RouteRule(
+        name=service,
+        host='h',
+        prefix='/',
+        destinations=(Destination(service, 1),),
+        repeatable=True,
+        bulk=False,
+        timeout_ms=None,
+        target_latency_ms=None,
+        max_attempts=2,
+        priority=0,
+    )
+
+
+def _report(record: NodeRecord) -> UpstreamReport:
+    return UpstreamReport(
+        upstream_id=record.name,
+        service=record.service,
+        host=record.host,
+        port=1,
+        zone=record.zone,
+        slots=SLOTS,
+        draining=False,
+        sequence=1,
+        born_ms=1,
+        cold_ms=0,
+    )
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,83 @@
+"""Arrivals beyond the first of each request stay within the retry budget."""
+
+import asyncio
+import random
+
+import pytest
+from aiohttp import web
+from call_fleet import Fleet
+from mesh_deployment import Deployment
+from virtual_time import run_virtual
+
+READS = 60
+RATIO = 0.2
+WINDOW_S = 10
+NODES = 3
+"""Nodes of each service."""
+
+REQUESTS_PER_S = 60
+FAULTS_FROM_S = 8
+PLAY_S = 22
+OK = 200
+SLACK = 5
+"""Repeats that a service with few calls may have, as the settings of the nodes say."""
+
+
+class _ResetsUsedConnections:
+    """Answer the first request of each connection and reset it at the second."""
+
+    def __init__(self) -> None:
+        self._used: set[int] = set()
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer or reset.
+
+        Raises:
+            ConnectionResetError: For the second request of a connection.
+        """
+        connection = id(request.transport)
+        if connection in self._used:
+            self._used.discard(connection)
+            request.transport.abort()
+            raise ConnectionResetError
+        self._used.add(connection)
+        return web.Response(body=b'read')
+
+
+def test_reads_that_break_on_kept_connections_stay_within_the_budget():
+    """Each read that a reset cut short ran twice, on any number of connections."""
+
+    async def play() -> int:
+        async with Deployment(_ResetsUsedConnections().answer) as deployment:
+            for _ in range(READS):
+                await deployment.call('/read/a')
+            return len(deployment.seen)
+
+    assert asyncio.run(play()) - READS <= READS * RATIO + SLACK
+
+
+async def _play_failures(share: float, seed: int) -> Fleet:
+    rng = random.Random(seed)
+    loop = asyncio.get_running_loop()
+    fleet = Fleet(
+        NODES, lambda _node, now_s: share if now_s > FAULTS_FROM_S else 0, rng
+    )
+    names = list(fleet.nodes)
+    callers = []
+    while loop.time() < PLAY_S:
+        await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
+        callers.append(asyncio.ensure_future(fleet.call(rng.choice(names), 'a')))
+    await asyncio.gather(*callers)
+    return fleet
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('share', [0.1, 0.3])
+def test_failures_at_each_level_do_not_multiply_down_the_call_tree(
+    share: float, seed: int
+):
+    """Each level added its own retries to the calls of the repeats above it."""
+    fleet = run_virtual(_play_failures(share, seed))
+    excess = fleet.worst_excess(WINDOW_S, RATIO)
+    assert max(excess.values()) <= SLACK, excess
+    assert fleet.ends[OK] > 0
