Bound repeats at the guards, where they arrive

Cause: each node kept account of the retries that it decided itself, not of what arrived at the service. (1) The pool sent a read again by itself when a kept connection broke within 50 ms; that run and its calls counted as first ones. (2) Calls of repeats were counted and never refused, so each level of the call tree added its retries to those that it inherited, and they raised the number of calls of which retries are a share. (3) A request that an upstream had rejected counted as a first one at the next.

Now the guard of each upstream admits repeats within 0.85 of the permitted ratio of the first arrivals there, in a sliding window; second copies, retries and resends leave room for the calls of repeats that already run. Whatever the guards of a service let in is within that ratio of all its first arrivals, however unevenly nodes send. A refused repeat has not run; its caller may ask another guard. Ratio, window and slack come from the platform's bounds.

--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_gate.py
@@ -0,0 +1,47 @@
+"""The last check of the retry budget before the upstream."""
+
+from gentianmill.arrivals import Arrivals, Cause
+from gentianmill.clock import Clock
+from gentianmill.repeat_budget import RepeatBudget, RetryBudgetSettings
+
+
+class ArrivalGate:
+    """Let first arrivals in, and repeats within the budget of their service."""
+
+    def __init__(self, settings: RetryBudgetSettings, clock: Clock) -> None:
+        """Create a gate without arrivals.
+
+        Args:
+            settings: The bound for the service.
+            clock: Clock of the node.
+        """
+        self._budget = RepeatBudget(settings)
+        self._clock = clock
+        self._arrivals = Arrivals()
+        self._refused = 0
+
+    @property
+    def arrivals(self) -> Arrivals:
+        """Return what reached the upstream, by cause."""
+        return self._arrivals
+
+    @property
+    def refused(self) -> int:
+        """Return the repeats that were turned away so far."""
+        return self._refused
+
+    def share_slack(self, guards: int) -> None:
+        """Set the number of guards of the service."""
+        self._budget.share_slack(guards)
+
+    def admit(self, cause: Cause) -> bool:
+        """Count an arrival, or return that the budget does not permit it.
+
+        Args:
+            cause: Why the request is sent to the upstream.
+        """
+        if not self._budget.admit(cause, self._clock.now_ms()):
+            self._refused += 1
+            return False
+        self._arrivals.add(cause)
+        return True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
@@ -21,7 +21,7 @@
     def write(self) -> None:
         """Log what came since the last line, if it was more than first arrivals."""
         orphans = self._guard.tree.orphans - self._orphans
-        if orphans or self._guard.arrivals.fresh_repeats:
+        if orphans or self._guard.gate.arrivals.fresh_repeats:
             self._orphans += orphans
-            counts = self._guard.arrivals.take_new()
+            counts = self._guard.gate.arrivals.take_new()
             log.info('Repeats arrived.', orphans=orphans, **counts)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -15,6 +15,7 @@
 from gentianmill.placement import Placement
 from gentianmill.retry import RetryThrottle
 from gentianmill.relay_messages import GuardLoad
+from gentianmill.repeat_budget import RetryBudgetSettings
 from gentianmill.route_rules import RouteRule
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.hedge_race import Hedge
@@ -29,6 +30,7 @@
 from gentianmill_mesh.upstream_guard import (
     CRASH_SUSPECT,
     REFUSED_BY_UPSTREAM,
+    RETRY_BUDGET,
     UpstreamGuard,
 )
 from gentianmill_node.logs import component
@@ -36,9 +38,9 @@
 MAX_REDIRECTS = 4
 """Nodes that may refuse a call before its caller is told to come back."""
 
-RETRY_RATIO = 0.16
-"""Retries per call of a service, calls made by repeated requests included. The
-platform's bound over all nodes is 0.2; the rest is for windows that differ."""
+OWN_SHARE = 0.8
+"""Part of the permitted ratio of retries per call that a node asks for; the guards
+of the service have the last word."""
 
 ORDINARY_USE = 0.7
 """Part of the permitted retries that calls of ordinary rank may use."""
@@ -57,6 +59,9 @@
 HEDGE_LOAD = 0.7
 """Load up to which a node is sent second copies, which must not feed overload."""
 
+UNRELATED_TO_NODE = frozenset(('overloaded', 'deadline', CRASH_SUSPECT, RETRY_BUDGET))
+"""Refusals that say nothing against the next call of the same node."""
+
 MS_PER_S = 1000
 
 log = component('entry')
@@ -99,6 +104,7 @@
         links: RelayLinks,
         shares: ShareTable,
         clock: Clock,
+        budget: RetryBudgetSettings,
     ) -> None:
         """Create a dispatcher.
 
@@ -109,6 +115,7 @@
             links: Connections to other nodes.
             shares: Learns what services can take.
             clock: Clock of the node.
+            budget: Bound on the repeats that reach a service.
         """
         self._table = table
         self._own = own
@@ -119,6 +126,7 @@
         self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
         self._hedges = HedgePolicy()
         self._throttles: dict[str, RetryThrottle] = {}
+        self._retry_ratio = budget.ratio * OWN_SHARE
 
     async def run(self, attempt: Attempt) -> HttpAnswer | None:
         """Return the answer of an upstream, or None.
@@ -127,9 +135,10 @@
             attempt: The request; its ``runs`` and ``reason`` tell why there is none.
         """
         throttle = self._throttle(attempt.service)
-        throttle.on_call(self._clock.now_ms())
         if attempt.origin.cause.is_repeat:
             throttle.on_forced_retry(self._clock.now_ms())
+        else:
+            throttle.on_call(self._clock.now_ms())
         answer: HttpAnswer | None = None
         while node := self._choose(attempt):
             reply = await self._call_hedged(attempt, node)
@@ -145,7 +154,7 @@
         self._placement.keep({node.name for node in self._table.records})
 
     def _throttle(self, service: str) -> RetryThrottle:
-        return self._throttles.setdefault(service, RetryThrottle(RETRY_RATIO))
+        return self._throttles.setdefault(service, RetryThrottle(self._retry_ratio))
 
     def _may_retry(self, attempt: Attempt) -> bool:
         throttle = self._throttle(attempt.service)
@@ -216,7 +225,8 @@
         self, attempt: Attempt, node: NodeRecord, again: Cause = Cause.retry
     ) -> GuardReply:
         attempt.tried.add(node.name)
-        cause = again if attempt.runs else attempt.origin.cause
+        was_seen = attempt.runs or attempt.rejections
+        cause = again if was_seen else attempt.origin.cause
         attempt.runs += 1
         started_ms = self._clock.now_ms()
         self._placement.start(node.name)
@@ -301,7 +311,7 @@
         )
         if reply.outcome is not Outcome.not_run or _reached_upstream(reply):
             self._placement.failed(node.name, now_ms)
-        elif reply.reason not in {'overloaded', 'deadline', CRASH_SUSPECT}:
+        elif reply.reason not in UNRELATED_TO_NODE:
             self._placement.pause(node.name, now_ms)
 
     def _may_go_on(self, attempt: Attempt, reply: GuardReply) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -98,7 +98,12 @@
             upstream.host, upstream.port, settings.names, self._clock
         )
         self._guard = UpstreamGuard(
-            settings.service, self._pool, settings.names, shares, self._clock
+            settings.service,
+            self._pool,
+            settings.names,
+            shares,
+            self._clock,
+            settings.retry_budget,
         )
         self._links = RelayLinks(
             self._identity, rules, self._table, settings.names, self._clock
@@ -122,7 +127,13 @@
             self._gossip.take,
         )
         self._dispatcher = Dispatcher(
-            self._table, self._own, self._guard, self._links, shares, self._clock
+            self._table,
+            self._own,
+            self._guard,
+            self._links,
+            shares,
+            self._clock,
+            settings.retry_budget,
         )
         self._entry = EntryListener(
             Forwarder(
@@ -247,6 +258,7 @@
             self._relay.check()
             if not number % ARRIVAL_TICKS:
                 self._arrival_log.write()
+                self._share_slack()
             if not number % FORGET_TICKS:
                 self._forget_gone()
 
@@ -255,6 +267,10 @@
             await asyncio.sleep(REAP_S)
             await self._reaper.check()
 
+    def _share_slack(self) -> None:
+        guards = self._table.of_service(self._settings.service)
+        self._guard.gate.share_slack(len(guards))
+
     def _forget_gone(self) -> None:
         self._table.forget_deleted()
         self._links.forget_gone()
@@ -294,13 +310,18 @@
                 load.shares[self._guard.service],
             ),
             ('nodes', 'Nodes known.', len(self._table)),
+            (
+                'repeats_refused',
+                'Repeats refused by the retry budget.',
+                self._guard.gate.refused,
+            ),
             ('rules_version', 'Version of the rules in force.', self._rules.version),
             ('entry_running', 'Requests of callers under way.', self._entry.running),
             ('upstream_connections', 'Connections opened.', self._pool.opened),
         )
         for name, doc, level in gauges:
             self._metrics.set_gauge(name, doc, level)
-        self._metrics.on_arrivals(self._guard.arrivals.total)
+        self._metrics.on_arrivals(self._guard.gate.arrivals.total)
         text, content_type = self._metrics.render()
         return web.Response(body=text, headers={'Content-Type': content_type})
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gentianmill.repeat_budget import RetryBudgetSettings
 from gentianmill_mesh.wire_names import WireNames
 
 
@@ -44,3 +45,5 @@
     names: WireNames
     stop_within_ms: float
     """Time from the signal to stop until the process is killed."""
+
+    retry_budget: RetryBudgetSettings = RetryBudgetSettings()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -1,15 +1,17 @@
 """The last check before the upstream: its queue, limit and state."""
 
 from gentianmill.admission_share import WHOLE, AdmissionShare, ShareTable
-from gentianmill.arrivals import Arrivals, Cause
+from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import GuardLoad
+from gentianmill.repeat_budget import RetryBudgetSettings
 from gentianmill.upstream_liveness import UpstreamLiveness
 from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
 from gentianmill.work_queue import WorkItem
 
+from gentianmill_mesh.arrival_gate import ArrivalGate
 from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpAnswer, header
@@ -23,6 +25,7 @@
 
 CRASH_SUSPECT = 'crash_suspect'
 OTHER_UPSTREAM = 'other_upstream'
+RETRY_BUDGET = 'retry_budget'
 UPSTREAM_FULL = 'upstream_full'
 REFUSED_BY_UPSTREAM = frozenset((OTHER_UPSTREAM, UPSTREAM_FULL))
 
@@ -46,6 +49,7 @@
         names: WireNames,
         shares: ShareTable,
         clock: Clock,
+        budget: RetryBudgetSettings,
     ) -> None:
         """Create a guard that knows no upstream yet.
 
@@ -55,6 +59,7 @@
             names: Header names of the deployment.
             shares: What services can take that the upstream calls.
             clock: Clock of the node.
+            budget: Bound on the repeats that reach the service.
         """
         self._service = service
         self._pool = pool
@@ -68,13 +73,12 @@
         self._liveness = UpstreamLiveness()
         self._crashes = CrashWatch(pool, clock)
         self._stopping = False
-        self._arrivals = Arrivals()
-        pool.on_resend(lambda: self._arrivals.add(Cause.resend))
+        self._gate = ArrivalGate(budget, clock)
 
     @property
-    def arrivals(self) -> Arrivals:
-        """Return what reached the upstream, by cause."""
-        return self._arrivals
+    def gate(self) -> ArrivalGate:
+        """Return the check of the retry budget."""
+        return self._gate
 
     @property
     def service(self) -> str:
@@ -128,7 +132,7 @@
         Returns:
             Whether others must be told.
         """
-        before = self._identity()
+        before = _identity(self._status)
         known = self._status.report
         if not self._status.take(report):
             return False
@@ -136,14 +140,14 @@
             self._crashes.crashed()
         self._liveness.sign(self._clock.now_ms())
         self._apply()
-        return self._identity() != before
+        return _identity(self._status) != before
 
     def upstream_left(self, upstream_id: str) -> bool:
         """Record that the upstream leaves; returns whether others must be told."""
-        before = self._identity()
+        before = _identity(self._status)
         self._status.leave(upstream_id)
         self._apply()
-        return self._identity() != before
+        return _identity(self._status) != before
 
     def check(self) -> None:
         """Give up repeatable work on an upstream that has fallen silent."""
@@ -199,6 +203,8 @@
         left_ms = call.deadline_ms - self._clock.now_ms()
         if report is None or left_ms <= LATE_MARGIN_MS:
             return GuardReply.not_run('deadline')
+        if not self._gate.admit(call.cause):
+            return GuardReply.not_run(RETRY_BUDGET)
         extra = [
             (self._names.time_left, b'%d' % left_ms),
             (self._names.caller_service, call.caller_service.encode()),
@@ -207,10 +213,14 @@
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
         self._tree.start(tree_id, call.rank, call.route, call.cause)
-        self._arrivals.add(call.cause)
         try:
             answer = await self._pool.run(
-                call.request, request_id, extra, call.repeatable, left_ms / MS_PER_S
+                call.request,
+                request_id,
+                extra,
+                call.repeatable,
+                left_ms / MS_PER_S,
+                lambda: self._may_resend(call, tree_id),
             )
         except UpstreamLostError as error:
             return self._lost(call, error)
@@ -219,6 +229,13 @@
         self._crashes.completed(call)
         return self._judge(answer)
 
+    def _may_resend(self, call: GuardCall, tree_id: str) -> bool:
+        """Return whether a call that a connection lost may arrive once more."""
+        if not self._gate.admit(Cause.resend):
+            return False
+        self._tree.start(tree_id, call.rank, call.route, Cause.resend)
+        return True
+
     def _judge(self, answer: HttpAnswer) -> GuardReply:
         self._liveness.sign(self._clock.now_ms())
         if answer.status == MISDIRECTED:
@@ -250,6 +267,7 @@
         if not self._status.takes_calls:
             self._slots.refuse_waiting()
 
-    def _identity(self) -> tuple[int, bool]:
-        report = self._status.report
-        return (report.slots if report else 0, self._status.takes_calls)
+
+def _identity(status: UpstreamStatus) -> tuple[int, bool]:
+    report = status.report
+    return (report.slots if report else 0, status.takes_calls)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -66,7 +66,6 @@
         self._idle: list[tuple[UpstreamConnection, float]] = []
         self._opened = 0
         self._repeatable: set[UpstreamConnection] = set()
-        self._on_resend: Callable[[], None] = _ignore
 
     @property
     def opened(self) -> int:
@@ -80,6 +79,7 @@
         extra: list[tuple[bytes, bytes]],
         repeatable: bool,
         timeout_s: float,
+        may_resend: Callable[[], bool],
     ) -> HttpAnswer:
         """Send a request and return the whole answer.
 
@@ -92,6 +92,8 @@
             extra: Headers that the node sets.
             repeatable: Whether the request may run more than once.
             timeout_s: Time until the whole answer must be there, in s.
+            may_resend: Whether a request that may run more than once may arrive
+                again, as its kept connection broke.
 
         Raises:
             UpstreamLostError: If there was no whole answer.
@@ -107,14 +109,11 @@
         except UpstreamLostError as error:
             if not (repeatable and self._was_forgotten(error, sent_ms)):
                 raise
+            if not may_resend():
+                raise
             fresh = await self._open_after(error)
-        self._on_resend()
         return await self._run_on(fresh, exchange, end_ms)
 
-    def on_resend(self, take: Callable[[], None]) -> None:
-        """Set what is called when a request is sent a second time."""
-        self._on_resend = take
-
     async def is_reachable(self) -> bool:
         """Return whether the upstream accepts a connection now."""
         try:
@@ -210,10 +209,6 @@
             connection.close()
 
 
-def _ignore() -> None:
-    """Do nothing."""
-
-
 def _usable_ms(connection: UpstreamConnection) -> float:
     if connection.idle_limit_ms is None:
         return IDLE_LIMIT_MS
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/repeat_budget.py
@@ -0,0 +1,107 @@
+"""Budget of the repeats that reach a service, kept by the guards of its upstreams.
+
+Each guard bounds the repeats at its own upstream by a ratio of the first arrivals
+there. Whatever the guards of a service let in is then within the same ratio of all
+first arrivals, however unevenly nodes send, and without a message between them.
+"""
+
+import dataclasses
+from collections import deque
+from types import MappingProxyType
+
+from gentianmill.arrivals import Cause
+
+USED_RATIO = 0.85
+"""Part of the permitted ratio in use: guards start their windows at other moments
+than whoever checks the bound, and counts expire by slots."""
+
+USED_SLACK = 0.5
+"""Part of the permitted slack in use; a guard that starts anew gets its share anew."""
+
+FEWEST_GUARDS = 8
+"""Guards among which the slack is shared at least; a node knows few others while it
+starts."""
+
+ROOM = MappingProxyType(
+    {Cause.hedge: 0.6, Cause.resend: 0.8, Cause.retry: 0.8, Cause.inherited: 1.0}
+)
+"""Part of the budget up to which repeats of a cause are let in. Calls of a repeat
+that already runs come last, as refusing them wastes it."""
+
+SLOTS = 20
+"""Steps in which the window moves; 1 in 20 is finer than the unused ratio."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryBudgetSettings:
+    """Bound on the repeats that reach a service, over all its nodes."""
+
+    ratio: float = 0.2
+    """Repeats per first arrival in a window."""
+
+    window_ms: float = 10_000.0
+    slack: float = 0
+    """Repeats in a window that are permitted besides."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Slot:
+    start_ms: float
+    firsts: int = 0
+    repeats: int = 0
+
+
+class RepeatBudget:
+    """Let repeats in as long as first arrivals permit them."""
+
+    def __init__(self, settings: RetryBudgetSettings) -> None:
+        """Create a budget without slack, as other guards are not known yet.
+
+        Args:
+            settings: The bound for the service.
+        """
+        self._settings = settings
+        self._slack = float(0)
+        self._slots: deque[_Slot] = deque()
+        self._firsts = 0
+        self._repeats = 0
+
+    def share_slack(self, guards: int) -> None:
+        """Set the number of guards of the service, which share the slack."""
+        shared_by = max(guards, FEWEST_GUARDS)
+        self._slack = self._settings.slack * USED_SLACK / shared_by
+
+    def admit(self, cause: Cause, now_ms: float) -> bool:
+        """Count an arrival if it is a first one or the budget permits it.
+
+        Args:
+            cause: Why the request arrives.
+            now_ms: Current time.
+
+        Returns:
+            Whether it may be sent to the upstream.
+        """
+        slot = self._slot(now_ms)
+        if not cause.is_repeat:
+            slot.firsts += 1
+            self._firsts += 1
+            return True
+        ratio = self._settings.ratio * USED_RATIO
+        permitted = self._firsts * ratio + self._slack
+        if self._repeats + 1 > permitted * ROOM[cause]:
+            return False
+        slot.repeats += 1
+        self._repeats += 1
+        return True
+
+    def _slot(self, now_ms: float) -> _Slot:
+        """Return the slot of the present, after dropping those out of the window."""
+        length_ms = self._settings.window_ms / SLOTS
+        oldest_ms = now_ms - self._settings.window_ms - length_ms
+        while self._slots and self._slots[0].start_ms <= oldest_ms:
+            gone = self._slots.popleft()
+            self._firsts -= gone.firsts
+            self._repeats -= gone.repeats
+        if not self._slots or now_ms - self._slots[-1].start_ms >= length_ms:
+            self._slots.append(_Slot(now_ms))
+        return self._slots[-1]
--- a/tests/call_fleet.py
+++ b/tests/call_fleet.py
@@ -7,6 +7,7 @@
 
 from gentianmill.admission_share import ShareTable
 from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.repeat_budget import RetryBudgetSettings
 from gentianmill.route_rules import Destination, RouteRule
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
@@ -123,10 +124,18 @@
         table = NodeTable()
         table.merge(records)
         self._upstream = _Upstream(fleet, self, record)
-        self.guard = UpstreamGuard(record.service, self._upstream, NAMES, shares, clock)
+        self.guard = UpstreamGuard(
+            record.service, self._upstream, NAMES, shares, clock, RetryBudgetSettings()
+        )
         self.guard.take_report(_report(record))
         self._dispatcher = Dispatcher(
-            table, record, self.guard, _Links(fleet), shares, clock
+            table,
+            record,
+            self.guard,
+            _Links(fleet),
+            shares,
+            clock,
+            RetryBudgetSettings(),
         )
         self._clock = clock
 
@@ -154,9 +163,6 @@
         self._node = node
         self._record = record
 
-    def on_resend(self, _take: object) -> None:
-        """Do nothing, as nothing is sent again here."""
-
     async def is_reachable(self) -> bool:
         """Return that the upstream never crashes."""
         return True
--- a/tests/mesh_upstream.py
+++ b/tests/mesh_upstream.py
@@ -111,4 +111,6 @@
     repeatable: bool = True,
 ) -> HttpAnswer:
     """Run a request with one second to spare."""
-    return await pool.run(sent or request(), request_id, [], repeatable, 1)
+    return await pool.run(
+        sent or request(), request_id, [], repeatable, 1, lambda: True
+    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
 from gentianmill.clock import MonotonicClock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.outcome import Outcome
+from gentianmill.repeat_budget import RetryBudgetSettings
 from gentianmill.route_rules import Destination, RouteRule
 from gentianmill_mesh.dispatcher import Attempt, Dispatcher
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
@@ -110,8 +111,12 @@
         links = _Links()
         shares = ShareTable()
         pool = UpstreamPool('127.0.0.1', 1, NAMES, clock)
-        guard = UpstreamGuard('front', pool, NAMES, shares, clock)
-        dispatcher = Dispatcher(table, _node('own'), guard, links, shares, clock)
+        guard = UpstreamGuard(
+            'front', pool, NAMES, shares, clock, RetryBudgetSettings()
+        )
+        dispatcher = Dispatcher(
+            table, _node('own'), guard, links, shares, clock, RetryBudgetSettings()
+        )
         for _ in range(warm):
             await dispatcher.run(_attempt(repeatable=True))
         links.sent.clear()
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -140,10 +140,18 @@
         'appAddr': '10.0.0.1:4',
         'service': 's',
         'platform': {'address': '10.2.0.1:9'},
-        'bounds': ['contact=4000ms', 'grace=6s'],
+        'bounds': [
+            'contact=4000ms',
+            'grace=6s',
+            'retryBudgetRatio=0.1',
+            'retryBudgetSlack=49',
+            'budgetWindow=5s',
+        ],
         'unknown': 1,
     }
     settings = parse_boot_settings(json.dumps(boot).encode())
     assert settings.mesh.stop_within_ms == 6000
+    budget = settings.mesh.retry_budget
+    assert (budget.ratio, budget.window_ms, budget.slack) == (0.1, 5000, 49)
     assert settings.mesh.relay.port == 7620
     assert settings.store.port == 9
--- /dev/null
+++ b/tests/test_repeat_budget.py
@@ -0,0 +1,77 @@
+"""Tests of the budget of repeats that a guard keeps."""
+
+import bisect
+
+import pytest
+from gentianmill.arrivals import Cause
+from gentianmill.repeat_budget import RepeatBudget, RetryBudgetSettings
+from hypothesis import given
+from hypothesis import strategies as st
+
+SETTINGS = RetryBudgetSettings(ratio=0.2, window_ms=10_000, slack=0)
+REPEATS = [cause for cause in Cause if cause.is_repeat]
+
+
+def _within(times: list[float], start_ms: float) -> int:
+    end_ms = start_ms + SETTINGS.window_ms
+    return bisect.bisect_left(times, end_ms) - bisect.bisect_left(times, start_ms)
+
+
+def _longer(times: list[float], end_ms: float) -> int:
+    """Return the arrivals in a window and the one slot before it."""
+    start_ms = end_ms - SETTINGS.window_ms * 1.1
+    return bisect.bisect_right(times, end_ms) - bisect.bisect_left(times, start_ms)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 600), st.sampled_from([*Cause, Cause.first])),
+        max_size=400,
+    )
+)
+def test_each_sliding_window_is_within_the_ratio(events: list[tuple[float, Cause]]):
+    """Two bursts less than a window apart were both permitted."""
+    budget = RepeatBudget(SETTINGS)
+    now_ms = 0.0
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for pause_ms, cause in events:
+        now_ms += pause_ms
+        if budget.admit(cause, now_ms):
+            (repeats if cause.is_repeat else firsts).append(now_ms)
+    for last_ms in repeats:
+        start_ms = last_ms - SETTINGS.window_ms + 1e-3
+        permitted = _longer(firsts, last_ms) * SETTINGS.ratio
+        assert _within(repeats, start_ms) <= permitted
+
+
+def test_calls_of_running_repeats_are_refused_last():
+    """A second copy that nobody needs took the room of a repeat's calls."""
+    budget = RepeatBudget(SETTINGS)
+    for _ in range(100):
+        budget.admit(Cause.first, 0)
+    granted = {}
+    for cause in (Cause.hedge, Cause.retry, Cause.inherited):
+        granted[cause] = sum(budget.admit(cause, 1) for _ in range(100))
+    assert all(granted.values())
+    assert not budget.admit(Cause.hedge, 2)
+
+
+@pytest.mark.parametrize('cause', REPEATS)
+def test_first_arrivals_are_never_refused(cause: Cause):
+    """A budget in use must not turn work away that nobody has tried."""
+    budget = RepeatBudget(SETTINGS)
+    assert not budget.admit(cause, 0)
+    assert budget.admit(Cause.first, 0)
+
+
+def test_slack_is_shared_by_the_guards_of_a_service():
+    """A service with few calls could send none of them again."""
+    slack = RetryBudgetSettings(slack=92)
+    budgets = [RepeatBudget(slack) for _ in range(24)]
+    assert not budgets[0].admit(Cause.retry, 0)
+    granted = 0
+    for budget in budgets:
+        budget.share_slack(len(budgets))
+        granted += sum(budget.admit(Cause.inherited, 0) for _ in range(100))
+    assert 0 < granted <= slack.slack / 2
