--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -8,11 +8,19 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from gentianmill_mesh.answer_room import AnswerHolder, AnswerRoom
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
 
 READ_LIMIT_BYTES = 256 * 1024 * 1024
 """Answers are read whole; the parser must never pause within one."""
 
+MAX_HEAD_BYTES = 256 * 1024
+"""Longest head of an answer; one without end would be kept in memory."""
+
+MAX_SKIPPED = 16
+"""Interim answers, and answers to other requests, before the right one; an upstream
+that sends them without end would keep the node busy."""
+
 MAX_FIELD_BYTES = 64 * 1024
 """Longest status line or header of an answer."""
 
@@ -51,7 +59,7 @@
         return self._kind
 
 
-class UpstreamConnection(BaseProtocol):
+class UpstreamConnection(BaseProtocol, AnswerHolder):
     """Send requests and collect whole answers.
 
     An upstream may send bytes that belong to no request, or the answer of an
@@ -59,12 +67,15 @@
     id of another request is skipped.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, request_id: bytes) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, request_id: bytes, room: AnswerRoom
+    ) -> None:
         """Create a protocol without a transport.
 
         Args:
             loop: The running loop.
             request_id: Name of the header with the id that upstreams echo.
+            room: Bounds the bytes of unfinished answers.
         """
         super().__init__(loop)
         self._id_header = request_id
@@ -75,6 +86,9 @@
         self._idle_limit_ms: float | None = None
         self._aborted = False
         self._ended = False
+        self._room = room
+        self._head_bytes = 0
+        self._skipped = 0
 
     @property
     def reusable(self) -> bool:
@@ -108,6 +122,8 @@
             raise UpstreamLostError(LossKind.before_send, 'the connection was closed')
         self._expected_id = request_id
         self._messages.clear()
+        self._head_bytes = 0
+        self._skipped = 0
         self._waiter = self._loop.create_future()
         self._parser = HttpResponseParser(
             self,
@@ -145,6 +161,7 @@
             self._fail(LossKind.bad_answer, f'the answer is no HTTP: {error!r}')
             return
         self._messages.extend(messages)
+        self._count(len(data))
         if upgraded or tail:
             self._reusable = False
         self._take_messages()
@@ -158,13 +175,26 @@
         self._parser = None
         super().connection_lost(exc)
 
+    def give_up(self) -> None:
+        """End an answer that takes too much room."""
+        self._fail(LossKind.bad_answer, 'the answer is too long')
+
     def pause_reading(self) -> None:
         """Keep reading: answers are collected whole."""
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing, as reading never pauses."""
 
+    def _count(self, received: int) -> None:
+        """Count received bytes as part of a body, or of a head that has no end yet."""
+        self._head_bytes = 0 if self._messages else self._head_bytes + received
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(LossKind.bad_answer, 'the head of the answer is too long')
+        else:
+            self._room.hold(self, received)
+
     def _end_exchange(self) -> None:
+        self._room.free(self)
         self._waiter = None
         self._parser = None
 
@@ -187,20 +217,29 @@
         while self._messages:
             message, payload = self._messages[0]
             if message.code < FIRST_FINAL_STATUS:
-                self._messages.pop(0)
+                self._skip()
                 continue
             if payload.exception() is not None:
                 self._fail(LossKind.after_send, 'the answer is cut short')
                 return
             if not payload.is_eof():
                 return
-            self._messages.pop(0)
             if self._is_foreign(message):
                 self._reusable = False
+                self._skip()
                 continue
+            self._messages.pop(0)
             self._finish(message, payload)
             return
 
+    def _skip(self) -> None:
+        """Drop an interim answer or the answer to another request."""
+        self._messages.pop(0)
+        self._room.free(self)
+        self._skipped += 1
+        if self._skipped > MAX_SKIPPED:
+            self._fail(LossKind.bad_answer, 'the upstream sends other answers only')
+
     def _is_foreign(self, message: RawResponseMessage) -> bool:
         found = header(message.raw_headers, self._id_header)
         return None not in {found, self._expected_id} and found != self._expected_id
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -6,6 +6,7 @@
 
 from gentianmill.clock import Clock
 
+from gentianmill_mesh.answer_room import AnswerRoom
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.upstream_connection import (
     LossKind,
@@ -66,6 +67,7 @@
         self._idle: list[tuple[UpstreamConnection, float]] = []
         self._opened = 0
         self._repeatable: set[UpstreamConnection] = set()
+        self._room = AnswerRoom()
 
     @property
     def opened(self) -> int:
@@ -190,7 +192,7 @@
         loop = asyncio.get_running_loop()
         self._opened += 1
         connecting = loop.create_connection(
-            lambda: UpstreamConnection(loop, self._names.request_id),
+            lambda: UpstreamConnection(loop, self._names.request_id, self._room),
             self._host,
             self._port,
         )
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,134 @@
+"""Upstreams that send without end are ended, whatever they send."""
+
+import asyncio
+import resource
+
+import pytest
+from gentianmill.clock import MonotonicClock
+from gentianmill_mesh.answer_room import AnswerHolder, AnswerRoom
+from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
+from gentianmill_mesh.upstream_pool import UpstreamPool
+from mesh_upstream import NAMES, request, run
+
+OK = b'HTTP/1.1 200 OK\r\n'
+WHOLE = OK + b'X-Attempt: 1\r\nContent-Length: 2\r\n\r\nok'
+BLOCK = b'x' * 65_536
+LATE = OK + b'X-Attempt: 0\r\nContent-Length: 0\r\n\r\n'
+TIME_S = 30
+"""Time of a call; an answer without end is ended by its length long before."""
+
+MOST_BYTES = 200 * 1024 * 1024
+"""Memory that one answer may take, with copies; VMs have 200 MB and more."""
+
+KIB = 1024
+
+ENDLESS = {
+    'reason of the status': (OK[:-2], b'a' * 512),
+    'header name': (OK, b'a' * 512),
+    'header value': (OK + b'a: ', b'b' * 512),
+    'short headers': (OK, b'a: b\r\n' * 100),
+    'long headers': (OK, b'a: ' + b'b' * 60_000 + b'\r\n'),
+    'body without a length': (OK + b'\r\n', BLOCK),
+    'body of a huge length': (OK + b'Content-Length: 99999999999\r\n\r\n', BLOCK),
+    'chunks': (
+        OK + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + BLOCK + b'\r\n',
+    ),
+    'chunk extension': (OK + b'Transfer-Encoding: chunked\r\n\r\n1;a=', b'b' * 4096),
+    'trailers': (
+        OK + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'a: b\r\n' * 1000,
+    ),
+    'interim answers': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 50),
+    'answers to another request': (b'', LATE * 50),
+    'zeros': (b'', bytes(4096)),
+}
+
+
+class _Endless:
+    """Send a start and then one block again and again until the caller closes."""
+
+    def __init__(self, start: bytes, block: bytes, pause_s: float = 0) -> None:
+        self._start = start
+        self._pause_s = pause_s
+        self._block = block
+        self.ended = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request without end."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._start)
+        await asyncio.sleep(self._pause_s)
+        try:
+            while True:
+                writer.write(self._block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.ended.set()
+        finally:
+            writer.close()
+
+
+async def _pool_for(serve) -> UpstreamPool:
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    return UpstreamPool('127.0.0.1', port, NAMES, MonotonicClock())
+
+
+@pytest.mark.parametrize('name', ENDLESS)
+def test_answer_without_end_is_ended_by_its_length(name: str):
+    """Memory was filled up to the time of the call; the VM has a few hundred MB."""
+
+    async def scenario() -> LossKind:
+        upstream = _Endless(*ENDLESS[name])
+        pool = await _pool_for(upstream.serve)
+        with pytest.raises(UpstreamLostError) as caught:
+            await pool.run(request(), b'1', [], True, TIME_S, lambda: True)
+        await asyncio.wait_for(upstream.ended.wait(), TIME_S)
+        return caught.value.kind
+
+    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert asyncio.run(scenario()) is LossKind.bad_answer
+    grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+    assert grown_kib * KIB < MOST_BYTES
+
+
+@pytest.mark.parametrize('pause_s', [0, 0.2])
+def test_bytes_without_end_after_a_whole_answer_close_the_connection(pause_s: float):
+    """A whole answer was lost with the bytes after it, which belong to no request."""
+
+    async def scenario() -> bytes:
+        upstream = _Endless(WHOLE, BLOCK, pause_s)
+        pool = await _pool_for(upstream.serve)
+        answer = await run(pool)
+        await asyncio.wait_for(upstream.ended.wait(), TIME_S)
+        return answer.body
+
+    assert asyncio.run(scenario()) == b'ok'
+
+
+class _Holder(AnswerHolder):
+    def __init__(self, ended: list['_Holder']) -> None:
+        self._ended = ended
+
+    def give_up(self) -> None:
+        """Note the end."""
+        self._ended.append(self)
+
+
+def test_the_longest_answer_makes_room_for_the_others():
+    """An answer without end must not end the whole answers beside it."""
+    ended: list[AnswerHolder] = []
+    room = AnswerRoom(100)
+    short, endless = _Holder(ended), _Holder(ended)
+    room.hold(short, 20)
+    for _ in range(9):
+        room.hold(endless, 10)
+    assert ended == [endless]
+    room.hold(short, 30)
+    assert room.held_bytes == 50
+    room.free(short)
+    assert room.held_bytes == 0
