Take no refusal without its id on a kept connection as the answer

Reported by operators of other systems: a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that an upstream had run or was running, or these ran at a second one.

Could it happen here? A second copy that bears the id of the earlier request was skipped already, also in two parts.

Now an answer without an id is skipped on a connection whose upstream has echoed one before. On other kept connections a refusal without an id proves nothing: the call ends as unknown. The first answer of a connection is believed as before, as no earlier request can have caused it.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -29,6 +29,10 @@
     """Whether the body has a length; otherwise it ends with its connection, and
     nobody can tell whether it is whole."""
 
+    attributed: bool = True
+    """Whether it is certainly for this request: it bears its id, or its connection
+    had no request before."""
+
 
 def header(headers: HeaderPairs, name: bytes) -> bytes | None:
     """Return the first value of a header, or None.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -89,6 +89,8 @@
         self._room = room
         self._head_bytes = 0
         self._skipped = 0
+        self._exchanges = 0
+        self._echoes_ids = False
 
     @property
     def reusable(self) -> bool:
@@ -121,6 +123,7 @@
         if not self.reusable:
             raise UpstreamLostError(LossKind.before_send, 'the connection was closed')
         self._expected_id = request_id
+        self._exchanges += 1
         self._messages.clear()
         self._head_bytes = 0
         self._skipped = 0
@@ -241,8 +244,12 @@
             self._fail(LossKind.bad_answer, 'the upstream sends other answers only')
 
     def _is_foreign(self, message: RawResponseMessage) -> bool:
+        if self._expected_id is None:
+            return False
         found = header(message.raw_headers, self._id_header)
-        return None not in {found, self._expected_id} and found != self._expected_id
+        if found is None:
+            return self._echoes_ids
+        return found != self._expected_id
 
     def _finish(self, message: RawResponseMessage, payload: StreamReader) -> None:
         body = b''.join(_chunks(payload))
@@ -250,8 +257,15 @@
             self._reusable = False
         self._idle_limit_ms = _idle_limit_ms(message)
         if self._waiter is not None and not self._waiter.done():
-            headers = [list(pair) for pair in message.raw_headers]
-            answer = HttpAnswer(message.code, headers, body, framed=not self._ended)
+            found = header(message.raw_headers, self._id_header)
+            self._echoes_ids |= found is not None
+            answer = HttpAnswer(
+                message.code,
+                [list(pair) for pair in message.raw_headers],
+                body,
+                framed=not self._ended,
+                attributed=self._exchanges == 1 or found is not None,
+            )
             self._waiter.set_result(answer)
 
     def _fail(self, kind: LossKind, message: str) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -243,11 +243,13 @@
 
     def _judge(self, answer: HttpAnswer, below: str) -> GuardReply:
         self._liveness.sign(self._clock.now_ms())
-        if answer.status == MISDIRECTED:
-            return GuardReply.not_run(OTHER_UPSTREAM)
-        if header(answer.headers, self._names.not_run) is not None:
+        refusal = _refusal_in(answer, self._names)
+        if refusal and not answer.attributed:
+            return GuardReply.unknown('refusal_of_another')
+        if refusal == UPSTREAM_FULL:
             self._share.on_answer(accepted=False)
-            return GuardReply.not_run(UPSTREAM_FULL)
+        if refusal:
+            return GuardReply.not_run(refusal)
         self._share.on_answer(accepted=True)
         answer.headers = self._names.answered(answer.headers)
         failed = answer.status >= FIRST_SERVER_ERROR
@@ -277,3 +279,11 @@
 def _identity(status: UpstreamStatus) -> tuple[int, bool]:
     report = status.report
     return (report.slots if report else 0, status.takes_calls)
+
+
+def _refusal_in(answer: HttpAnswer, names: WireNames) -> str:
+    """Return why the upstream says that it did not run a request, if it does."""
+    if answer.status == MISDIRECTED:
+        return OTHER_UPSTREAM
+    refused = header(answer.headers, names.not_run) is not None
+    return UPSTREAM_FULL if refused else ''
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -154,3 +154,20 @@
             return caught.value.kind
 
     assert asyncio.run(scenario()) is LossKind.after_send
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nContent-Length: 2\r\n\r\n'
+
+
+@pytest.mark.parametrize('reset', [False, True])
+@pytest.mark.parametrize('length', range(1, len(HEAD)))
+def test_answer_cut_in_its_head_is_lost(length: int, reset: bool):
+    """A cut head became a whole answer with an empty body."""
+    script = Script([HEAD[:length]], close_after=0, reset=reset)
+    assert _lost(script) in {LossKind.after_send, LossKind.bad_answer}
+
+
+def test_answer_cut_in_its_head_after_an_interim_one_is_lost():
+    """The end of the connection must not complete the head after an interim one."""
+    cut = b'HTTP/1.1 103 Early Hints\r\n\r\n' + HEAD[:-4]
+    assert _lost(Script([cut], close_after=0)) is LossKind.after_send
