Count calls of repeats whose connection broke

Cause: a guard forgot a request as soon as its connection broke or its work was withdrawn. Most upstreams drop a request then, but not all, and calls that such a run made afterwards counted as first arrivals although the run was a repeat: they were not bounded, and raised the number of first arrivals of which repeats are a share.

Now a request without an answer is remembered until the time that its upstream has for it is over, so its calls are recognised. What stays open: after a restart a node does not know which of the requests under way are repeats.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -228,9 +228,11 @@
             )
         except UpstreamLostError as error:
             return self._lost(call, error)
-        finally:
+        else:
             below = FAILED_BELOW if self._tree.failed_below(tree_id) else ''
             self._tree.end(tree_id)
+        finally:
+            self._tree.give_up(tree_id, call.deadline_ms, self._clock.now_ms())
         self._crashes.completed(call)
         return self._judge(answer, below)
 
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -1,6 +1,7 @@
 """Requests that run on an upstream, and the calls that they make."""
 
 import dataclasses
+from collections import OrderedDict
 
 from gentianmill.arrivals import Cause
 
@@ -40,6 +41,7 @@
     def __init__(self) -> None:
         """Start without running requests."""
         self._running: dict[str, CallOrigin] = {}
+        self._given_up: OrderedDict[str, tuple[CallOrigin, float]] = OrderedDict()
         self._failed_below: set[str] = set()
         self._orphans = 0
 
@@ -70,6 +72,24 @@
         self._running.pop(request_id, None)
         self._failed_below.discard(request_id)
 
+    def give_up(self, request_id: str, until_ms: float, now_ms: float) -> None:
+        """Take note that a request has no answer and nobody waits for it any more.
+
+        Its upstream may go on with it, and its calls stay those of a repeat. Nothing
+        happens if the request has ended.
+
+        Args:
+            request_id: Its id.
+            until_ms: When the time that the upstream has for it is over.
+            now_ms: Current time.
+        """
+        origin = self._running.get(request_id)
+        self.end(request_id)
+        while self._given_up and next(iter(self._given_up.values()))[1] <= now_ms:
+            self._given_up.popitem(last=False)
+        if origin is not None:
+            self._given_up[request_id] = (origin, until_ms)
+
     def call_failed(self, call_id: str) -> None:
         """Take note that a call failed at the service that it was for.
 
@@ -93,6 +113,8 @@
         """
         parent_id = _parent_id(request_id)
         parent = self._running.get(parent_id)
+        if parent is None and parent_id in self._given_up:
+            parent = self._given_up[parent_id][0]
         if parent is None:
             self._orphans += bool(parent_id)
             return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
--- a/tests/call_fleet.py
+++ b/tests/call_fleet.py
@@ -23,6 +23,9 @@
 SLOTS = 60
 LINK_S = 0.0005
 WORK_S = 0.02
+EARLY_S = 0.002
+"""Time after which a connection breaks while its request runs."""
+
 TIME_MS = 4000.0
 FAILED = 500
 
@@ -40,16 +43,27 @@
     makes the call is a repeat itself; nothing that the nodes say is used for that.
     """
 
-    def __init__(self, nodes_per_service: int, fault: Fault, rng: random.Random):
+    def __init__(
+        self,
+        nodes_per_service: int,
+        fault: Fault,
+        rng: random.Random,
+        *,
+        goes_on: bool = False,
+    ):
         """Create the nodes; call it in the running loop.
 
         Args:
             nodes_per_service: Nodes of each service.
             fault: Which answers are lost.
             rng: Decides which answers are lost, and times.
+            goes_on: Whether answers are lost as connections break early, and
+                upstreams go on with the requests of connections that closed.
         """
         self.rng = rng
         self.fault = fault
+        self.goes_on = goes_on
+        self.orphans: set[asyncio.Task[HttpAnswer]] = set()
         self.requests: dict[str, list[float]] = defaultdict(list)
         self.repeats: dict[str, list[float]] = defaultdict(list)
         self.ends: Counter[int] = Counter()
@@ -176,19 +190,37 @@
             UpstreamLostError: If its answer is lost.
         """
         text = request_id.decode()
-        service = self._record.service
         now_s = asyncio.get_running_loop().time()
-        is_repeat = self._fleet.arrived(text, service, now_s)
+        is_repeat = self._fleet.arrived(text, self._record.service, now_s)
+        is_lost = self._fleet.rng.random() < self._fleet.fault(self._record.name, now_s)
+        answer = await self._run_or_go_on(text, is_repeat, is_lost)
+        if answer is None or is_lost:
+            raise UpstreamLostError(LossKind.after_send, 'the answer is lost')
+        return answer
+
+    async def _run_or_go_on(
+        self, text: str, is_repeat: bool, is_lost: bool
+    ) -> HttpAnswer | None:
+        """Return the answer, or None if the connection breaks while the work goes on."""
+        if not self._fleet.goes_on:
+            return await self._work(text, is_repeat)
+        work = asyncio.ensure_future(self._work(text, is_repeat))
+        self._fleet.orphans.add(work)
+        work.add_done_callback(self._fleet.orphans.discard)
+        if is_lost:
+            await asyncio.sleep(EARLY_S)
+            return None
+        return await asyncio.shield(work)
+
+    async def _work(self, text: str, is_repeat: bool) -> HttpAnswer:
         await asyncio.sleep(WORK_S * self._fleet.rng.uniform(0.5, 1.5))
-        below, times = CALLS[service]
+        below, times = CALLS[self._record.service]
         for number in range(times):
             call_id = f'{text}.{self._fleet.rng.getrandbits(32):x}{number}'
             self._fleet.made(call_id, is_repeat)
             answer = await self._node.send(call_id, below)
             if answer is None or answer.status >= FAILED:
                 return HttpAnswer(FAILED, [], b'')
-        if self._fleet.rng.random() < self._fleet.fault(self._record.name, now_s):
-            raise UpstreamLostError(LossKind.after_send, 'the answer is lost')
         return HttpAnswer(200, [], b'ok')
 
 
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -34,3 +34,22 @@
     tree.start('root', 1, 'r', Cause.retry)
     assert tree.origin('root.1', 2).cause is Cause.inherited
     assert tree.origin('new', 2).cause is Cause.first
+
+
+def test_calls_of_a_repeat_that_was_given_up_are_repeats():
+    """An upstream may go on after its connection broke; its calls seemed new."""
+    tree = CallTree()
+    tree.start('root', 1, 'r', Cause.retry)
+    tree.give_up('root', until_ms=50, now_ms=10)
+    assert tree.origin('root.1', 2).cause is Cause.inherited
+    assert not tree.orphans
+
+
+def test_requests_that_were_given_up_are_forgotten_when_their_time_is_over():
+    """Requests lost in a long outage would take memory without end."""
+    tree = CallTree()
+    for number in range(100):
+        tree.start(f'{number}', 1, 'r')
+        tree.give_up(f'{number}', until_ms=number + 5, now_ms=number)
+    known = [tree.origin(f'{number}.1', 2).is_inner for number in range(100)]
+    assert sum(known) == 5
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -64,11 +64,14 @@
     assert asyncio.run(play()) - READS <= READS * RATIO + SLACK
 
 
-async def _play_failures(fault: Fault, seed: int) -> Fleet:
+async def _play_failures(fault: Fault, seed: int, *, goes_on: bool = False) -> Fleet:
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
     fleet = Fleet(
-        NODES, lambda node, now_s: fault(node, now_s) * (now_s > FAULTS_FROM_S), rng
+        NODES,
+        lambda node, now_s: fault(node, now_s) * (now_s > FAULTS_FROM_S),
+        rng,
+        goes_on=goes_on,
     )
     names = list(fleet.nodes)
     callers = []
@@ -76,6 +79,8 @@
         await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
         callers.append(asyncio.ensure_future(fleet.call(rng.choice(names), 'a')))
     await asyncio.gather(*callers)
+    while fleet.orphans:
+        await asyncio.gather(*fleet.orphans)
     return fleet
 
 
@@ -100,5 +105,14 @@
     assert fleet.ends[OK] >= len(fleet.requests['a']) * SERVED
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('share', [0.1, 0.3])
+def test_calls_of_repeats_whose_connection_broke_are_counted(share: float, seed: int):
+    """An upstream went on with a repeat that was given up; its calls were no repeats."""
+    fleet = run_virtual(_play_failures(lambda *_: share, seed, goes_on=True))
+    excess = fleet.worst_excess(WINDOW_S, RATIO)
+    assert max(excess.values()) <= SLACK, excess
+
+
 def _narrow_fault(node: str, _now_s: float) -> float:
     return NARROW_LOSS if node.startswith('d') else 0
