Pass on a whole answer although bytes that are no answer follow at once

What callers saw: a 502 for an answer that had arrived whole, if bytes that are no HTTP came in the same read (an upstream in trouble that sends on without end).

Cause: the parser raises for the whole read in which it finds an error, and the messages that it had found before in that read are lost.

Now bytes are parsed up to each end of a head at a time, so the message with the whole answer is known when its body ends and the rest of the read is no HTTP. The connection is closed as before.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -9,6 +9,7 @@
 from aiohttp.streams import StreamReader
 
 from gentianmill_mesh.answer_room import AnswerHolder, AnswerRoom
+from gentianmill_mesh.head_end import HeadEnd
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest, header
 
 READ_LIMIT_BYTES = 256 * 1024 * 1024
@@ -87,6 +88,7 @@
         self._aborted = False
         self._ended = False
         self._room = room
+        self._head_end = HeadEnd()
         self._head_bytes = 0
         self._skipped = 0
         self._exchanges = 0
@@ -125,6 +127,7 @@
         self._expected_id = request_id
         self._exchanges += 1
         self._messages.clear()
+        self._head_end = HeadEnd()
         self._head_bytes = 0
         self._skipped = 0
         self._waiter = self._loop.create_future()
@@ -139,7 +142,9 @@
             auto_decompress=False,
         )
         self.transport.write(head + request.body)
-        timer = self._loop.call_later(timeout_s, self._time_out)
+        timer = self._loop.call_later(
+            timeout_s, self._fail, LossKind.timed_out, 'the time is over'
+        )
         try:
             return await self._waiter
         finally:
@@ -154,20 +159,16 @@
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Take bytes of the upstream."""
-        if self._waiter is None or self._waiter.done() or self._parser is None:
-            self.close()
-            return
-        try:
-            messages, upgraded, tail = self._parser.feed_data(data)
-        except (HttpProcessingError, ValueError, AssertionError) as error:
-            self._fail(LossKind.bad_answer, f'the answer is no HTTP: {error!r}')
-            return
-        self._messages.extend(messages)
-        self._count(len(data))
-        if upgraded or tail:
-            self._reusable = False
-        self._take_messages()
+        """Take bytes of the upstream.
+
+        They are parsed up to each end of a head at a time, as the parser drops all
+        messages of bytes in which it finds an error.
+        """
+        for piece in self._head_end.pieces(data):
+            if self._waiter is None or self._waiter.done() or self._parser is None:
+                self.close()
+                return
+            self._parse(piece)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; an answer without a length ends with a clean close."""
@@ -188,6 +189,19 @@
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing, as reading never pauses."""
 
+    def _parse(self, piece: bytes) -> None:
+        try:
+            messages, upgraded, tail = self._parser.feed_data(piece)
+        except (HttpProcessingError, ValueError, AssertionError) as error:
+            self._take_messages()
+            self._fail(LossKind.bad_answer, f'the answer is no HTTP: {error!r}')
+            return
+        self._messages.extend(messages)
+        self._count(len(piece))
+        if upgraded or tail:
+            self._reusable = False
+        self._take_messages()
+
     def _count(self, received: int) -> None:
         """Count received bytes as part of a body, or of a head that has no end yet."""
         self._head_bytes = 0 if self._messages else self._head_bytes + received
@@ -201,9 +215,6 @@
         self._waiter = None
         self._parser = None
 
-    def _time_out(self) -> None:
-        self._fail(LossKind.timed_out, 'the time is over')
-
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,7 +8,8 @@
 from gentianmill_mesh.answer_room import AnswerHolder, AnswerRoom
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UpstreamPool
-from mesh_upstream import NAMES, request, run
+from gentianmill_mesh.head_end import END, HeadEnd
+from mesh_upstream import NAMES, Script, ScriptedUpstream, request, run
 
 OK = b'HTTP/1.1 200 OK\r\n'
 WHOLE = OK + b'X-Attempt: 1\r\nContent-Length: 2\r\n\r\nok'
@@ -110,6 +111,43 @@
     assert asyncio.run(scenario()) == b'ok'
 
 
+EARLIER = OK + b'X-Attempt: 0\r\nContent-Length: 1\r\n\r\nx'
+CHUNKED = OK + b'X-Attempt: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+
+
+@pytest.mark.parametrize('whole', [WHOLE, CHUNKED], ids=['length', 'chunks'])
+@pytest.mark.parametrize('before', [b'', EARLIER], ids=['alone', 'after another'])
+def test_bytes_that_are_no_answer_in_the_same_segment_lose_no_answer(
+    whole: bytes, before: bytes
+):
+    """The parser raises for a whole segment, and the answer in it was lost."""
+
+    async def scenario() -> tuple[bytes, int]:
+        script = Script([before + whole + b'\x00no answer'])
+        async with ScriptedUpstream(script) as upstream:
+            pool = upstream.pool()
+            answer = await run(pool)
+            with pytest.raises(UpstreamLostError):
+                await run(pool)
+            return answer.body, upstream.connections
+
+    assert asyncio.run(scenario()) == (b'ok', 2)
+
+
+@pytest.mark.parametrize('size', [1, 2, 3, 5, 1000])
+def test_answers_are_found_in_segments_of_any_size(size: int):
+    """The end of a head may arrive in parts."""
+    stream = EARLIER + CHUNKED + EARLIER + WHOLE
+    cut = HeadEnd()
+    pieces = []
+    for start in range(0, len(stream), size):
+        pieces.extend(cut.pieces(stream[start : start + size]))
+    assert b''.join(pieces) == stream
+    ends = [len(b''.join(pieces[: number + 1])) for number in range(len(pieces))]
+    heads = [at + 4 for at in range(len(stream)) if stream.startswith(END, at)]
+    assert set(heads) <= set(ends)
+
+
 class _Holder(AnswerHolder):
     def __init__(self, ended: list['_Holder']) -> None:
         self._ended = ended
