Let lost calls use the retry budget that guards leave unused

What callers saw: calls whose answer was lost got no second try although the budget of the service had room: nodes asked for 0.85 of the permitted ratio, ordinary calls for 0.8 of that, and calls of repeats and retries that guards had refused counted as used. Payments failed like reads, as guards did not know the priority of a retry.

Evidence: test_retry_that_guards_refused_is_not_counted and test_lost_work_may_use_most_of_the_budget failed before.

Guards see every arrival, so the last word is theirs alone: a node asks them within the permitted ratio and counts what arrived; guards let ordinary retries in up to 0.95 of the room of important ones, and refuse a retry before it waits in the queue.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_gate.py
@@ -1,6 +1,7 @@
 """The last check of the retry budget before the upstream."""
 
 from gentianmill.arrivals import Arrivals, Cause
+from gentianmill.call_tree import RANKS_PER_PRIORITY
 from gentianmill.clock import Clock
 from gentianmill.repeat_budget import RepeatBudget, RetryBudgetSettings
 
@@ -34,14 +35,34 @@
         """Set the number of guards of the service."""
         self._budget.share_slack(guards)
 
-    def admit(self, cause: Cause) -> bool:
+    def refuses(self, cause: Cause, rank: int) -> bool:
+        """Return whether the budget leaves no room now for a request.
+
+        Args:
+            cause: Why the request would be sent to the upstream.
+            rank: Its order in the queue.
+        """
+        now_ms = self._clock.now_ms()
+        if self._budget.permits(cause, now_ms, ordinary=_is_ordinary(rank)):
+            return False
+        self._refused += 1
+        return True
+
+    def admit(self, cause: Cause, rank: int) -> bool:
         """Count an arrival, or return that the budget does not permit it.
 
         Args:
             cause: Why the request is sent to the upstream.
+            rank: Its order in the queue.
         """
-        if not self._budget.admit(cause, self._clock.now_ms()):
-            self._refused += 1
+        if self.refuses(cause, rank):
             return False
+        now_ms = self._clock.now_ms()
+        self._budget.admit(cause, now_ms, ordinary=_is_ordinary(rank))
         self._arrivals.add(cause)
         return True
+
+
+def _is_ordinary(rank: int) -> bool:
+    """Return whether work is not of the most important priority."""
+    return rank >= RANKS_PER_PRIORITY
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -39,15 +39,9 @@
 MAX_REDIRECTS = 4
 """Nodes that may refuse a call before its caller is told to come back."""
 
-OWN_SHARE = 0.85
-"""Part of the permitted ratio of retries per call that a node asks for; the guards
-of the service have the last word."""
-
-ORDINARY_USE = 0.8
-"""Part of the permitted retries that calls of ordinary rank may use."""
-
-TOP_RANKS = 2
-"""Ranks of the most important priority: inner calls and new requests."""
+HEDGE_USE = 0.6
+"""Part of the permitted ratio of retries per call up to which a node asks guards for
+second copies; beyond it they refuse them, as lost work goes first."""
 
 PATIENCE_SHARE = 0.3
 """Part of the target latency that a new request may wait in a queue; a caller who
@@ -135,7 +129,7 @@
         self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
         self._hedges = HedgePolicy()
         self._throttles: dict[str, RetryThrottle] = {}
-        self._retry_ratio = budget.ratio * OWN_SHARE
+        self._retry_ratio = budget.ratio
 
     async def run(self, attempt: Attempt) -> HttpAnswer | None:
         """Return the answer of an upstream, or None.
@@ -143,11 +137,8 @@
         Args:
             attempt: The request; its ``runs`` and ``reason`` tell why there is none.
         """
-        throttle = self._throttle(attempt.service)
-        if attempt.origin.cause.is_repeat:
-            throttle.on_forced_retry(self._clock.now_ms())
-        else:
-            throttle.on_call(self._clock.now_ms())
+        if not attempt.origin.cause.is_repeat:
+            self._throttle(attempt.service).on_call(self._clock.now_ms())
         answer: HttpAnswer | None = None
         while node := self._choose(attempt):
             reply = await self._call_hedged(attempt, node)
@@ -167,13 +158,10 @@
     def _throttle(self, service: str) -> RetryThrottle:
         return self._throttles.setdefault(service, RetryThrottle(self._retry_ratio))
 
-    def _may_retry(self, attempt: Attempt) -> bool:
+    def _may_hedge(self, attempt: Attempt) -> bool:
         throttle = self._throttle(attempt.service)
         now_ms = self._clock.now_ms()
-        is_ordinary = attempt.origin.rank >= TOP_RANKS
-        if is_ordinary and throttle.used_share(now_ms) > ORDINARY_USE:
-            return False
-        return throttle.try_retry(now_ms)
+        return throttle.used_share(now_ms) < HEDGE_USE and throttle.permits(now_ms)
 
     def _choose(self, attempt: Attempt) -> NodeRecord | None:
         return self._placement.choose(
@@ -222,7 +210,7 @@
             return None
         if self._placement.load_share(node, now_ms) > HEDGE_LOAD:
             return None
-        if not self._may_retry(attempt):
+        if not self._may_hedge(attempt):
             return None
         log.info(
             'Second copy sent.',
@@ -246,15 +234,22 @@
         except asyncio.CancelledError:
             spent_ms = self._clock.now_ms() - started_ms
             self._placement.overtaken(node.name, attempt.rule.name, spent_ms)
+            self._count_repeat(attempt, cause)
             raise
         finally:
             self._placement.end(node.name)
         if relayed.reply.outcome is Outcome.not_run:
             attempt.runs -= 1
             attempt.rejections += _reached_upstream(relayed.reply)
+        if _may_have_arrived(relayed.reply):
+            self._count_repeat(attempt, cause)
         self._learn(attempt, node, relayed, started_ms)
         return relayed.reply
 
+    def _count_repeat(self, attempt: Attempt, cause: Cause) -> None:
+        if cause.is_repeat:
+            self._throttle(attempt.service).on_retry(self._clock.now_ms())
+
     async def _send(self, node: NodeRecord, call: GuardCall) -> RelayReply:
         if node.name == self._own.name:
             reply = await self._guard.run(call)
@@ -322,7 +317,7 @@
             reason=reply.reason,
             after_ms=round(now_ms - started_ms),
         )
-        if reply.outcome is not Outcome.not_run or _reached_upstream(reply):
+        if _may_have_arrived(reply):
             self._placement.failed(node.name, now_ms)
         elif reply.reason not in UNRELATED_TO_NODE:
             self._placement.pause(node.name, now_ms)
@@ -333,13 +328,13 @@
         is_late = self._clock.now_ms() >= attempt.deadline_ms - LATE_MARGIN_MS
         if is_late or reply.reason == CRASH_SUSPECT:
             return False
-        if reply.outcome is Outcome.not_run and not _reached_upstream(reply):
+        if not _may_have_arrived(reply):
             return len(attempt.tried) <= MAX_REDIRECTS
         if reply.outcome is not Outcome.not_run and not attempt.rule.repeatable:
             return False
         if attempt.sends_left <= 0:
             return False
-        return self._may_retry(attempt)
+        return self._throttle(attempt.service).permits(self._clock.now_ms())
 
 
 def _is_failure(answer: HttpAnswer | None) -> bool:
@@ -355,3 +350,8 @@
 def _reached_upstream(reply: GuardReply) -> bool:
     """Return whether an upstream saw the call; the retry bound counts that."""
     return reply.reason in REFUSED_BY_UPSTREAM
+
+
+def _may_have_arrived(reply: GuardReply) -> bool:
+    """Return whether an upstream may have got the call, so that it was a send."""
+    return reply.outcome is not Outcome.not_run or _reached_upstream(reply)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -200,14 +200,14 @@
             return 'down'
         if self._crashes.refuses(call):
             return CRASH_SUSPECT
-        return ''
+        return RETRY_BUDGET if self._gate.refuses(call.cause, call.rank) else ''
 
     async def _run(self, call: GuardCall) -> GuardReply:
         report = self._status.report
         left_ms = call.deadline_ms - self._clock.now_ms()
         if report is None or left_ms <= LATE_MARGIN_MS:
             return GuardReply.not_run('deadline')
-        if not self._gate.admit(call.cause):
+        if not self._gate.admit(call.cause, call.rank):
             return GuardReply.not_run(RETRY_BUDGET)
         extra = [
             (self._names.time_left, b'%d' % left_ms),
@@ -238,7 +238,7 @@
 
     def _may_resend(self, call: GuardCall, tree_id: str) -> bool:
         """Return whether a call that a connection lost may arrive once more."""
-        if not self._gate.admit(Cause.resend):
+        if not self._gate.admit(Cause.resend, call.rank):
             return False
         self._tree.start(tree_id, call.rank, call.route, Cause.resend)
         return True
--- a/packages/gentianmill/src/gentianmill/repeat_budget.py
+++ b/packages/gentianmill/src/gentianmill/repeat_budget.py
@@ -11,9 +11,10 @@
 
 from gentianmill.arrivals import Cause
 
-USED_RATIO = 0.9
-"""Part of the permitted ratio in use: guards start their windows at other moments
-than whoever checks the bound, and counts expire by slots."""
+USED_RATIO = 0.94
+"""Part of the permitted ratio in use: first arrivals are counted where they arrive,
+some 0.5 s after they are sent in a surge, which is 1 in 20 of a window of 10 s, and
+counts expire by slots."""
 
 USED_SLACK = 0.5
 """Part of the permitted slack in use; a guard that starts anew gets its share anew."""
@@ -23,13 +24,17 @@
 starts."""
 
 ROOM = MappingProxyType(
-    {Cause.hedge: 0.6, Cause.resend: 0.9, Cause.retry: 0.9, Cause.inherited: 1.0}
+    {Cause.hedge: 0.6, Cause.resend: 0.95, Cause.retry: 0.95, Cause.inherited: 1.0}
 )
 """Part of the budget up to which repeats of a cause are let in. Calls of a repeat
 that already runs come last, as refusing them wastes it."""
 
-SLOTS = 20
-"""Steps in which the window moves; 1 in 20 is finer than the unused ratio."""
+ORDINARY_ROOM = 0.95
+"""Part of that up to which ordinary work may be sent again; the rest is kept for the
+most important priority."""
+
+SLOTS = 50
+"""Steps in which the window moves; 1 in 50 is finer than the unused ratio."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,27 +76,38 @@
         shared_by = max(guards, FEWEST_GUARDS)
         self._slack = self._settings.slack * USED_SLACK / shared_by
 
-    def admit(self, cause: Cause, now_ms: float) -> bool:
-        """Count an arrival if it is a first one or the budget permits it.
+    def permits(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
+        """Return whether an arrival is a first one or within the budget.
 
         Args:
             cause: Why the request arrives.
             now_ms: Current time.
-
-        Returns:
-            Whether it may be sent to the upstream.
+            ordinary: Whether it is not of the most important priority.
         """
-        slot = self._slot(now_ms)
         if not cause.is_repeat:
-            slot.firsts += 1
-            self._firsts += 1
             return True
+        self._slot(now_ms)
         ratio = self._settings.ratio * USED_RATIO
-        permitted = self._firsts * ratio + self._slack
-        if self._repeats + 1 > permitted * ROOM[cause]:
+        permitted = (self._firsts * ratio + self._slack) * ROOM[cause]
+        if ordinary and cause is not Cause.inherited:
+            permitted *= ORDINARY_ROOM
+        return self._repeats + 1 <= permitted
+
+    def admit(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
+        """Count an arrival if it is permitted, and return whether it is.
+
+        Args:
+            cause: Why the request arrives.
+            now_ms: Current time.
+            ordinary: Whether it is not of the most important priority.
+        """
+        if not self.permits(cause, now_ms, ordinary=ordinary):
             return False
-        slot.repeats += 1
-        self._repeats += 1
+        slot = self._slot(now_ms)
+        slot.firsts += not cause.is_repeat
+        slot.repeats += cause.is_repeat
+        self._firsts += not cause.is_repeat
+        self._repeats += cause.is_repeat
         return True
 
     def _slot(self, now_ms: float) -> _Slot:
--- a/packages/gentianmill/src/gentianmill/retry.py
+++ b/packages/gentianmill/src/gentianmill/retry.py
@@ -102,8 +102,8 @@
         self._slot(now_ms)[1] += 1
         self._calls += 1
 
-    def on_forced_retry(self, now_ms: float) -> None:
-        """Count one retry that another node decided, above this call."""
+    def on_retry(self, now_ms: float) -> None:
+        """Count one retry."""
         self._slot(now_ms)[2] += 1
         self._retries += 1
 
@@ -112,13 +112,16 @@
         self._slot(now_ms)
         return self._retries / max(self._calls * self._ratio, 1)
 
+    def permits(self, now_ms: float) -> bool:
+        """Return whether the share leaves room for one more retry."""
+        self._slot(now_ms)
+        return self._retries + 1 <= self._calls * self._ratio
+
     def try_retry(self, now_ms: float) -> bool:
         """Count one retry if the share permits it, and return whether it does."""
-        slot = self._slot(now_ms)
-        if self._retries + 1 > self._calls * self._ratio:
+        if not self.permits(now_ms):
             return False
-        slot[2] += 1
-        self._retries += 1
+        self.on_retry(now_ms)
         return True
 
     def _slot(self, now_ms: float) -> list[float]:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,6 +1,7 @@
 """What is sent to a second node, and what never is."""
 
 import asyncio
+from collections.abc import Sequence
 
 import pytest
 from gentianmill.admission_share import ShareTable
@@ -14,7 +15,12 @@
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpAnswer, HttpRequest
 from gentianmill_mesh.relay_link import RelayReply
-from gentianmill_mesh.upstream_guard import CRASH_SUSPECT, UPSTREAM_FULL, UpstreamGuard
+from gentianmill_mesh.upstream_guard import (
+    CRASH_SUSPECT,
+    RETRY_BUDGET,
+    UPSTREAM_FULL,
+    UpstreamGuard,
+)
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from mesh_upstream import NAMES
 from node_records import node_record
@@ -27,6 +33,7 @@
 FAILURE = GuardReply(Outcome.answered, HttpAnswer(500, [], b'failed'))
 LOST = GuardReply.unknown('upstream_lost')
 REFUSED = GuardReply.not_run('draining')
+NO_BUDGET = GuardReply.not_run(RETRY_BUDGET)
 LATE = GuardReply.not_run('deadline')
 FULL = GuardReply.not_run(UPSTREAM_FULL)
 SUSPECT = GuardReply.not_run(CRASH_SUSPECT)
@@ -101,8 +108,9 @@
     repeatable: bool,
     warm: int = WARM_CALLS,
     left_ms: float = 2000,
+    before: Sequence[Sequence[GuardReply]] = (),
 ) -> tuple[HttpAnswer | None, int, Attempt]:
-    """Return answer, number of sends and attempt, after some usual calls."""
+    """Return answer, number of sends and attempt, after usual and scripted calls."""
 
     async def scenario() -> tuple[HttpAnswer | None, int, Attempt]:
         clock = MonotonicClock()
@@ -119,6 +127,9 @@
         )
         for _ in range(warm):
             await dispatcher.run(_attempt(repeatable=True))
+        for earlier in before:
+            links.script = list(earlier)
+            await dispatcher.run(_attempt(repeatable=True))
         links.sent.clear()
         links.script = list(script)
         attempt = _attempt(repeatable=repeatable, left_ms=left_ms)
@@ -171,6 +182,13 @@
     assert (answer, sends) == (None, 1)
 
 
+def test_retry_that_guards_refused_is_not_counted():
+    """Retries that reached no upstream used up those that other guards permit."""
+    refused = [(LOST, NO_BUDGET, NO_BUDGET) for _ in range(WARM_CALLS)]
+    answer, sends, _ = _run([LOST], repeatable=True, before=refused)
+    assert (answer.status, sends) == (200, 2)
+
+
 def test_slow_read_gets_a_second_copy():
     """An answer that is lost in silence would hold its caller to the deadline."""
     answer, sends, _ = _run([None], repeatable=True)
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -57,6 +57,17 @@
     assert not budget.admit(Cause.hedge, 2)
 
 
+def test_lost_work_may_use_most_of_the_budget():
+    """Lost calls got no retry while a third of the permitted repeats was unused."""
+    budget = RepeatBudget(SETTINGS)
+    for _ in range(1000):
+        budget.admit(Cause.first, 0)
+    permitted = 1000 * SETTINGS.ratio
+    ordinary = sum(budget.admit(Cause.retry, 1, ordinary=True) for _ in range(1000))
+    assert 0.8 * permitted < ordinary < permitted
+    assert budget.admit(Cause.retry, 1)
+
+
 @pytest.mark.parametrize('cause', REPEATS)
 def test_first_arrivals_are_never_refused(cause: Cause):
     """A budget in use must not turn work away that nobody has tried."""
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -60,6 +60,6 @@
     for _ in range(100):
         throttle.on_call(0)
     for _ in range(10):
-        throttle.on_forced_retry(0)
+        throttle.on_retry(0)
     assert not throttle.try_retry(0)
     assert throttle.used_share(0) >= 1
