Count load that has moved to another upstream once in the retry budget

Cause: each guard took the first arrivals of its own last 10 s as the measure. Placement moves load away from upstreams that fail, just when repeats come: the guard that lost the load let repeats in for the arrivals of the past, the one that got it for the present ones. The sum over the guards was then not within the ratio, as the module said.

Now first arrivals of the window count only as far as they still come, by those of the last second; a quarter less is taken for chance. Load that is steady keeps what it has saved up, so a crash can still be followed by many retries at once. 0.9 of the ratio is used instead of 0.94.

--- a/packages/gentianmill/src/gentianmill/repeat_budget.py
+++ b/packages/gentianmill/src/gentianmill/repeat_budget.py
@@ -3,6 +3,10 @@
 Each guard bounds the repeats at its own upstream by a ratio of the first arrivals
 there. Whatever the guards of a service let in is then within the same ratio of all
 first arrivals, however unevenly nodes send, and without a message between them.
+
+That holds while each guard keeps its share of the load. Load that moves from one
+upstream to another within a window would permit repeats at both, so first arrivals
+count only as far as they still come.
 """
 
 import dataclasses
@@ -11,10 +15,17 @@
 
 from gentianmill.arrivals import Cause
 
-USED_RATIO = 0.94
+USED_RATIO = 0.9
 """Part of the permitted ratio in use: first arrivals are counted where they arrive,
-some 0.5 s after they are sent in a surge, which is 1 in 20 of a window of 10 s, and
-counts expire by slots."""
+some 0.5 s after they are sent in a surge, which is 1 in 20 of a window of 10 s; as
+much is kept for load that has just moved."""
+
+RECENT_SHARE = 0.1
+"""Part of the window whose first arrivals show how many still come."""
+
+RECENT_FACTOR = 1.25
+"""Fewer recent arrivals than this times the usual count as load that has moved; with
+some 16 in the last second they vary by a quarter by chance."""
 
 USED_SLACK = 0.5
 """Part of the permitted slack in use; a guard that starts anew gets its share anew."""
@@ -88,7 +99,7 @@
             return True
         self._slot(now_ms)
         ratio = self._settings.ratio * USED_RATIO
-        permitted = (self._firsts * ratio + self._slack) * ROOM[cause]
+        permitted = (self._lasting_firsts(now_ms) * ratio + self._slack) * ROOM[cause]
         if ordinary and cause is not Cause.inherited:
             permitted *= ORDINARY_ROOM
         return self._repeats + 1 <= permitted
@@ -110,6 +121,16 @@
         self._repeats += cause.is_repeat
         return True
 
+    def _lasting_firsts(self, now_ms: float) -> float:
+        """Return the first arrivals of a window, at the present rate if that is less."""
+        oldest_ms = now_ms - self._settings.window_ms * RECENT_SHARE
+        recent = 0
+        for slot in reversed(self._slots):
+            if slot.start_ms <= oldest_ms:
+                break
+            recent += slot.firsts
+        return min(self._firsts, recent * RECENT_FACTOR / RECENT_SHARE)
+
     def _slot(self, now_ms: float) -> _Slot:
         """Return the slot of the present, after dropping those out of the window."""
         length_ms = self._settings.window_ms / SLOTS
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -68,6 +68,31 @@
     assert budget.admit(Cause.retry, 1)
 
 
+@pytest.mark.parametrize('stays', [0, 0.15, 0.5])
+def test_load_that_moves_to_another_upstream_permits_repeats_once(stays: float):
+    """Both upstreams let repeats in for the same load, one for that of the past."""
+    budgets = [RepeatBudget(SETTINGS) for _ in range(2)]
+    moves_ms, end_ms, step_ms, lost = 10_000, 25_000, 10, 0.3
+    arrivals = [0.0, 0.0]
+    repeats: list[float] = []
+    wanted = 0.0
+    for now_ms in range(0, end_ms, step_ms):
+        moved = 1 - stays if now_ms >= moves_ms else 0
+        for number, share in enumerate((1 - moved, moved)):
+            arrivals[number] += share
+            if arrivals[number] >= 1:
+                arrivals[number] -= 1
+                budgets[number].admit(Cause.first, now_ms)
+        wanted += lost if now_ms >= moves_ms else 0
+        if wanted >= 1:
+            wanted -= 1
+            if any(budget.admit(Cause.retry, now_ms) for budget in budgets):
+                repeats.append(now_ms)
+    permitted = SETTINGS.window_ms / step_ms * SETTINGS.ratio
+    assert max(_within(repeats, start_ms) for start_ms in repeats) <= permitted
+    assert len(repeats) > permitted
+
+
 @pytest.mark.parametrize('cause', REPEATS)
 def test_first_arrivals_are_never_refused(cause: Cause):
     """A budget in use must not turn work away that nobody has tried."""
