Read answers of the upstream only up to the limit of bodies

What callers would have seen there: a body without a length, or in chunks without end, was read up to the time of the call before its length was compared with the limit, so one upstream in trouble could take the memory of its node.

Now the body is read in parts and the connection is closed at the first byte beyond the limit. Health reports are bounded in the same way (64 KiB); they were bounded by the time of a poll only. The endless upstream of both tests is one module now.

--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -1,6 +1,7 @@
 """Calls to the upstream on the same VM."""
 
 import asyncio
+import json
 
 import aiohttp
 import yarl
@@ -30,6 +31,10 @@
 EXIT_GRACE_S = 0.05
 """An exiting process may close a call's connection some ms before its listener."""
 
+MAX_REPORT_BYTES = 65_536
+"""Longest health report; one without end would be kept in memory."""
+
+JSON_TYPE = 'application/json'
 MS_PER_S = 1000
 STEP = 'run'
 
@@ -197,7 +202,9 @@
         timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                report = await response.json()
+                body = await _read_body(response, MAX_REPORT_BYTES)
+                is_json = response.content_type == JSON_TYPE
+                report = json.loads(body) if is_json else None
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
             return 'unreachable'
         state = report.get('state') if isinstance(report, dict) else None
@@ -205,11 +212,7 @@
 
     async def _run(self, call: Call, token: str, time_left_ms: float) -> Answer:
         async with self.request(call, token, time_left_ms, {}) as response:
-            if (response.content_length or 0) > self._max_body_bytes:
-                raise ValueError('the response body is larger than the limit')
-            body = await response.read()
-            if len(body) > self._max_body_bytes:
-                raise ValueError('the response body is larger than the limit')
+            body = await _read_body(response, self._max_body_bytes)
             self.raise_refusal(response)
             return Answer(
                 outcome=Outcome.answered,
@@ -223,3 +226,20 @@
     ) -> GentianmillError:
         message = f'the upstream gave no complete response: {cause!r}'
         return GentianmillError(code, STEP, self.name, message, outcome)
+
+
+async def _read_body(response: aiohttp.ClientResponse, most_bytes: int) -> bytes:
+    """Return the whole body, or raise as soon as it is too long.
+
+    Raises:
+        ValueError: If it is longer than the limit; the rest is not read.
+    """
+    if (response.content_length or 0) > most_bytes:
+        raise ValueError('the response body is larger than the limit')
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > most_bytes:
+            response.close()
+            raise ValueError('the response body is larger than the limit')
+    return bytes(body)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,19 +1,19 @@
 """Upstreams that send without end are ended, whatever they send."""
 
 import asyncio
-import resource
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pytest
+from endless_upstream import BLOCK, OK, EndlessUpstream, peak_growth_bytes
 from gentianmill.clock import MonotonicClock
 from gentianmill_mesh.answer_room import AnswerHolder, AnswerRoom
+from gentianmill_mesh.head_end import END, HeadEnd
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UpstreamPool
-from gentianmill_mesh.head_end import END, HeadEnd
 from mesh_upstream import NAMES, Script, ScriptedUpstream, request, run
 
-OK = b'HTTP/1.1 200 OK\r\n'
 WHOLE = OK + b'X-Attempt: 1\r\nContent-Length: 2\r\n\r\nok'
-BLOCK = b'x' * 65_536
 LATE = OK + b'X-Attempt: 0\r\nContent-Length: 0\r\n\r\n'
 TIME_S = 30
 """Time of a call; an answer without end is ended by its length long before."""
@@ -21,8 +21,6 @@
 MOST_BYTES = 200 * 1024 * 1024
 """Memory that one answer may take, with copies; VMs have 200 MB and more."""
 
-KIB = 1024
-
 ENDLESS = {
     'reason of the status': (OK[:-2], b'a' * 512),
     'header name': (OK, b'a' * 512),
@@ -46,69 +44,44 @@
 }
 
 
-class _Endless:
-    """Send a start and then one block again and again until the caller closes."""
-
-    def __init__(self, start: bytes, block: bytes, pause_s: float = 0) -> None:
-        self._start = start
-        self._pause_s = pause_s
-        self._block = block
-        self.ended = asyncio.Event()
+_Content = TypeVar('_Content')
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer one request without end."""
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(self._start)
-        await asyncio.sleep(self._pause_s)
-        try:
-            while True:
-                writer.write(self._block)
-                await writer.drain()
-                await asyncio.sleep(0)
-        except ConnectionError:
-            self.ended.set()
-        finally:
-            writer.close()
 
-
-async def _pool_for(serve) -> UpstreamPool:
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    return UpstreamPool('127.0.0.1', port, NAMES, MonotonicClock())
+async def _use(
+    upstream: EndlessUpstream, use: Callable[[UpstreamPool], Awaitable[_Content]]
+) -> _Content:
+    """Return what a use of a pool gives, once the connection has been closed."""
+    async with upstream:
+        result = await use(
+            UpstreamPool('127.0.0.1', upstream.port, NAMES, MonotonicClock())
+        )
+        await asyncio.wait_for(upstream.ended.wait(), TIME_S)
+        return result
 
 
 @pytest.mark.parametrize('name', ENDLESS)
 def test_answer_without_end_is_ended_by_its_length(name: str):
     """Memory was filled up to the time of the call; the VM has a few hundred MB."""
 
-    async def scenario() -> LossKind:
-        upstream = _Endless(*ENDLESS[name])
-        pool = await _pool_for(upstream.serve)
+    async def use(pool: UpstreamPool) -> LossKind:
         with pytest.raises(UpstreamLostError) as caught:
             await pool.run(request(), b'1', [], True, TIME_S, lambda: True)
-        await asyncio.wait_for(upstream.ended.wait(), TIME_S)
         return caught.value.kind
 
-    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    assert asyncio.run(scenario()) is LossKind.bad_answer
-    grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
-    assert grown_kib * KIB < MOST_BYTES
+    kind, grown = peak_growth_bytes(_use(EndlessUpstream(*ENDLESS[name]), use))
+    assert kind is LossKind.bad_answer
+    assert grown < MOST_BYTES
 
 
 @pytest.mark.parametrize('pause_s', [0, 0.2])
 def test_bytes_without_end_after_a_whole_answer_close_the_connection(pause_s: float):
     """A whole answer was lost with the bytes after it, which belong to no request."""
 
-    async def scenario() -> bytes:
-        upstream = _Endless(WHOLE, BLOCK, pause_s)
-        pool = await _pool_for(upstream.serve)
-        answer = await run(pool)
-        await asyncio.wait_for(upstream.ended.wait(), TIME_S)
-        return answer.body
+    async def use(pool: UpstreamPool) -> bytes:
+        return (await run(pool)).body
 
-    assert asyncio.run(scenario()) == b'ok'
+    upstream = EndlessUpstream(WHOLE, BLOCK, pause_s)
+    assert asyncio.run(_use(upstream, use)) == b'ok'
 
 
 EARLIER = OK + b'X-Attempt: 0\r\nContent-Length: 1\r\n\r\nx'
