Check again before a call runs that its upstream does not drain

Cause: the guard looked whether its upstream drains when a call came, not when it ran.

Now the check is made once more just before the run; the call has not run, its claim is released, and it goes to another upstream.

--- a/packages/gentianmill-node/src/gentianmill_node/guard.py
+++ b/packages/gentianmill-node/src/gentianmill_node/guard.py
@@ -10,6 +10,7 @@
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.messages import CallFrame, LoadReport
 from gentianmill.outcome import Outcome
+from gentianmill.sheet import Sheet
 
 from gentianmill_node.admission_gate import AdmissionGate
 from gentianmill_node.call import Answer, Call
@@ -148,12 +149,15 @@
             GentianmillError: If the call is refused; it did not run then.
         """
         self._check(call)
-        async with SlotHold(self._parts.gate, self._ticket(call)):
+        async with SlotHold(
+            self._parts.gate, _ticket(self._parts.sheets.required(), call)
+        ):
             self._active += 1
             try:
                 async with RunningHold(
                     self._parts.suspects, self._parts.running, call
                 ) as token:
+                    self._check_upstream()
                     yield token
             finally:
                 self._active -= 1
@@ -186,9 +190,7 @@
 
     def _check(self, call: Call) -> None:
         if self._is_leaving:
-            raise GentianmillError(
-                ErrorCode.draining, STEP, '', 'the upstream is leaving'
-            )
+            raise _leaving()
         # Refuses before a claim is written; the check before the run decides.
         self._parts.suspects.may_run(call.digest)
         if not self._parts.policy.level.admits(call.rank):
@@ -200,6 +202,14 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
+    def _check_upstream(self) -> None:
+        """Refuse a call whose upstream began to drain while the call waited.
+
+        A drain of the node itself does not matter: calls it accepted are finished.
+        """
+        if self._upstream_draining:
+            raise _leaving()
+
     async def _run_claimed(self, call: Call, claim: Claim) -> Answer:
         claims = self._parts.claims
         try:
@@ -220,13 +230,16 @@
         return answer
 
     async def _run_admitted(self, call: Call) -> Answer:
-        async with SlotHold(self._parts.gate, self._ticket(call)):
+        async with SlotHold(
+            self._parts.gate, _ticket(self._parts.sheets.required(), call)
+        ):
             async with RunningHold(
                 self._parts.suspects, self._parts.running, call
             ) as token:
                 return await self._run_upstream(call, token)
 
     async def _run_upstream(self, call: Call, token: str) -> Answer:
+        self._check_upstream()
         left_ms = call.deadline_ms - self._parts.clock.now_ms()
         if left_ms <= 0:
             message = 'the deadline passed before the call could start'
@@ -245,17 +258,21 @@
         if await self._parts.upstream.crashed():
             await self._parts.suspects.crash(epoch)
 
-    def _ticket(self, call: Call) -> Ticket:
-        sheet = self._parts.sheets.required()
-        return Ticket(
-            work_class=sheet.class_at(call.rank),
-            tenant=call.tenant,
-            share=sheet.tenant_share(call.tenant),
-            size=call.operation.size,
-            rank=call.rank,
-            deadline_ms=call.deadline_ms,
-            operation=call.operation.name,
-        )
+
+def _ticket(sheet: Sheet, call: Call) -> Ticket:
+    return Ticket(
+        work_class=sheet.class_at(call.rank),
+        tenant=call.tenant,
+        share=sheet.tenant_share(call.tenant),
+        size=call.operation.size,
+        rank=call.rank,
+        deadline_ms=call.deadline_ms,
+        operation=call.operation.name,
+    )
+
+
+def _leaving() -> GentianmillError:
+    return GentianmillError(ErrorCode.draining, STEP, '', 'the upstream is leaving')
 
 
 def _claim_request(call: Call) -> ClaimRequest:
