--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -54,8 +54,8 @@
     assert not throttle.try_retry(20_000)
 
 
-def test_repeats_decided_above_use_up_the_ratio():
-    """Repeated requests repeat their calls; own retries must leave room for them."""
+def test_retries_counted_when_they_arrive_use_up_the_ratio():
+    """Retries that were permitted earlier and arrived later were not counted."""
     throttle = retry.RetryThrottle(0.1)
     for _ in range(100):
         throttle.on_call(0)
