--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -1,6 +1,7 @@
 """Tests of the budget of repeats that a guard keeps."""
 
 import bisect
+import random
 
 import pytest
 from gentianmill.arrivals import Cause
@@ -9,6 +10,13 @@
 from hypothesis import strategies as st
 
 SETTINGS = RetryBudgetSettings(ratio=0.2, window_ms=10_000, slack=0)
+STEP_MS = 10
+"""Time between two requests of a steady load."""
+
+PLAY_MS = 60_000
+LOST_MS = 200
+"""Time before load moves in which answers are lost, as its upstream breaks."""
+
 REPEATS = [cause for cause in Cause if cause.is_repeat]
 
 
@@ -93,6 +101,39 @@
     assert len(repeats) > permitted
 
 
+def _play_moving_load(upstreams: int, rng: random.Random) -> list[float]:
+    """Return when repeats are let in while a steady load moves between upstreams.
+
+    Every few seconds all requests go to another upstream. Repeats are wanted in
+    bursts, as many as all upstreams together let in.
+    """
+    budgets = [RepeatBudget(SETTINGS) for _ in range(upstreams)]
+    repeats: list[float] = []
+    loaded, moves_ms, fails_until_ms = 0, 0.0, 0.0
+    for now_ms in range(0, PLAY_MS, STEP_MS):
+        if now_ms >= moves_ms:
+            loaded = rng.randrange(upstreams)
+            moves_ms = now_ms + rng.uniform(0.1, 1) * SETTINGS.window_ms
+            fails_until_ms = now_ms + rng.uniform(0, 1) * SETTINGS.window_ms
+        budgets[loaded].admit(Cause.first, now_ms)
+        ends_soon = moves_ms - now_ms < LOST_MS
+        if ends_soon or now_ms < fails_until_ms:
+            for budget in budgets:
+                while budget.admit(Cause.inherited, now_ms):
+                    repeats.append(now_ms)
+    return repeats
+
+
+@pytest.mark.parametrize('upstreams', [1, 2, 5])
+@pytest.mark.parametrize('seed', range(5))
+def test_repeats_before_load_moves_count_at_its_new_upstream(upstreams: int, seed: int):
+    """An unused budget was spent as load moved away, and spent again where it went."""
+    repeats = _play_moving_load(upstreams, random.Random(seed))
+    permitted = SETTINGS.window_ms / STEP_MS * SETTINGS.ratio
+    assert max(_within(repeats, start_ms) for start_ms in repeats) <= permitted
+    assert len(repeats) > permitted
+
+
 @pytest.mark.parametrize('cause', REPEATS)
 def test_first_arrivals_are_never_refused(cause: Cause):
     """A budget in use must not turn work away that nobody has tried."""
