Let first arrivals earn the repeats that follow them shortly

Callers: none seen.

Cause: each guard measured its repeats by its own window, and the windows of guards do not add up to the window of the service when load moves.

Change: a first arrival earns 0.86 of the permitted ratio, to be used until a tenth of the window later. In any window the repeats at a guard are at most what the first arrivals of the window and the tenth before it earned there, and sums of that hold for the service, wherever load goes. The slack is held in part and grows back over a window.

--- a/packages/gentianmill/src/gentianmill/repeat_budget.py
+++ b/packages/gentianmill/src/gentianmill/repeat_budget.py
@@ -1,12 +1,10 @@
 """Budget of the repeats that reach a service, kept by the guards of its upstreams.
 
-Each guard bounds the repeats at its own upstream by a ratio of the first arrivals
-there. Whatever the guards of a service let in is then within the same ratio of all
-first arrivals, however unevenly nodes send, and without a message between them.
-
-That holds while each guard keeps its share of the load. Load that moves from one
-upstream to another within a window would permit repeats at both, so first arrivals
-count only as far as they still come.
+Each first arrival earns a part of a repeat, which its guard may let in until a short
+time later. So the repeats that a guard lets in during any window are at most what
+the first arrivals of that window, and of the short time before it, have earned
+there. These bounds add up: all guards of a service together keep the same ratio,
+however load is spread or moves among them, and without a message between them.
 """
 
 import dataclasses
@@ -15,37 +13,35 @@
 
 from gentianmill.arrivals import Cause
 
-USED_RATIO = 0.9
-"""Part of the permitted ratio in use: first arrivals are counted where they arrive,
-some 0.5 s after they are sent in a surge, which is 1 in 20 of a window of 10 s; as
-much is kept for load that has just moved."""
-
-RECENT_SHARE = 0.1
-"""Part of the window whose first arrivals show how many still come."""
+KEPT_SHARE = 0.1
+"""Part of the window for which earned repeats are kept; enough for the requests that
+an upstream loses when it crashes, as other upstreams share them."""
 
-RECENT_FACTOR = 1.25
-"""Fewer recent arrivals than this times the usual count as load that has moved; with
-some 16 in the last second they vary by a quarter by chance."""
+USED_RATIO = 0.86
+"""Part of the permitted ratio that first arrivals earn. A window may hold repeats that
+were earned before it, 1 in 10 by the share above, and first arrivals come some 0.5 s
+after they are sent in a surge, 1 in 20 of a window of 10 s: 1.15 x 0.86 < 1."""
 
-USED_SLACK = 0.5
-"""Part of the permitted slack in use; a guard that starts anew gets its share anew."""
+USED_SLACK = 0.3
+"""Part of the permitted slack that the guards hold at a time. In a window it may be
+used once, grow back once, and be given anew to guards that start anew."""
 
 FEWEST_GUARDS = 8
 """Guards among which the slack is shared at least; a node knows few others while it
 starts."""
 
-ROOM = MappingProxyType(
-    {Cause.hedge: 0.6, Cause.resend: 0.95, Cause.retry: 0.95, Cause.inherited: 1.0}
+KEPT_BACK = MappingProxyType(
+    {Cause.hedge: 0.4, Cause.resend: 0.03, Cause.retry: 0.03, Cause.inherited: 0}
 )
-"""Part of the budget up to which repeats of a cause are let in. Calls of a repeat
-that already runs come last, as refusing them wastes it."""
+"""Part of the most credit that repeats of a cause leave to others. Calls of a repeat
+that already runs leave none, as refusing them wastes it."""
 
-ORDINARY_ROOM = 0.95
-"""Part of that up to which ordinary work may be sent again; the rest is kept for the
-most important priority."""
+ORDINARY_KEPT_BACK = 0.03
+"""Part that ordinary work leaves besides, to the most important priority."""
 
-SLOTS = 50
-"""Steps in which the window moves; 1 in 50 is finer than the unused ratio."""
+SLOTS = 10
+"""Steps in which earned repeats expire; 1 in 10 of the time for which they are kept
+is a hundredth of the window."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,11 +60,10 @@
 class _Slot:
     start_ms: float
     firsts: int = 0
-    repeats: int = 0
 
 
 class RepeatBudget:
-    """Let repeats in as long as first arrivals permit them."""
+    """Let repeats in as far as first arrivals have earned them."""
 
     def __init__(self, settings: RetryBudgetSettings) -> None:
         """Create a budget without slack, as other guards are not known yet.
@@ -77,15 +72,25 @@
             settings: The bound for the service.
         """
         self._settings = settings
-        self._slack = float(0)
+        self._earned_each = settings.ratio * USED_RATIO
+        self._kept_ms = settings.window_ms * KEPT_SHARE
+        self._slack: float | None = None
         self._slots: deque[_Slot] = deque()
         self._firsts = 0
-        self._repeats = 0
+        self._credit = float(0)
+        self._updated_ms: float | None = None
 
     def share_slack(self, guards: int) -> None:
         """Set the number of guards of the service, which share the slack."""
-        shared_by = max(guards, FEWEST_GUARDS)
-        self._slack = self._settings.slack * USED_SLACK / shared_by
+        slack = self._settings.slack * USED_SLACK / max(guards, FEWEST_GUARDS)
+        if self._slack is None:
+            self._credit += slack
+        self._slack = slack
+
+    def credit(self, now_ms: float) -> float:
+        """Return the repeats that may be let in now."""
+        self._update(now_ms)
+        return self._credit
 
     def permits(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
         """Return whether an arrival is a first one or within the budget.
@@ -97,12 +102,11 @@
         """
         if not cause.is_repeat:
             return True
-        self._slot(now_ms)
-        ratio = self._settings.ratio * USED_RATIO
-        permitted = (self._lasting_firsts(now_ms) * ratio + self._slack) * ROOM[cause]
+        self._update(now_ms)
+        kept_back = KEPT_BACK[cause]
         if ordinary and cause is not Cause.inherited:
-            permitted *= ORDINARY_ROOM
-        return self._repeats + 1 <= permitted
+            kept_back += ORDINARY_KEPT_BACK
+        return self._credit - 1 >= kept_back * max(self._most_credit - 1, 0)
 
     def admit(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
         """Count an arrival if it is permitted, and return whether it is.
@@ -114,31 +118,32 @@
         """
         if not self.permits(cause, now_ms, ordinary=ordinary):
             return False
-        slot = self._slot(now_ms)
-        slot.firsts += not cause.is_repeat
-        slot.repeats += cause.is_repeat
-        self._firsts += not cause.is_repeat
-        self._repeats += cause.is_repeat
+        if cause.is_repeat:
+            self._credit -= 1
+        else:
+            self._earn(now_ms)
         return True
 
-    def _lasting_firsts(self, now_ms: float) -> float:
-        """Return the first arrivals of a window, at the present rate if that is less."""
-        oldest_ms = now_ms - self._settings.window_ms * RECENT_SHARE
-        recent = 0
-        for slot in reversed(self._slots):
-            if slot.start_ms <= oldest_ms:
-                break
-            recent += slot.firsts
-        return min(self._firsts, recent * RECENT_FACTOR / RECENT_SHARE)
-
-    def _slot(self, now_ms: float) -> _Slot:
-        """Return the slot of the present, after dropping those out of the window."""
-        length_ms = self._settings.window_ms / SLOTS
-        oldest_ms = now_ms - self._settings.window_ms - length_ms
-        while self._slots and self._slots[0].start_ms <= oldest_ms:
-            gone = self._slots.popleft()
-            self._firsts -= gone.firsts
-            self._repeats -= gone.repeats
-        if not self._slots or now_ms - self._slots[-1].start_ms >= length_ms:
+    @property
+    def _most_credit(self) -> float:
+        """Return what the kept first arrivals have earned, and the slack."""
+        return self._firsts * self._earned_each + (self._slack or 0)
+
+    def _earn(self, now_ms: float) -> None:
+        self._update(now_ms)
+        step_ms = self._kept_ms / SLOTS
+        if not self._slots or now_ms - self._slots[-1].start_ms >= step_ms:
             self._slots.append(_Slot(now_ms))
-        return self._slots[-1]
+        self._slots[-1].firsts += 1
+        self._firsts += 1
+        self._credit += self._earned_each
+
+    def _update(self, now_ms: float) -> None:
+        """Let the slack grow back, and drop credit that is no longer kept."""
+        if self._updated_ms is not None:
+            passed = (now_ms - self._updated_ms) / self._settings.window_ms
+            self._credit += (self._slack or 0) * passed
+        self._updated_ms = now_ms
+        while self._slots and self._slots[0].start_ms < now_ms - self._kept_ms:
+            self._firsts -= self._slots.popleft().firsts
+        self._credit = min(self._credit, self._most_credit)
