--- a/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_gate.py
@@ -31,6 +31,11 @@
         """Return the repeats that were turned away so far."""
         return self._refused
 
+    @property
+    def credit(self) -> float:
+        """Return the repeats that the budget permits now."""
+        return self._budget.credit(self._clock.now_ms())
+
     def share_slack(self, guards: int) -> None:
         """Set the number of guards of the service."""
         self._budget.share_slack(guards)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/arrival_log.py
@@ -24,4 +24,5 @@
         if orphans or self._guard.gate.arrivals.fresh_repeats:
             self._orphans += orphans
             counts = self._guard.gate.arrivals.take_new()
-            log.info('Repeats arrived.', orphans=orphans, **counts)
+            credit = round(self._guard.gate.credit, 1)
+            log.info('Repeats arrived.', orphans=orphans, credit=credit, **counts)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -315,6 +315,11 @@
                 'Repeats refused by the retry budget.',
                 self._guard.gate.refused,
             ),
+            (
+                'repeat_credit',
+                'Repeats that the retry budget permits now.',
+                self._guard.gate.credit,
+            ),
             ('rules_version', 'Version of the rules in force.', self._rules.version),
             ('entry_running', 'Requests of callers under way.', self._entry.running),
             ('upstream_connections', 'Connections opened.', self._pool.opened),
