Close the idle connection to an upstream that sends bytes without a request

Callers: the node beside an upstream that sends without end fills its memory and is killed. Cause: the connection that notices the end of the upstream process read up to that end. Evidence: test_bytes_without_end_on_an_idle_connection_are_not_kept, which took all 256 MiB before; now the connection is closed at the first byte and opened again, and that does not count as the end of the process.

--- a/packages/gentianmill-node/src/gentianmill_node/liveness.py
+++ b/packages/gentianmill-node/src/gentianmill_node/liveness.py
@@ -5,10 +5,14 @@
 
 from gentianmill.clock import Clock
 
+from gentianmill_node.logs import component
+
 CONNECT_TIMEOUT_S = 1.0
 RETRY_S = 0.1
 RECENT_MS = 1000
 
+log = component('upstream')
+
 
 class LivenessConnection:
     """Hold an idle connection to the upstream and note when it ends.
@@ -63,8 +67,13 @@
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(self._host, self._port), CONNECT_TIMEOUT_S
         )
+        unasked = b''
         try:
-            await reader.read()
+            # Nothing is asked here, so what comes is not read to its end.
+            unasked = await reader.read(1)
         finally:
-            self._lost_ms = self._clock.now_ms()
             writer.close()
+            if not unasked:
+                self._lost_ms = self._clock.now_ms()
+        if unasked:
+            log.warning('The upstream sends bytes without a request.')
