--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -10,6 +10,7 @@
 from gentianmill.outcome import Outcome
 from gentianmill.settings_models import UpstreamModel
 
+from gentianmill_node.bounded_body import read_body
 from gentianmill_node.call import Answer, Call
 from gentianmill_node.headers import (
     CALL_CONTEXT,
@@ -202,7 +203,7 @@
         timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S)
         try:
             async with self._session.get(url, timeout=timeout) as response:
-                body = await _read_body(response, MAX_REPORT_BYTES)
+                body = await read_body(response, MAX_REPORT_BYTES)
                 is_json = response.content_type == JSON_TYPE
                 report = json.loads(body) if is_json else None
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
@@ -212,7 +213,7 @@
 
     async def _run(self, call: Call, token: str, time_left_ms: float) -> Answer:
         async with self.request(call, token, time_left_ms, {}) as response:
-            body = await _read_body(response, self._max_body_bytes)
+            body = await read_body(response, self._max_body_bytes)
             self.raise_refusal(response)
             return Answer(
                 outcome=Outcome.answered,
@@ -226,20 +227,3 @@
     ) -> GentianmillError:
         message = f'the upstream gave no complete response: {cause!r}'
         return GentianmillError(code, STEP, self.name, message, outcome)
-
-
-async def _read_body(response: aiohttp.ClientResponse, most_bytes: int) -> bytes:
-    """Return the whole body, or raise as soon as it is too long.
-
-    Raises:
-        ValueError: If it is longer than the limit; the rest is not read.
-    """
-    if (response.content_length or 0) > most_bytes:
-        raise ValueError('the response body is larger than the limit')
-    body = bytearray()
-    async for part in response.content.iter_any():
-        body += part
-        if len(body) > most_bytes:
-            response.close()
-            raise ValueError('the response body is larger than the limit')
-    return bytes(body)
