--- /dev/null
+++ b/tests/test_endless_forwarding.py
@@ -0,0 +1,73 @@
+"""Requests across two nodes while the upstream sends bytes without end to others."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from endless_upstream import BLOCK, OK, peak_growth_bytes
+from mesh_deployment import Deployment
+
+BAD_GATEWAY = 502
+SERVED = 20
+"""Requests that are served while answers without end are under way."""
+
+MOST_BYTES = 250 * 1024 * 1024
+"""Memory of two nodes and the upstream, which share a process here."""
+
+TIME_S = 30
+MOST_UNSENT = 4 * len(BLOCK)
+
+HEAD = (OK, b'a: b\r\n' * 100)
+BODY = (OK + b'Content-Length: 99999999999\r\n\r\n', BLOCK)
+GARBAGE = (b'', bytes(4096))
+
+
+class _SometimesEndless:
+    """Answer requests, and send without end to those whose path asks for it."""
+
+    def __init__(self, start: bytes, block: bytes) -> None:
+        self._start = start
+        self._block = block
+        self.ended = 0
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer, or send until the node closes the connection, which cancels this."""
+        if 'endless' not in request.path:
+            return web.Response(body=b'whole')
+        request.transport.write(self._start)
+        try:
+            while True:
+                if request.transport.get_write_buffer_size() < MOST_UNSENT:
+                    request.transport.write(self._block)
+                await asyncio.sleep(0)
+        finally:
+            self.ended += 1
+
+
+@pytest.mark.parametrize('endless', [HEAD, BODY, GARBAGE], ids=['head', 'body', 'none'])
+@pytest.mark.parametrize(
+    ('method', 'path'), [('GET', '/read/endless'), ('POST', '/pay/endless')]
+)
+def test_answers_without_end_are_failures_and_delay_nobody(
+    endless: tuple[bytes, bytes], method: str, path: str
+):
+    """One upstream in trouble took the memory of its node and the answers of others."""
+    upstream = _SometimesEndless(*endless)
+
+    async def play() -> tuple[list[int], set[tuple[int, bytes]], int]:
+        async with Deployment(upstream.answer) as deployment:
+            calls = [
+                asyncio.ensure_future(deployment.call(path, method)) for _ in range(2)
+            ]
+            others = set()
+            for _ in range(SERVED):
+                status, body, _ = await deployment.call('/read/a')
+                others.add((status, body))
+            ends = await asyncio.wait_for(asyncio.gather(*calls), TIME_S)
+            return [end[0] for end in ends], others, len(deployment.seen)
+
+    (statuses, others, arrivals), grown = peak_growth_bytes(play())
+    assert statuses == [BAD_GATEWAY, BAD_GATEWAY]
+    assert others == {(200, b'whole')}
+    assert (arrivals, upstream.ended) == (SERVED + 2, 2)
+    assert grown < MOST_BYTES
