Let upstreams of the fault soak be in trouble, and check the retry budget there

Upstreams in trouble refuse requests, write a refusal twice or once more in front of a later answer, cut answers in their head, send bytes behind an answer, or send without end. The soak checks from what upstreams see that repeats stay within the retry budget.

--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -35,6 +35,9 @@
     def __init__(self, places: list[Place], per_place: int, seed: int) -> None:
         """Create callers that do not run."""
         self.told: list[Told] = []
+        self.sent: list[float] = []
+        """When requests were sent, in s."""
+
         self._places = places
         self._per_place = per_place
         self._rng = random.Random(seed)
@@ -65,6 +68,7 @@
         prefix = UNSAFE_PREFIX if unsafe else READ_PREFIX
         request_id = f'r{number}'
         status, body = 0, b''
+        self.sent.append(asyncio.get_running_loop().time())
         try:
             async with session.request(
                 'POST' if unsafe else 'GET',
--- a/tests/fault_soak/deployment.py
+++ b/tests/fault_soak/deployment.py
@@ -11,7 +11,7 @@
 from fault_soak.callers import Callers
 from fault_soak.faults import Faults
 from fault_soak.place import ROOT, Place
-from fault_soak.promises import broken_promises, interrupted
+from fault_soak.promises import beyond_retry_budget, broken_promises, interrupted
 from fault_soak.soak_store import SERVICES, SoakStore
 
 LOGS = ROOT / 'build' / 'soak'
@@ -76,6 +76,7 @@
     broken = broken_promises(
         callers.told, places, faults, recovered_s=calm_s + CALM_S / 2
     )
+    broken.extend(beyond_retry_budget(callers.sent, places))
     if planned:
         broken.extend(interrupted(callers.told, places))
     served = sum(told.status == 200 for told in callers.told)
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -66,6 +66,7 @@
             self._reset_upstream,
             self._silence_upstream,
             self._lose_upstream_answers,
+            self._trouble_upstream,
             self._fail_store,
             self._forget_history,
         ]
@@ -129,6 +130,11 @@
         await asyncio.sleep(self._rng.uniform(0.3, 2))
         place.upstream.losing = False
 
+    async def _trouble_upstream(self, place: Place) -> None:
+        place.upstream.troubled = True
+        await asyncio.sleep(self._rng.uniform(0.3, 2))
+        place.upstream.troubled = False
+
     async def _fail_store(self, _place: Place) -> None:
         self._store.failing_status = self._rng.choice([503, 429])
         await asyncio.sleep(self._rng.uniform(0.3, 2))
--- a/tests/fault_soak/place.py
+++ b/tests/fault_soak/place.py
@@ -13,6 +13,7 @@
 import aiohttp
 from aiohttp import web
 from cable import Cable
+from fault_soak.trouble import RawAnswer, Troubles, whole
 from gentianmill_node.direct_server import direct_server
 from gentianmill_node.web_server import WebServer
 
@@ -25,6 +26,10 @@
 HEARTBEAT_S = 0.3
 WORK_S = (0.005, 0.08)
 UNSAFE_PREFIX = '/pay/'
+LOST = 0.3
+REFUSED = 0.2
+TROUBLED = 0.3
+RETRY_SLACK = 5
 
 
 class Upstream:
@@ -35,7 +40,12 @@
         self.upstream_id = f'u-{ip}'
         self.ran: dict[str, int] = {}
         self.wrong: list[str] = []
+        self.arrivals: list[tuple[float, str]] = []
+        """When requests arrived, also those that were refused, and their ids."""
+
         self.losing = False
+        self.troubled = False
+        self._troubles = Troubles(rng)
         self._ip = ip
         self._service = service
         self._rng = rng
@@ -56,13 +66,18 @@
             self.wrong.append(f'{sent_id}: meant for another upstream')
         if request.headers.get('Caller-Service') is None:
             self.wrong.append(f'{sent_id}: no calling service')
+        self.arrivals.append((asyncio.get_running_loop().time(), sent_id))
+        if self.troubled and self._rng.random() < REFUSED:
+            return self._troubles.refuse(sent_id)
         self.ran[sent_id] = self.ran.get(sent_id, 0) + 1
         await asyncio.sleep(self._rng.uniform(*WORK_S))
-        if self.losing and self._rng.random() < 0.3:
+        if self.losing and self._rng.random() < LOST:
             request.transport.abort()
             raise ConnectionResetError
         body = f'{sent_id} {self._service}'.encode() * 20
-        return web.Response(body=body, headers={'Attempt-Id': sent_id})
+        if self.troubled and self._rng.random() < TROUBLED:
+            return await self._troubles.choose().answer(request, sent_id, body)
+        return RawAnswer(whole(sent_id, body))
 
 
 class Place:
@@ -213,5 +228,5 @@
             'appAddr': f'127.0.0.1:{self.to_upstream.port}',
             'service': self.service,
             'platform': {'address': f'127.0.0.1:{self.to_store.port}'},
-            'bounds': [f'grace={GRACE}'],
+            'bounds': [f'grace={GRACE}', f'retryBudgetSlack={RETRY_SLACK}'],
         }
--- a/tests/fault_soak/promises.py
+++ b/tests/fault_soak/promises.py
@@ -1,10 +1,11 @@
 """What must hold whatever happens, from what callers and upstreams have seen."""
 
-from collections.abc import Iterator
+import bisect
+from collections.abc import Iterator, Sequence
 
 from fault_soak.callers import Told
 from fault_soak.faults import Faults
-from fault_soak.place import Place
+from fault_soak.place import RETRY_SLACK, Place
 
 REFUSALS = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run and never will."""
@@ -14,6 +15,10 @@
 
 LEAST_JUDGED = 20
 
+RETRY_RATIO = 0.2
+RETRY_WINDOW_S = 10
+"""The retry budget of the settings: repeats per request, in any such time."""
+
 
 def broken_promises(
     told: list[Told], places: list[Place], faults: Faults, recovered_s: float
@@ -80,3 +85,34 @@
         for end in told
         if not end.status and end.request_id in ran
     ]
+
+
+def beyond_retry_budget(sent: Sequence[float], places: list[Place]) -> list[str]:
+    """Return a line if more requests arrived again than the retry budget permits.
+
+    Requests are counted in the window of the repeats, in the one before it or in
+    the one half a window before it, whichever has most.
+
+    Args:
+        sent: When callers sent requests, in s, in order.
+        places: The VMs, whose upstreams know what arrived.
+    """
+    seen: set[str] = set()
+    repeats: list[float] = []
+    arrivals = [arrival for place in places for arrival in place.upstream.arrivals]
+    for at_s, request_id in sorted(arrivals):
+        if request_id in seen:
+            repeats.append(at_s)
+        seen.add(request_id)
+    for start_s in repeats:
+        starts = (start_s, start_s - RETRY_WINDOW_S / 2, start_s - RETRY_WINDOW_S)
+        requests = max(_within(sent, start) for start in starts)
+        permitted = requests * RETRY_RATIO + RETRY_SLACK
+        if _within(repeats, start_s) > permitted:
+            return [f'{_within(repeats, start_s)} repeats for {requests} requests']
+    return []
+
+
+def _within(times: Sequence[float], start_s: float) -> int:
+    end_s = start_s + RETRY_WINDOW_S
+    return bisect.bisect_left(times, end_s) - bisect.bisect_left(times, start_s)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -7,7 +7,7 @@
 from fault_soak.deployment import play
 from fault_soak.faults import Faults
 from fault_soak.place import Place
-from fault_soak.promises import broken_promises, interrupted
+from fault_soak.promises import beyond_retry_budget, broken_promises, interrupted
 
 SECONDS = 6
 VMS = 4
@@ -18,6 +18,7 @@
 class _Upstream:
     def __init__(self, ran: dict[str, int]) -> None:
         self.ran = ran
+        self.arrivals: list[tuple[float, str]] = []
         self.wrong: list[str] = []
 
 
@@ -82,3 +83,14 @@
     """Planned work must cost no request."""
     assert interrupted([_told(0)], [_Place(r1=1)])
     assert not interrupted([_told(0)], [_Place()])
+
+
+def test_repeats_beyond_the_retry_budget_are_noticed():
+    """The soak would pass whatever the retry budget lets in."""
+    sent = [number / 10 for number in range(100)]
+    first, second = _Place(), _Place()
+    first.upstream.arrivals = [(at_s, f'r{at_s}') for at_s in sent]
+    second.upstream.arrivals = [(at_s + 0.1, f'r{at_s}') for at_s in sent[:24]]
+    assert not beyond_retry_budget(sent, [first, second])
+    second.upstream.arrivals.append((7, 'r0.5'))
+    assert beyond_retry_budget(sent, [first, second])
