--- a/tests/fault_soak/place.py
+++ b/tests/fault_soak/place.py
@@ -97,7 +97,6 @@
         """Exit codes of node processes that nobody ended."""
 
         self._folder = folder
-        self._born = 1
         self._sequence = 0
         self._process: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
@@ -125,6 +124,8 @@
         """Start the node process."""
         settings = self._folder / f'{self.name}.json'
         settings.write_text(json.dumps(self._settings()))
+        if self._log is not None:
+            self._log.close()
         self._log = self.log_file.open('ab')
         self._process = subprocess.Popen(
             [sys.executable, str(ROOT / 'platform' / 'run.py')],
