Take nothing that came on a resting connection for an answer of the upstream

Reported by operators of other systems: an earlier refusal, written once more on a kept connection, was taken for the answer to a request that ran.

Callers: a payment that the upstream had run or was running was told 'not run', and its claim was released, so that a resend ran it again; or a call got the answer of the call before. Cause: aiohttp keeps bytes that arrive on a pooled connection, and gives them to the next request as its answer; it looks for such bytes only when a connection is given back. A copy in front of the next answer cannot be told from it, as answers of upstreams have no id there.

Now a connection on which bytes came is closed instead of used, and no connection is used again after a refusal, so that none can be repeated on it.

--- a/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_client.py
@@ -16,7 +16,6 @@
     CALL_CONTEXT,
     DEADLINE_MS,
     IDEMPOTENCY_KEY,
-    OUTCOME,
     REQUEST_ID,
     TENANT,
     end_to_end,
@@ -26,6 +25,7 @@
     CONNECT_TIMEOUT_S,
     UpstreamExchange,
     UpstreamRequest,
+    is_refusal,
     start_exchange,
 )
 
@@ -135,7 +135,7 @@
         Raises:
             GentianmillError: With code ``upstream_refused``.
         """
-        if response.headers.get(OUTCOME) == Outcome.not_run.value:
+        if is_refusal(response):
             raise GentianmillError(
                 ErrorCode.upstream_refused,
                 STEP,
@@ -213,8 +213,8 @@
 
     async def _run(self, call: Call, token: str, time_left_ms: float) -> Answer:
         async with self.request(call, token, time_left_ms, {}) as response:
-            body = await read_body(response, self._max_body_bytes)
             self.raise_refusal(response)
+            body = await read_body(response, self._max_body_bytes)
             return Answer(
                 outcome=Outcome.answered,
                 status=response.status,
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_request.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_request.py
@@ -11,8 +11,15 @@
 
 import aiohttp
 import yarl
+from aiohttp.connector import Connection
+from gentianmill.outcome import Outcome
 from multidict import CIMultiDict
 
+from gentianmill_node.headers import OUTCOME
+from gentianmill_node.logs import component
+
+log = component('upstream')
+
 CONNECT_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
@@ -97,20 +104,40 @@
 
     async def _send(self) -> aiohttp.ClientResponse:
         request = self._request
-        connection = await self._session.connector.connect(
-            request, traces=[], timeout=_CONNECT_TIMEOUT
-        )
+        connection = await self._connect()
+        # The connection is given back at the end of the answer, which may be here.
+        protocol = connection.protocol
         try:
-            connection.protocol.set_response_params(
+            protocol.set_response_params(
                 skip_payload=request.method == aiohttp.hdrs.METH_HEAD,
                 read_until_eof=True,
                 auto_decompress=False,
             )
             response = await request.send(connection)
-            return await response.start(connection)
+            await response.start(connection)
         except BaseException:
             connection.close()
             raise
+        if is_refusal(response):
+            # Written once more, it would refuse the next request as well.
+            protocol.close()
+        return response
+
+    async def _connect(self) -> Connection:
+        """Return a connection without bytes that belong to no request."""
+        while True:
+            connection = await self._session.connector.connect(
+                self._request, traces=[], timeout=_CONNECT_TIMEOUT
+            )
+            if not connection.protocol.should_close:
+                return connection
+            log.warning('The upstream sent bytes without a request.')
+            connection.close()
+
+
+def is_refusal(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the upstream says that it did not run a request."""
+    return response.headers.get(OUTCOME) == Outcome.not_run.value
 
 
 def start_exchange(
--- /dev/null
+++ b/tests/upstream_calls.py
@@ -0,0 +1,23 @@
+"""Calls for tests of the client of the upstream."""
+
+from gentianmill_node.call import Call
+
+
+def upstream_call() -> Call:
+    """Return a call with an id and nothing else."""
+    return Call(
+        service='s',
+        method='GET',
+        path='/',
+        headers={},
+        body=b'',
+        operation=None,
+        tenant='t',
+        request_id='1',
+        identity='',
+        home='',
+        depth=0,
+        rank=0,
+        deadline_ms=0,
+        digest=b'',
+    )
