--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -10,7 +10,6 @@
     Then no request was interrupted, and each answer is whole and its caller's own
     And nobody was told "not run" of work that ran
 
-  @known_red
   Scenario: An upstream is stopped and started again
     When an upstream of the treasury drains, stops and starts again
     Then no request was interrupted, and each answer is whole and its caller's own
