--- a/tests/fault_soak/trouble.py
+++ b/tests/fault_soak/trouble.py
@@ -5,10 +5,9 @@
 import random
 
 from aiohttp import web
+from endless_upstream import BLOCK, OK
 
-OK = b'HTTP/1.1 200 OK\r\n'
 ENDLESS_HEAD = b'X-More: 1\r\n' * 100
-BLOCK = b'x' * 65_536
 MOST_UNSENT = 4 * len(BLOCK)
 
 
--- a/tests/test_endless_forwarding.py
+++ b/tests/test_endless_forwarding.py
@@ -5,6 +5,7 @@
 import pytest
 from aiohttp import web
 from endless_upstream import BLOCK, OK, peak_growth_bytes
+from fault_soak.trouble import Endless
 from mesh_deployment import Deployment
 
 BAD_GATEWAY = 502
@@ -15,7 +16,6 @@
 """Memory of two nodes and the upstream, which share a process here."""
 
 TIME_S = 30
-MOST_UNSENT = 4 * len(BLOCK)
 
 HEAD = (OK, b'a: b\r\n' * 100)
 BODY = (OK + b'Content-Length: 99999999999\r\n\r\n', BLOCK)
@@ -26,20 +26,15 @@
     """Answer requests, and send without end to those whose path asks for it."""
 
     def __init__(self, start: bytes, block: bytes) -> None:
-        self._start = start
-        self._block = block
+        self._endless = Endless(start, block)
         self.ended = 0
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer, or send until the node closes the connection, which cancels this."""
         if 'endless' not in request.path:
             return web.Response(body=b'whole')
-        request.transport.write(self._start)
         try:
-            while True:
-                if request.transport.get_write_buffer_size() < MOST_UNSENT:
-                    request.transport.write(self._block)
-                await asyncio.sleep(0)
+            return await self._endless.answer(request, '', b'')
         finally:
             self.ended += 1
 
