Bound the buffers of the slow reader in its test

The test was wrong: it took 4,000,000 bytes for more than a connection holds. The kernel here keeps 4,193,280 to 4,407,083 bytes of a reader who does not read (nine measurements), and a receive buffer may grow to 32 MiB (tcp_rmem). Now the reader's buffer is 64 KiB and the body has 16,000,000 bytes, so that the assertion, which stays, holds whatever the kernel keeps for the sender (4 MiB, tcp_wmem).

--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -1,6 +1,7 @@
 """Answers that are sent to callers in one piece."""
 
 import asyncio
+import socket
 
 import pytest
 from aiohttp import web
@@ -11,8 +12,12 @@
 from standins.processes import HOST, free_ports
 
 LIMIT_S = 5
-LONG_BODY = b'x' * 4_000_000
-"""More than the buffers of a connection hold."""
+LONG_BODY = b'x' * 16_000_000
+"""More than a connection holds whose reader has a small buffer; the kernel keeps up to
+4 MB for the sender."""
+
+SMALL_BUFFER_BYTES = 65_536
+"""Receive buffer of a slow reader; the kernel lets others grow to tens of MB."""
 
 GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 LAST_GET = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
@@ -91,7 +96,10 @@
         server = WebServer()
         port = free_ports(1)[0]
         await server.start('entry', direct_server(handle, 1000), HOST, port, None)
-        reader, writer = await asyncio.open_connection(HOST, port)
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.connect((HOST, port))
+        reader, writer = await asyncio.open_connection(sock=caller)
         writer.write(GET * 5)
         await asyncio.sleep(0.3)
         assert len(started) == 1
