--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from gentianmill.admission_share import ShareTable
-from gentianmill.clock import BootClock
+from gentianmill.clock import BootClock, Clock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
@@ -75,6 +75,7 @@
         source: RulesSource,
         registry: NodeRegistry,
         rules: RulesHolder,
+        clock: Clock | None = None,
     ) -> None:
         """Create a node; call ``start`` to serve.
 
@@ -83,12 +84,13 @@
             source: Source of the routing rules.
             registry: Registry of the nodes.
             rules: Holder of the routing rules in force.
+            clock: Clock of the node; by default the boot clock of the machine.
         """
         self._settings = settings
         self._source = source
         self._registry = registry
         self._rules = rules
-        self._clock = BootClock()
+        self._clock = clock or BootClock()
         self._table = NodeTable()
         self._metrics = MeshMetrics()
         self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from silent_socket import silence
 from standins.processes import HOST
 
 
@@ -21,6 +22,7 @@
         self.delay_s = float(0)
         self._target = target_host, target_port
         self._writers: set[asyncio.StreamWriter] = set()
+        self._muted: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -47,6 +49,19 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def mute(self) -> None:
+        """Forward nothing more on the open connections; new ones work.
+
+        The kernel still acknowledges what arrives, as for a process that hangs.
+        """
+        self._muted |= self._writers
+
+    def silence(self) -> None:
+        """Make the open connections silent in both directions; new ones work."""
+        self.mute()
+        for writer in self._writers:
+            silence(writer.get_extra_info('socket'))
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -68,6 +83,7 @@
             }
         )
         self._writers -= {writer, target_writer}
+        self._muted -= {writer, target_writer}
 
     async def _forward(
         self,
@@ -79,8 +95,13 @@
         loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(65536):
-                if not (self.dropping or (is_response and self.dropping_responses)):
+                if not self._drops(writer, is_response=is_response):
                     loop.call_later(self.delay_s, writer.write, data)
         except ConnectionError:
             pass
         writer.close()
+
+    def _drops(self, writer: asyncio.StreamWriter, *, is_response: bool) -> bool:
+        if self.dropping or writer in self._muted:
+            return True
+        return is_response and self.dropping_responses
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -11,6 +11,8 @@
 from gentianmill_platform.store import Store
 from standins.processes import HOST, free_ports
 
+MS_PER_S = 1000
+
 
 @dataclasses.dataclass
 class _Row:
@@ -39,6 +41,9 @@
         self.before_page: Callable[[], None] | None = None
         """Called before each page of a read except the first."""
 
+        self.stale_reads: tuple[dict[tuple[str, str], _Row], int] | None = None
+        """An earlier content of the store and its version, which reads return."""
+
         self._rows: dict[tuple[str, str], _Row] = {}
         self._changed = asyncio.Event()
         self._web = WebServer()
@@ -70,6 +75,14 @@
         """Write a row as an operator does."""
         self._put(table, key, base64.b64encode(content).decode())
 
+    def put_raw(self, table: str, key: str, value: str) -> None:
+        """Write the value of a row as it is, without encoding it as base64."""
+        self._put(table, key, value)
+
+    def snapshot(self) -> tuple[dict[tuple[str, str], _Row], int]:
+        """Return the present content and its version, for ``stale_reads``."""
+        return dict(self._rows), self.version
+
     def content(self, table: str, key: str) -> bytes | None:
         """Return the content of a row, or None if it does not exist."""
         row = self._rows.get((table, key))
@@ -98,12 +111,13 @@
         start = request.query.get('from', '')
         if start and self.before_page is not None:
             self.before_page()
+        stored, version = self.stale_reads or self.snapshot()
         rows = [
             row
-            for key, row in sorted(self._rows.items())
+            for key, row in sorted(stored.items())
             if key[0] == request.query['table'] and key[1] >= start and not row.deleted
         ]
-        return self._page(rows, self.page_rows)
+        return self._page(rows, version, self.page_rows)
 
     async def _feed(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
@@ -112,10 +126,12 @@
         changed = self._changed
         if not self._after(request.query['table'], after):
             try:
-                await asyncio.wait_for(changed.wait(), 1)
+                wait_s = int(request.query['waitMs']) / MS_PER_S
+                await asyncio.wait_for(changed.wait(), wait_s)
             except TimeoutError:
-                return self._page([])
-        return self._page(self._after(request.query['table'], after))
+                return self._page([], self.version)
+        rows = self._after(request.query['table'], after)
+        return self._page(rows, self.version)
 
     async def _transact(self, request: web.Request) -> web.StreamResponse:
         entries = await request.json()
@@ -140,7 +156,9 @@
             if row.table == table and row.version > version
         ]
 
-    def _page(self, rows: list[_Row], max_rows: int = 500) -> web.Response:
+    def _page(
+        self, rows: list[_Row], version: int, max_rows: int = 500
+    ) -> web.Response:
         described = [
             {
                 'table': row.table,
@@ -156,7 +174,7 @@
             {
                 'rows': described,
                 'hasMore': len(rows) > max_rows,
-                'rowVersion': self.version,
+                'rowVersion': version,
                 'now': '0ms',
             }
         )
--- /dev/null
+++ b/tests/rules_deployment.py
@@ -0,0 +1,234 @@
+"""Nodes that follow a store, with fault proxies to the store and between the nodes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+from collections.abc import AsyncIterator, Callable, Sequence
+
+import aiohttp
+from aiohttp import web
+from fault_proxy import FaultProxy
+from gentianmill.clock import BootClock
+from gentianmill.node_table import NodeRecord
+from gentianmill.upstream_status import UpstreamReport
+from gentianmill_mesh.mesh_node import MeshNode
+from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_node.direct_server import direct_server
+from gentianmill_node.web_server import WebServer
+from gentianmill_platform.config_decoder import ConfigDecoder
+from gentianmill_platform.store import Store
+from gentianmill_platform.store_adapters import StoreNodes, StoreRules
+from mesh_upstream import NAMES
+from platform_store import FakeStore
+from standins.processes import HOST, free_ports
+
+CALLER_HOST = 'till.example'
+SERVICE = 'back'
+
+
+def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
+    """Return a configuration whose routes lead to ``SERVICE``."""
+    rules = [
+        {
+            'name': prefix,
+            'kind': 'safe',
+            'match': {'prefix': prefix},
+            'action': {'service': SERVICE, 'timeout': '5s', 'maxAttempts': 2},
+        }
+        for prefix in prefixes
+    ]
+    return {
+        'version': version,
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 1_000_000,
+            'headerTimeout': '3s',
+            'idleTimeout': '15s',
+        },
+        'listeners': [{'host': CALLER_HOST, 'rules': rules}],
+        'clusters': [
+            {'name': SERVICE, 'healthCheckPath': '/health', 'maxConnections': 100}
+        ],
+    }
+
+
+class ResumableClock(BootClock):
+    """A boot clock on which a suspension of the VM can be simulated."""
+
+    def __init__(self) -> None:
+        """Start without a suspension."""
+        self.suspended_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Return the time, including the simulated suspensions."""
+        return super().now_ms() + self.suspended_ms
+
+
+class _ProxiedNodes(StoreNodes):
+    def __init__(self, store: Store, port: int) -> None:
+        super().__init__(store)
+        self._port = port
+
+    def publish(self, record: NodeRecord) -> None:
+        super().publish(dataclasses.replace(record, relay_port=self._port))
+
+
+class FollowingNode:
+    """A node of the deployment, and its proxies."""
+
+    def __init__(self, name: str, store_port: int, upstream_port: int) -> None:
+        """Create a node that is not started."""
+        ports = free_ports(4)
+        self.name = name
+        self.versions: list[int] = []
+        """Versions of the rules, in the order in which they came into force."""
+
+        self.clock = ResumableClock()
+        self.store_proxy = FaultProxy(store_port)
+        self.relay_proxy = FaultProxy(ports[0])
+        self.entry = f'http://{HOST}:{ports[1]}'
+        self.metrics = f'http://{HOST}:{ports[3]}/metrics'
+        self.rules = RulesHolder(ConfigDecoder())
+        self.rules.on_change(lambda rules: self.versions.append(rules.version))
+        self._upstream_port = upstream_port
+        self._settings = MeshSettings(
+            node=name,
+            zone='a',
+            region='r',
+            service=SERVICE,
+            upstream=Address(HOST, upstream_port),
+            entry=Address(HOST, ports[1]),
+            readiness=Address(HOST, ports[2]),
+            relay=Address(HOST, ports[0]),
+            metrics=Address(HOST, ports[3]),
+            readiness_path='/ready',
+            names=NAMES,
+            stop_within_ms=5000,
+        )
+        self._store: Store | None = None
+        self.node: MeshNode | None = None
+
+    async def start(self) -> None:
+        """Start the proxies and the node, and report its upstream as ready."""
+        await self.store_proxy.start()
+        await self.relay_proxy.start()
+        self._store = Store(Address(HOST, self.store_proxy.port))
+        await self._store.start()
+        self.node = MeshNode(
+            self._settings,
+            StoreRules(self._store),
+            _ProxiedNodes(self._store, self.relay_proxy.port),
+            self.rules,
+            self.clock,
+        )
+        await self.node.start()
+        self.node.apply_report(self._report())
+
+    async def close(self) -> None:
+        """Close the node and its proxies."""
+        if self.node is not None:
+            await self.node.close()
+        if self._store is not None:
+            await self._store.close()
+        self.store_proxy.close()
+        self.relay_proxy.close()
+
+    def _report(self) -> UpstreamReport:
+        return UpstreamReport(
+            upstream_id=f'u-{self.name}',
+            service=SERVICE,
+            host=HOST,
+            port=self._upstream_port,
+            zone='a',
+            slots=4,
+            draining=False,
+            sequence=1,
+            start_unix_ms=1,
+            cold_ms=0,
+        )
+
+
+@dataclasses.dataclass
+class RulesDeployment:
+    """A store and the nodes that follow it."""
+
+    store: FakeStore
+    nodes: list[FollowingNode]
+
+    def put(self, version: int, prefixes: Sequence[str] = ('/read/',)) -> None:
+        """Write a configuration as the operator does."""
+        document = json.dumps(config(version, prefixes)).encode()
+        self.store.put('op', 'config', document)
+
+    def silence(self) -> None:
+        """Make all open connections silent, to the store and between the nodes."""
+        for node in self.nodes:
+            node.store_proxy.silence()
+            node.relay_proxy.silence()
+
+    def mute(self) -> None:
+        """Forward nothing more on all open connections, to the store and between nodes."""
+        for node in self.nodes:
+            node.store_proxy.mute()
+            node.relay_proxy.mute()
+
+    async def until_all(self, version: int) -> None:
+        """Wait until a version is in force at all nodes."""
+        await until(lambda: all(node.rules.version == version for node in self.nodes))
+
+    async def until_acquainted(self) -> None:
+        """Wait until each node knows all nodes."""
+        for node in self.nodes:
+            while f'gentianmill_nodes {len(self.nodes)}' not in await _get(node):
+                await asyncio.sleep(0.05)
+
+    async def status(self, node: FollowingNode, path: str) -> int:
+        """Send a request to a node and return the status of the response."""
+        headers = {'Host': CALLER_HOST}
+        async with aiohttp.ClientSession() as session:
+            async with session.get(node.entry + path, headers=headers) as response:
+                return response.status
+
+
+@contextlib.asynccontextmanager
+async def rules_deployment(count: int = 3) -> AsyncIterator[RulesDeployment]:
+    """Run nodes that know each other, with version 1 in force."""
+    web_server = WebServer()
+    upstream_port = free_ports(1)[0]
+    server = direct_server(_serve, 1_000_000, decompress=False)
+    await web_server.start('upstream', server, HOST, upstream_port, None)
+    async with FakeStore() as store:
+        nodes = [
+            FollowingNode(f'node-{number}', store.port, upstream_port)
+            for number in range(count)
+        ]
+        deployment = RulesDeployment(store, nodes)
+        deployment.put(1)
+        try:
+            for node in nodes:
+                await node.start()
+            await deployment.until_all(1)
+            await deployment.until_acquainted()
+            yield deployment
+        finally:
+            for node in nodes:
+                await node.close()
+            await web_server.close()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+async def _get(node: FollowingNode) -> str:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(node.metrics) as response:
+            return await response.text()
+
+
+async def _serve(_request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(body=b'served')
