--- a/packages/gentianmill-mesh/src/gentianmill_mesh/crash_watch.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/crash_watch.py
@@ -8,6 +8,7 @@
 from gentianmill.digest import call_digest
 from gentianmill_mesh.guard_call import GuardCall
 from gentianmill_mesh.upstream_pool import UpstreamPool
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 EXIT_GRACE_S = 0.05
@@ -53,7 +54,7 @@
         """Record a request whose connection broke, and check for a crash."""
         self._strikes.record_loss(_digest(call), self._clock.now_ms())
         if self._check_task is None or self._check_task.done():
-            self._check_task = asyncio.ensure_future(self._check_reachable())
+            self._check_task = spawn(self._check_reachable(), 'check upstream')
 
     def record_crash(self) -> None:
         """Add a strike to each request that was lost just before a crash."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import dataclasses
-import itertools
 import random
 import time
 
 from aiohttp import web
 
 from gentianmill.admission_share import ShareTable
-from gentianmill.clock import BootClock, Clock
+from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
@@ -31,6 +30,7 @@
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from gentianmill_mesh.time_limit import within
+from gentianmill_node.background import repeat, spawn
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import WebServer
 
@@ -75,7 +75,7 @@
         source: RulesSource,
         registry: NodeRegistry,
         rules: RulesHolder,
-        clock: Clock | None = None,
+        clock: Clock,
     ) -> None:
         """Create a node; call ``start`` to serve.
 
@@ -84,13 +84,13 @@
             source: Source of the routing rules.
             registry: Registry of the nodes.
             rules: Holder of the routing rules in force.
-            clock: Clock of the node; by default the boot clock of the machine.
+            clock: Clock of the node, which advances during a suspension, too.
         """
         self._settings = settings
         self._source = source
         self._registry = registry
         self._rules = rules
-        self._clock = clock or BootClock()
+        self._clock = clock
         self._table = NodeTable()
         self._metrics = MeshMetrics()
         self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
@@ -154,6 +154,7 @@
         self._arrival_log = ArrivalLog(self._guard)
         self._web = WebServer()
         self._stopping = False
+        self._ticks = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -180,7 +181,10 @@
         await self._listen('metrics', metrics, settings.metrics)
         await self._source.start(self._rules)
         await self._registry.start(self._table, self._gossip.announce)
-        self._tasks.extend(map(asyncio.ensure_future, (self._tick(), self._reap())))
+        self._tasks = [
+            repeat(self._tick, TICK_S, 'tick'),
+            repeat(self._reap, REAP_INTERVAL_S, 'reap'),
+        ]
         log.info(
             'Started.',
             node=settings.node,
@@ -254,22 +258,20 @@
         update = CrashNews(digests=digests, cleared=cleared)
         for record in self._table.of_service(self._settings.service):
             if record.name != self._settings.node:
-                asyncio.ensure_future(self._links.to(record).post(update))
-
-    async def _tick(self) -> None:
-        for number in itertools.count(1):
-            await asyncio.sleep(TICK_S)
-            self._guard.check()
-            self._relay.check()
-            if not number % ARRIVAL_LOG_TICKS:
-                self._arrival_log.write()
-                self._share_slack()
-            if not number % FORGET_TICKS:
-                self._forget_removed_nodes()
+                spawn(self._links.to(record).post(update), 'announce crash')
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        self._guard.check()
+        self._relay.check()
+        if not self._ticks % ARRIVAL_LOG_TICKS:
+            self._arrival_log.write()
+            self._share_slack()
+        if not self._ticks % FORGET_TICKS:
+            self._forget_removed_nodes()
 
     async def _reap(self) -> None:
-        while not self._stopping:
-            await asyncio.sleep(REAP_INTERVAL_S)
+        if not self._stopping:
             await self._reaper.check()
 
     def _share_slack(self) -> None:
@@ -326,6 +328,11 @@
                 self._guard.gate.credit,
             ),
             ('rules_version', 'Version of the rules in force.', self._rules.version),
+            (
+                'rules_source_silent_ms',
+                'Time in ms since the source of the rules last answered.',
+                self._source.silent_ms,
+            ),
             ('entry_running', 'Requests of callers under way.', self._entry.running),
             ('upstream_connections', 'Connections opened.', self._pool.opened),
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -7,7 +7,6 @@
 Maintenance", 1987). A node that the gossip misses gets the record at its next poll.
 """
 
-import asyncio
 import random
 from collections.abc import Sequence
 
@@ -16,6 +15,7 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import NodeEntry, NodeNews
 from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 FIRST_FANOUT = 12
@@ -80,7 +80,7 @@
     def _send(self, records: Sequence[NodeRecord], fanout: int) -> None:
         update = NodeNews([_entry(record) for record in records])
         for node in self._choose(fanout):
-            asyncio.ensure_future(self._links.to(node).post(update))
+            spawn(self._links.to(node).post(update), 'send records')
 
     def _choose(self, fanout: int) -> list[NodeRecord]:
         """Return random nodes, those with an open link first."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -10,6 +10,11 @@
 class RulesSource(abc.ABC):
     """Deliver each new version of the routing rules."""
 
+    @property
+    @abc.abstractmethod
+    def silent_ms(self) -> float:
+        """Return the time since the source last answered, or since the start, in ms."""
+
     @abc.abstractmethod
     async def start(self, holder: RulesHolder) -> None:
         """Start to offer rules to a holder; return before the first rules arrive."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -23,6 +23,7 @@
 from gentianmill_mesh.link_liveness import LinkLiveness
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_mesh.time_limit import within
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 CONNECT_TIMEOUT_S = 1.0
@@ -160,7 +161,7 @@
         if self.unreachable or self._closed:
             return
         log.info('No link.', peer=self._record.name, error=repr(error))
-        self._reconnecting = asyncio.ensure_future(self._reconnect())
+        self._reconnecting = spawn(self._reconnect(), 'reconnect')
 
     async def _reconnect(self) -> None:
         """Retry until the other node accepts, so that no call is delayed by attempts."""
@@ -197,7 +198,7 @@
             lambda: self._write(socket.ping()),
             lambda: self._drop(socket),
         )
-        self._reader = asyncio.ensure_future(self._read(socket, self._watch))
+        self._reader = spawn(self._read(socket, self._watch), 'read link')
         self._close_later(socket, IDLE_MS)
 
     def _write(self, sending: Coroutine[object, object, None]) -> None:
@@ -233,8 +234,8 @@
             return
         log.info('Link silent.', peer=self._record.name)
         self._socket = None
-        self._closing = asyncio.ensure_future(_close(socket))
-        self._recovery = asyncio.ensure_future(self._listener.on_connection_lost())
+        self._closing = spawn(_close(socket), 'close link')
+        self._recovery = spawn(self._listener.on_connection_lost(), 'recover link')
 
     def _close_later(
         self, socket: aiohttp.ClientWebSocketResponse, pause_ms: float
@@ -251,7 +252,7 @@
             self._close_later(socket, max(IDLE_MS - idle_ms, IDLE_MS / 2))
             return
         self._socket = None
-        self._closing = asyncio.ensure_future(_close(socket))
+        self._closing = spawn(_close(socket), 'close link')
 
 
 async def _close(socket: aiohttp.ClientWebSocketResponse) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -28,6 +28,7 @@
 )
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.wire_names import restore_headers
+from gentianmill_node.background import spawn
 
 RECONNECT_PAUSE_S = 0.25
 """Pause between attempts to reach the node that has a request which may run only
@@ -212,7 +213,7 @@
         if self._connection.connected:
             self._transmit(pending)
             return None
-        return asyncio.ensure_future(self._connect_and_send(pending))
+        return spawn(self._connect_and_send(pending), 'connect for a call')
 
     async def _connect_and_send(self, pending: _Pending) -> None:
         if not await self._connection.connect():
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -12,6 +12,7 @@
 from gentianmill_mesh.relay_link import RelayLink, new_call_keys
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.background import spawn
 
 RULES_REQUEST_DELAY_S = 0.3
 """Wait before newer rules are requested from another node; this node's source
@@ -80,7 +81,7 @@
         link = self._links.get(record.name)
         if link is None or _address_changed(link.record, record):
             if link is not None:
-                asyncio.ensure_future(link.close())
+                spawn(link.close(), 'close link')
             link = RelayLink(record, self._context)
             self._links[record.name] = link
         return link
@@ -112,12 +113,12 @@
         for name, link in tuple(self._links.items()):
             if self._table.find(name) is None and not (link.connected or link.busy):
                 self._links.pop(name)
-                asyncio.ensure_future(link.close())
+                spawn(link.close(), 'close link')
 
     def _on_version(self, record: NodeRecord, version: int) -> None:
         if version > self._rules.version and version not in self._requested_versions:
             self._requested_versions.add(version)
-            asyncio.ensure_future(self._request_rules(record, version))
+            spawn(self._request_rules(record, version), 'request rules')
 
     async def _request_rules(self, record: NodeRecord, version: int) -> None:
         await asyncio.sleep(RULES_REQUEST_DELAY_S)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -26,6 +26,7 @@
 from gentianmill_mesh.send_now import start_sending
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames, compact_headers
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -189,7 +190,7 @@
             if sender.socket is None or now_ms - sender.last_received_ms < timeout_ms:
                 continue
             log.info('Sender silent.', peer=identity.name, running=sender.running)
-            self._closing = asyncio.ensure_future(sender.socket.close())
+            self._closing = spawn(sender.socket.close(), 'close link')
             sender.detach(sender.socket)
 
     async def close(self) -> None:
@@ -261,16 +262,16 @@
     def _send_rules(self, sender: _Sender, frame: RulesRequest) -> None:
         if self._rules.version > frame.known_version:
             reply = RulesReply(self._rules.version, self._rules.document)
-            asyncio.ensure_future(_send(sender, reply))
+            spawn(_send(sender, reply), 'send rules')
 
     def _start(self, sender: _Sender, frame: RelayCall) -> None:
         known = sender.jobs.get(frame.key)
         if known is None:
-            task = asyncio.ensure_future(self._run(sender, frame))
+            task = spawn(self._run(sender, frame), 'run call')
             sender.jobs[frame.key] = _Job(frame.repeatable, task)
             sender.running += 1
         elif known.response is not None:
-            asyncio.ensure_future(_send(sender, known.response))
+            spawn(_send(sender, known.response), 'send response')
 
     async def _run(self, sender: _Sender, frame: RelayCall) -> None:
         reply = GuardReply.unknown('cancelled')
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -8,6 +8,7 @@
 import yarl
 from aiohttp import web
 from fault_proxy import FaultProxy
+from gentianmill.clock import BootClock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
 from gentianmill.upstream_status import UpstreamReport
@@ -67,6 +68,11 @@
         """Set the document."""
         self._document = document
 
+    @property
+    def silent_ms(self) -> float:
+        """Return 0, as the source always answers."""
+        return 0
+
     async def start(self, holder: RulesHolder) -> None:
         """Offer the document."""
         if self._document is not None:
@@ -212,6 +218,7 @@
             FixedRules(rules_document()),
             SharedNodes(self._tables, advertised_port),
             RulesHolder(JsonRules()),
+            BootClock(),
         )
         await node.start()
         self.nodes[name] = node
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -9,7 +9,7 @@
 import aiohttp
 from aiohttp import web
 from fault_proxy import FaultProxy
-from gentianmill.clock import BootClock
+from gentianmill.clock import BootClock, Clock
 from gentianmill.node_table import NodeRecord
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.mesh_node import MeshNode
@@ -67,8 +67,8 @@
 
 
 class _ProxiedNodes(StoreNodes):
-    def __init__(self, store: Store, port: int) -> None:
-        super().__init__(store)
+    def __init__(self, store: Store, clock: Clock, port: int) -> None:
+        super().__init__(store, clock)
         self._port = port
 
     def publish(self, record: NodeRecord) -> None:
@@ -118,8 +118,8 @@
         await self._store.start()
         self.node = MeshNode(
             self._settings,
-            StoreRules(self._store),
-            _ProxiedNodes(self._store, self.relay_proxy.port),
+            StoreRules(self._store, self.clock),
+            _ProxiedNodes(self._store, self.clock, self.relay_proxy.port),
             self.rules,
             self.clock,
         )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from gentianmill.clock import BootClock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_platform.store_adapters import StoreNodes, StoreRules
@@ -39,13 +40,13 @@
 
 async def _follow_rules(store: FakeStore) -> tuple[StoreRules, RulesHolder]:
     holder = RulesHolder(JsonRules())
-    source = StoreRules(store.client)
+    source = StoreRules(store.client, BootClock())
     await source.start(holder)
     return source, holder
 
 
 async def _follow_nodes(store: FakeStore) -> tuple[StoreNodes, NodeTable]:
-    registry = StoreNodes(store.client)
+    registry = StoreNodes(store.client, BootClock())
     table = NodeTable()
     await registry.start(table, lambda record: table.merge([record]))
     return registry, table
