--- a/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -81,5 +81,12 @@
         self._rules = rules
         self._document = document
         for listener in self._listeners:
-            listener(rules)
+            self._notify(listener, rules)
         return True
+
+    def _notify(self, listener: Callable[[RuleSet], None], rules: RuleSet) -> None:
+        try:
+            listener(rules)
+        except Exception:
+            # The rules are in force; a fault in one listener must not reach the source.
+            log.exception('Listener failed.', version=rules.version)
--- /dev/null
+++ b/tests/test_table_feed.py
@@ -0,0 +1,52 @@
+"""Tests that the feed of a table outlives faults of the store and of its rows."""
+
+import asyncio
+
+import structlog
+from gentianmill.errors import ErrorCode, GentianmillError
+from gentianmill_mesh.mesh_settings import Address
+from gentianmill_platform.store import Snapshot, Store, StoredRow
+from gentianmill_platform.table_feed import PollTiming, TableFeed
+from virtual_time import LoopClock, run_virtual
+
+TIMING = PollTiming(wait_ms=1000, min_pause_s=0.1, max_pause_s=0.1)
+ROW = StoredRow('config', b'content', deleted=False, version=1)
+
+
+class _ScriptedStore(Store):
+    """Respond with an error until a time, then with one row."""
+
+    def __init__(self, failing_until_s: float) -> None:
+        super().__init__(Address('127.0.0.1', 1))
+        self._failing_until_s = failing_until_s
+
+    async def read(self, table: str) -> Snapshot:
+        if asyncio.get_running_loop().time() < self._failing_until_s:
+            raise GentianmillError(ErrorCode.store_unavailable, 'store', '', 'down')
+        return Snapshot([ROW], 1, is_complete=True)
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Snapshot:
+        await asyncio.sleep(wait_ms / 1000)
+        return Snapshot([], after, is_complete=False)
+
+
+def test_feed_goes_on_after_a_fault_in_its_reader():
+    """Guards against a feed that ends without a log line."""
+
+    async def scenario() -> int:
+        calls = 0
+
+        def fail(_snapshot: Snapshot) -> None:
+            nonlocal calls
+            calls += 1
+            raise RuntimeError('a fault')
+
+        feed = TableFeed(_ScriptedStore(0), 'op', fail, TIMING, LoopClock())
+        feed.start()
+        await asyncio.sleep(10)
+        await feed.close()
+        return calls
+
+    with structlog.testing.capture_logs() as lines:
+        assert run_virtual(scenario()) > 1
+    assert 'Feed failed, reading again.' in {line['event'] for line in lines}
