--- a/tests/test_table_feed.py
+++ b/tests/test_table_feed.py
@@ -10,6 +10,7 @@
 from virtual_time import LoopClock, run_virtual
 
 TIMING = PollTiming(wait_ms=1000, min_pause_s=0.1, max_pause_s=0.1)
+OUTAGE_S = 3600
 ROW = StoredRow('config', b'content', deleted=False, version=1)
 
 
@@ -30,6 +31,22 @@
         return Snapshot([], after, is_complete=False)
 
 
+def test_feed_outlives_a_long_outage_of_the_store():
+    """Guards against a pause that overflows after 1,024 failures and ends the feed."""
+
+    async def scenario() -> float:
+        found = asyncio.Event()
+        feed = TableFeed(
+            _ScriptedStore(OUTAGE_S), 'op', lambda _: found.set(), TIMING, LoopClock()
+        )
+        feed.start()
+        await asyncio.wait_for(found.wait(), 2 * OUTAGE_S)
+        await feed.close()
+        return asyncio.get_running_loop().time()
+
+    assert run_virtual(scenario()) < OUTAGE_S + 5
+
+
 def test_feed_goes_on_after_a_fault_in_its_reader():
     """Guards against a feed that ends without a log line."""
 
