--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 from collections.abc import AsyncIterator, Callable, Sequence
 
@@ -26,6 +27,7 @@
 
 CALLER_HOST = 'till.example'
 SERVICE = 'back'
+HEARTBEAT_S = 0.3
 
 
 def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
@@ -107,35 +109,46 @@
             names=NAMES,
             stop_within_ms=5000,
         )
-        self._store: Store | None = None
+        self._stores: list[Store] = []
+        self._heartbeats: asyncio.Task[None] | None = None
         self.node: MeshNode | None = None
 
     async def start(self) -> None:
         """Start the proxies and the node, and report its upstream as ready."""
         await self.store_proxy.start()
         await self.relay_proxy.start()
-        self._store = Store(Address(HOST, self.store_proxy.port))
-        await self._store.start()
+        address = Address(HOST, self.store_proxy.port)
+        rules_store, nodes_store = Store(address), Store(address)
+        self._stores = [rules_store, nodes_store]
+        for store in self._stores:
+            await store.start()
         self.node = MeshNode(
             self._settings,
-            StoreRules(self._store, self.clock),
-            _ProxiedNodes(self._store, self.clock, self.relay_proxy.port),
+            StoreRules(rules_store, self.clock),
+            _ProxiedNodes(nodes_store, self.clock, self.relay_proxy.port),
             self.rules,
             self.clock,
         )
         await self.node.start()
-        self.node.apply_report(self._report())
+        self._heartbeats = asyncio.ensure_future(self._report_forever())
 
     async def close(self) -> None:
         """Close the node and its proxies."""
         if self.node is not None:
             await self.node.close()
-        if self._store is not None:
-            await self._store.close()
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        for store in self._stores:
+            await store.close()
         self.store_proxy.close()
         self.relay_proxy.close()
 
-    def _report(self) -> UpstreamReport:
+    async def _report_forever(self) -> None:
+        for sequence in itertools.count(1):
+            self.node.apply_report(self._report(sequence))
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _report(self, sequence: int) -> UpstreamReport:
         return UpstreamReport(
             upstream_id=f'u-{self.name}',
             service=SERVICE,
@@ -144,7 +157,7 @@
             zone='a',
             slots=4,
             draining=False,
-            sequence=1,
+            sequence=sequence,
             start_unix_ms=1,
             cold_ms=0,
         )
