--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -27,6 +27,7 @@
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.relay_server import RelayServer
 from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from gentianmill_mesh.time_limit import within
@@ -152,6 +153,7 @@
         )
         self._guard.crashes.set_announcer(self._announce_crash)
         self._arrival_log = ArrivalLog(self._guard)
+        self._suspension = SuspensionWatch(clock, self._renew_waits)
         self._web = WebServer()
         self._stopping = False
         self._ticks = 0
@@ -262,6 +264,7 @@
 
     def _tick(self) -> None:
         self._ticks += 1
+        self._suspension.check()
         self._guard.check()
         self._relay.check()
         if not self._ticks % ARRIVAL_LOG_TICKS:
@@ -270,6 +273,11 @@
         if not self._ticks % FORGET_TICKS:
             self._forget_removed_nodes()
 
+    def _renew_waits(self) -> None:
+        self._source.refresh()
+        self._registry.refresh()
+        self._links.end_overdue_calls()
+
     async def _reap(self) -> None:
         if not self._stopping:
             await self._reaper.check()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -19,6 +19,10 @@
     async def start(self, holder: RulesHolder) -> None:
         """Start to offer rules to a holder; return before the first rules arrive."""
 
+    @abc.abstractmethod
+    def refresh(self) -> None:
+        """Abandon the current wait for rules and ask again, on a new connection."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Stop."""
@@ -43,6 +47,10 @@
     def publish(self, record: NodeRecord) -> None:
         """Store the record of this node for the others; retry until it succeeds."""
 
+    @abc.abstractmethod
+    def refresh(self) -> None:
+        """Abandon the current wait for records and ask again, on a new connection."""
+
     @abc.abstractmethod
     async def delete(self, record: NodeRecord) -> bool:
         """Delete the record of a dead node unless it has changed since it was read.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -140,6 +140,13 @@
         if await self.reach():
             self._connection.send(frame)
 
+    def end_overdue_calls(self) -> None:
+        """Time out the calls whose deadlines have passed during a suspension."""
+        now_ms = self._context.clock.now_ms()
+        for pending in tuple(self._pending.values()):
+            if pending.deadline_ms <= now_ms:
+                self._time_out(pending)
+
     async def close(self) -> None:
         """Close the connection and fail the calls without a response."""
         for pending in tuple(self._pending.values()):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -108,6 +108,11 @@
         is_any_open = any(link.connected for link in links)
         return is_any_open and failing <= len(links) * MAX_FAILING_SHARE
 
+    def end_overdue_calls(self) -> None:
+        """Time out the calls whose deadlines have passed during a suspension."""
+        for link in self._links.values():
+            link.end_overdue_calls()
+
     def forget_removed_nodes(self) -> None:
         """Close the links to nodes that are no longer known."""
         for name, link in tuple(self._links.items()):
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -78,6 +78,9 @@
         if self._document is not None:
             holder.offer(self._document, 'test')
 
+    def refresh(self) -> None:
+        """Do nothing."""
+
     async def close(self) -> None:
         """Do nothing."""
 
@@ -103,6 +106,9 @@
         for table in self._tables:
             table.merge([record])
 
+    def refresh(self) -> None:
+        """Do nothing."""
+
     async def delete(self, record: NodeRecord) -> bool:
         """Remove a record from all tables."""
         for table in self._tables:
