--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -23,9 +23,11 @@
 from gentianmill_mesh.node_gossip import NodeGossip
 from gentianmill_mesh.node_reaper import NodeReaper
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.relay_server import RelayServer
+from gentianmill_mesh.rules_gossip import RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import UpstreamGuard
@@ -112,12 +114,14 @@
         self._links = RelayLinks(
             self._identity, rules, self._table, settings.names, self._clock
         )
-        self._gossip = NodeGossip(
+        peers = RandomPeers(
             settings.node,
             self._table,
             self._links,
             random.Random(),  # noqa: S311
         )
+        self._gossip = NodeGossip(self._table, self._links, peers)
+        rules.on_change(RulesGossip(peers, self._links).announce)
         self._table.keep_deleted_if(self._links.is_connected)
         self._reaper = NodeReaper(
             settings.node, self._table, self._links, registry, self._clock
@@ -129,6 +133,7 @@
             settings.names,
             self._clock,
             self._gossip.apply,
+            self._links.on_peer_version,
         )
         self._dispatcher = Dispatcher(
             self._table,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -7,13 +7,13 @@
 Maintenance", 1987). A node that the gossip misses gets the record at its next poll.
 """
 
-import random
 from collections.abc import Sequence
 
 import msgspec
 
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import NodeEntry, NodeNews
+from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
@@ -30,21 +30,17 @@
 class NodeGossip:
     """Spread records among nodes."""
 
-    def __init__(
-        self, own_name: str, table: NodeTable, links: RelayLinks, rng: random.Random
-    ) -> None:
+    def __init__(self, table: NodeTable, links: RelayLinks, peers: RandomPeers) -> None:
         """Create a gossip that has sent nothing yet.
 
         Args:
-            own_name: Name of this node.
             table: Node records known to this node.
             links: Links to the other nodes.
-            rng: Chooses the receivers.
+            peers: Chooses the receivers.
         """
-        self._own_name = own_name
         self._table = table
         self._links = links
-        self._rng = rng
+        self._peers = peers
 
     def announce(self, record: NodeRecord) -> None:
         """Spread a record that the registry has just accepted.
@@ -79,20 +75,9 @@
 
     def _send(self, records: Sequence[NodeRecord], fanout: int) -> None:
         update = NodeNews([_entry(record) for record in records])
-        for node in self._choose(fanout):
+        for node in self._peers.choose(fanout):
             spawn(self._links.to(node).post(update), 'send records')
 
-    def _choose(self, fanout: int) -> list[NodeRecord]:
-        """Return random nodes, those with an open link first."""
-        others = [
-            record
-            for record in self._table.records
-            if record.name != self._own_name and self._links.reaches(record)
-        ]
-        self._rng.shuffle(others)
-        others.sort(key=self._links.is_connected, reverse=True)
-        return others[:fanout]
-
 
 def _entry(record: NodeRecord) -> NodeEntry:
     return msgspec.convert(record, NodeEntry, from_attributes=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import math
 from collections.abc import Callable, Coroutine, Iterator
 
@@ -29,6 +30,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Two round trips between regions take 120 ms; a lost packet adds up to 1 s."""
 
+CONFIRM_TIMEOUT_S = 1.0
+"""Time for the pong that confirms earlier frames; a lost packet delays it by 0.3 s."""
+
 FIRST_RECONNECT_PAUSE_S = 0.25
 MAX_RECONNECT_PAUSE_S = 2.0
 """Pause between attempts to connect, doubled up to this limit. Each attempt costs a
@@ -107,6 +111,8 @@
         self._closing: asyncio.Future[None] | None = None
         self._recovery: asyncio.Future[None] | None = None
         self._watch: LinkLiveness | None = None
+        self._pongs: dict[bytes, asyncio.Future[None]] = {}
+        self._ping_keys = itertools.count(1)
         self._last_used_ms = -math.inf
 
     @property
@@ -135,6 +141,23 @@
             self._watch.on_sent()
         return True
 
+    async def confirm(self) -> bool:
+        """Return whether all frames so far arrived; drop a connection that is silent."""
+        socket = self._socket
+        if socket is None:
+            return False
+        key = b'%d' % next(self._ping_keys)
+        self._pongs[key] = asyncio.get_running_loop().create_future()
+        self._write(socket.ping(key))
+        try:
+            await within(self._pongs[key], CONFIRM_TIMEOUT_S)
+        except TimeoutError:
+            self._drop(socket)
+            return False
+        finally:
+            self._pongs.pop(key, None)
+        return True
+
     async def connect(self) -> bool:
         """Connect, or join an attempt that is in progress; return whether it succeeded."""
         if self._opening is None or self._opening.done():
@@ -216,7 +239,9 @@
                 watch.on_received()
                 if message.type is aiohttp.WSMsgType.BINARY:
                     self._listener.on_message(message.data)
-                elif message.type is not aiohttp.WSMsgType.PONG:
+                elif message.type is aiohttp.WSMsgType.PONG:
+                    self._on_pong(bytes(message.data))
+                else:
                     break
         except GentianmillError as error:
             log.warning('Link closed.', peer=self._record.name, error=str(error))
@@ -228,6 +253,11 @@
         if is_current and not self._closed:
             await self._listener.on_connection_lost()
 
+    def _on_pong(self, key: bytes) -> None:
+        confirmed = self._pongs.get(key)
+        if confirmed is not None and not confirmed.done():
+            confirmed.set_result(None)
+
     def _drop(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         """Drop a connection whose peer is unresponsive."""
         if self._socket is not socket or self._closed:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -29,13 +29,19 @@
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.wire_names import restore_headers
 from gentianmill_node.background import spawn
+from gentianmill_node.logs import component
 
 RECONNECT_PAUSE_S = 0.25
 """Pause between attempts to reach the node that has a request which may run only
 once."""
 
+POST_ATTEMPTS = 2
+"""A connection may be silent; the next one was just opened."""
+
 MS_PER_S = 1000
 
+log = component('relay')
+
 
 @dataclasses.dataclass(slots=True)
 class RelayReply:
@@ -136,9 +142,17 @@
         return self.connected or await self._connection.connect()
 
     async def post(self, frame: CrashNews | NodeNews | RulesRequest) -> None:
-        """Send a frame that is not a call; it is lost if the link breaks."""
-        if await self.reach():
-            self._connection.send(frame)
+        """Deliver a frame that is not a call to the other node, if it is reachable.
+
+        The frame is sent again on a new connection if the node does not answer a ping
+        after it, as the connection may have fallen silent unnoticed.
+        """
+        for _ in range(POST_ATTEMPTS):
+            if not await self.reach():
+                return
+            if self._connection.send(frame) and await self._connection.confirm():
+                return
+        log.info('Frame not delivered.', peer=self._record.name)
 
     def end_overdue_calls(self) -> None:
         """Time out the calls whose deadlines have passed during a suspension."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -108,6 +108,17 @@
         is_any_open = any(link.connected for link in links)
         return is_any_open and failing <= len(links) * MAX_FAILING_SHARE
 
+    def on_peer_version(self, name: str, version: int) -> None:
+        """Request the rules of another node soon if they are still newer then.
+
+        Args:
+            name: The other node.
+            version: Version of its rules.
+        """
+        record = self._table.find(name)
+        if record is not None:
+            self._on_version(record, version)
+
     def end_overdue_calls(self) -> None:
         """Time out the calls whose deadlines have passed during a suspension."""
         for link in self._links.values():
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -75,7 +75,8 @@
     again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, name: str) -> None:
+        self.name = name
         self.jobs: dict[int, _Job] = {}
         self.ended: deque[tuple[float, int]] = deque()
         """End in ms and key of the calls whose responses are kept, oldest first."""
@@ -135,6 +136,7 @@
         names: WireNames,
         clock: Clock,
         on_nodes: Callable[[NodeNews], None],
+        on_version: Callable[[str, int], None],
     ) -> None:
         """Create a server.
 
@@ -145,14 +147,16 @@
             names: Header names of the deployment.
             clock: Clock of the node.
             on_nodes: Called with node records of other nodes.
+            on_version: Called with a node and the version of its rules if it is newer.
         """
+        self._on_version = on_version
         self._on_nodes = on_nodes
         self._handlers: dict[type, Callable[..., None]] = {
             RelayCall: self._start,
             RelayCancel: self._cancel,
             CrashNews: self._on_crash_news,
             NodeNews: self._on_node_news,
-            RulesRequest: self._send_rules,
+            RulesRequest: self._on_rules_request,
         }
         self._identity = identity
         self._guard = guard
@@ -214,7 +218,7 @@
         )
         socket.headers.update(self._identity.headers())
         await socket.prepare(request)
-        sender = self._senders.setdefault(identity, _Sender())
+        sender = self._senders.setdefault(identity, _Sender(identity.name))
         sender.attach(socket)
         sender.last_received_ms = self._clock.now_ms()
         self._sockets.add(socket)
@@ -259,8 +263,10 @@
     def _on_node_news(self, _sender: _Sender, frame: NodeNews) -> None:
         self._on_nodes(frame)
 
-    def _send_rules(self, sender: _Sender, frame: RulesRequest) -> None:
-        if self._rules.version > frame.known_version:
+    def _on_rules_request(self, sender: _Sender, frame: RulesRequest) -> None:
+        if frame.known_version > self._rules.version:
+            self._on_version(sender.name, frame.known_version)
+        elif frame.known_version < self._rules.version:
             reply = RulesReply(self._rules.version, self._rules.document)
             spawn(_send(sender, reply), 'send rules')
 
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -114,7 +114,7 @@
 
 class RulesRequest(Frame):
     """
-    Asks for the routing rules that the receiver knows.
+    Tells the version of the routing rules that the sender knows, and asks for newer ones.
     """
 
     known_version: int
--- a/tests/test_node_gossip.py
+++ b/tests/test_node_gossip.py
@@ -7,6 +7,7 @@
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.relay_messages import NodeEntry, NodeNews
 from gentianmill_mesh.node_gossip import FIRST_FANOUT, NodeGossip
+from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_codec import decode, encode
 from node_records import node_record
 
@@ -32,7 +33,9 @@
         for table in self.tables:
             table.merge(records)
         self.gossips = {
-            record.name: NodeGossip(record.name, table, self, rng)
+            record.name: NodeGossip(
+                table, self, RandomPeers(record.name, table, self, rng)
+            )
             for record, table in zip(records, self.tables, strict=True)
         }
 
--- a/tests/test_rules_delivery.py
+++ b/tests/test_rules_delivery.py
@@ -91,6 +91,21 @@
     _run(scenario)
 
 
+def test_change_reaches_a_node_over_links_that_fell_silent():
+    """Guards against frames that are sent on a silent link and never again."""
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        for node in deployment.nodes:
+            node.relay_proxy.silence()
+        for node in deployment.nodes[1:]:
+            node.store_proxy.refusing = True
+            node.store_proxy.reset()
+        deployment.put(2)
+        await asyncio.wait_for(deployment.until_all(2), APPLY_LIMIT_S)
+
+    _run(scenario)
+
+
 def test_older_version_never_comes_back():
     """Guards against a stale read after a lost history that restores older rules."""
 
