--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -5,6 +5,8 @@
 from gentianmill.retry_budget import RetryBudgetSettings
 from gentianmill_mesh.wire_names import WireNames
 
+MAX_PORT = 65_535
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -21,7 +23,7 @@
             ValueError: If the text is not an address.
         """
         host, _, port = text.rpartition(':')
-        if not host or not port.isdigit():
+        if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
             raise ValueError(f'{text!r} is not an address')
         return cls(host, int(port))
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from gentianmill.node_record_codec import check_record
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import NodeEntry, NodeNews
 from gentianmill_mesh.random_peers import RandomPeers
@@ -56,7 +57,7 @@
         records = []
         for entry in update.entries:
             try:
-                records.append(_record(entry))
+                records.append(check_record(entry))
             except ValueError as error:
                 log.warning(
                     'Node record not readable.', node=entry.name, error=str(error)
@@ -81,7 +82,3 @@
 
 def _entry(record: NodeRecord) -> NodeEntry:
     return msgspec.convert(record, NodeEntry, from_attributes=True)
-
-
-def _record(entry: NodeEntry) -> NodeRecord:
-    return msgspec.convert(entry, NodeRecord, from_attributes=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -245,6 +245,9 @@
                     break
         except GentianmillError as error:
             log.warning('Link closed.', peer=self._record.name, error=str(error))
+        except Exception:
+            # The link must not stay open without a reader.
+            log.exception('Link closed after a fault.', peer=self._record.name)
         watch.stop()
         is_current = self._socket is socket
         if is_current:
