--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -1,5 +1,7 @@
 """Accepts the requests of callers and of the upstream on the same VM."""
 
+import asyncio
+
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -39,6 +41,7 @@
         self._clock = clock
         self._running = 0
         self._closing = False
+        self._refusing: asyncio.Future[None] | None = None
 
     @property
     def running(self) -> int:
@@ -47,6 +50,7 @@
 
     def server(self) -> web.Server:
         """Return the server; call it while the event loop runs."""
+        self._refusing = asyncio.get_running_loop().create_future()
         return direct_server(
             self._handle, MAX_BODY_BYTES, MAX_HEADER_BYTES, decompress=False
         )
@@ -55,6 +59,12 @@
         """Close each connection after its next response."""
         self._closing = True
 
+    def refuse_new(self) -> None:
+        """Refuse requests that are not forwarded yet, also those still being received."""
+        self._forwarder.refuse_new()
+        if self._refusing is not None and not self._refusing.done():
+            self._refusing.set_result(None)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._running += 1
         try:
@@ -69,7 +79,7 @@
     async def _respond(self, request: web.BaseRequest) -> HttpResponse:
         arrived_ms = self._clock.now_ms()
         try:
-            body = await request.read()
+            body = await self._read_body(request)
         except (HttpProcessingError, web.RequestPayloadError) as error:
             log.info('Request body not readable.', error=repr(error))
             return HttpResponse(STATUS_BAD_REQUEST, [], b'the body is not readable\n')
@@ -77,6 +87,20 @@
             self._caller_request(request, body, arrived_ms)
         )
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Return the body, or a part of it if requests are refused before it ends."""
+        if self._refusing is None or request.content.is_eof():
+            return await request.read()
+        reading = asyncio.ensure_future(request.read())
+        try:
+            await asyncio.wait(
+                {reading, self._refusing}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            if not reading.done():
+                reading.cancel()
+        return b'' if reading.cancelled() or not reading.done() else reading.result()
+
     def _caller_request(
         self, request: web.BaseRequest, body: bytes, arrived_ms: float
     ) -> CallerRequest:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -1,6 +1,7 @@
 """Finds the route of a request and returns the response for the caller."""
 
 import dataclasses
+import math
 import random
 
 from gentianmill.clock import Clock
@@ -72,15 +73,31 @@
         self._metrics = metrics
         self._split = SplitCounter()
         self._rng = random.Random()  # noqa: S311
+        self._end_ms = math.inf
+        self._refusing = False
         rules.on_change(self._split.keep)
         rules.on_change(admission.set_rules)
 
+    def end_by(self, end_ms: float) -> None:
+        """Give the requests that are forwarded from now on only the time until a stop.
+
+        Args:
+            end_ms: Time at which the node stops; their upstreams end them before it.
+        """
+        self._end_ms = end_ms
+
+    def refuse_new(self) -> None:
+        """Refuse the requests that are not forwarded yet, as a stop would cut them."""
+        self._refusing = True
+
     async def forward(self, caller: CallerRequest) -> HttpResponse:
         """Return the response for the caller.
 
         Args:
             caller: The request.
         """
+        if self._refusing:
+            return self._refusal(caller, 'stopping')
         rules = self._rules.rules
         if rules is None:
             return self._refusal(caller, 'no_rules')
@@ -96,7 +113,7 @@
             rule=rule,
             service=self._split.pick(rule),
             origin=self._guard.tree.origin(caller.request_id, rule.priority),
-            deadline_ms=_deadline_ms(caller, rule),
+            deadline_ms=min(_deadline_ms(caller, rule), self._end_ms),
         )
         if not progress.origin.is_inner and not self._admission.admits(
             rule, caller.time_left_ms
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -46,6 +46,9 @@
 STOP_NOTICE_MS = 2600.0
 """Callers poll the readiness path once a second and need two polls to see the stop."""
 
+STOP_RESPONSE_MS = 100.0
+"""Time before the end of a stop in which the last responses are sent."""
+
 IDLE_POLL_S = 0.05
 MS_PER_S = 1000
 
@@ -144,18 +147,15 @@
             self._clock,
             settings.retry_budget,
         )
-        self._entry = EntryListener(
-            Forwarder(
-                rules,
-                self._guard,
-                self._dispatcher,
-                EntryAdmission(shares, self._clock),
-                self._metrics,
-                self._clock,
-            ),
-            settings.names,
+        self._forwarder = Forwarder(
+            rules,
+            self._guard,
+            self._dispatcher,
+            EntryAdmission(shares, self._clock),
+            self._metrics,
             self._clock,
         )
+        self._entry = EntryListener(self._forwarder, settings.names, self._clock)
         self._guard.crashes.set_announcer(self._announce_crash)
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
@@ -224,8 +224,10 @@
         self._entry.close_connections()
         log.info('Stopping.', requests=self._entry.running)
         deadline_ms = begin_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
+        self._forwarder.end_by(deadline_ms - STOP_RESPONSE_MS)
         notice_end_ms = min(begin_ms + STOP_NOTICE_MS, deadline_ms)
         await asyncio.sleep(max(notice_end_ms - self._clock.now_ms(), 0) / MS_PER_S)
+        self._entry.refuse_new()
         await self._drain_callers(deadline_ms)
         await self._wait_until_idle(deadline_ms)
         log.info('Stopped.', requests=self._entry.running)
