--- a/tests/fault_soak/deployment.py
+++ b/tests/fault_soak/deployment.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shutil
+import signal
 from pathlib import Path
 
 
@@ -13,12 +14,16 @@
 from fault_soak.vm import ROOT, Vm
 from fault_soak.invariants import beyond_retry_budget, violated_invariants, interrupted
 from fault_soak.soak_store import SERVICES, SoakStore
+from fault_soak.version_watch import VersionWatch
 
 LOG_FOLDER = ROOT / 'build' / 'soak'
 """Where the logs of the nodes are kept if a guarantee was violated."""
 
 CALLERS_PER_VM = 3
 START_LIMIT_S = 30
+SIGNAL_DELAY_S = 0.5
+"""Time in which a busy process handles a signal."""
+
 RECOVERY_S = 3
 """How long callers keep sending after the last fault, once all nodes are ready.
 
@@ -74,15 +79,26 @@
     callers = Callers(vms, CALLERS_PER_VM, seed)
     faults = Faults(vms, store, seed, planned=planned)
     callers.start()
+    versions = VersionWatch(vms)
+    versions.start()
     await faults.inject(seconds)
     faults_ended_s = asyncio.get_running_loop().time()
     await _until_ready(vms)
     await asyncio.sleep(RECOVERY_S)
+    silenced_s = asyncio.get_running_loop().time()
+    if not planned:
+        for vm in vms:
+            vm.send_signal(signal.SIGUSR1)
+        await asyncio.sleep(SIGNAL_DELAY_S)
+    store.write_next_rules()
+    late = await versions.until_in_force(store.rules_version)
     await callers.stop()
+    await versions.stop()
     violations = violated_invariants(
-        callers.outcomes, vms, faults, recovered_s=faults_ended_s + RECOVERY_S / 2
+        callers.outcomes, vms, faults, (faults_ended_s + RECOVERY_S / 2, silenced_s)
     )
     violations.extend(beyond_retry_budget(callers.sent, vms))
+    violations.extend((*late, *versions.violations))
     if planned:
         violations.extend(interrupted(callers.outcomes, vms))
     served = sum(outcome.status == 200 for outcome in callers.outcomes)
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -7,6 +7,7 @@
 
 from fault_soak.soak_store import SoakStore
 from fault_soak.vm import Vm
+from odd_records import ODD_ROWS
 
 STOP_LIMIT_S = 6.0
 """The grace time of the nodes plus one second."""
@@ -70,6 +71,11 @@
             self._break_upstream_responses,
             self._fail_store,
             self._compact_store_history,
+            self._silence_connections,
+            self._suspend,
+            self._mute_store,
+            self._write_odd_row,
+            self._overwrite_own_row,
         ]
 
     async def _run(self, fault: Fault, vm: Vm) -> None:
@@ -105,6 +111,26 @@
         await asyncio.sleep(self._rng.uniform(0.3, 3))
         vm.send_signal(signal.SIGCONT)
 
+    async def _silence_connections(self, vm: Vm) -> None:
+        vm.send_signal(signal.SIGUSR1)
+
+    async def _suspend(self, vm: Vm) -> None:
+        """Stop a process for long, whose connections are lost meanwhile."""
+        vm.send_signal(signal.SIGUSR1)
+        vm.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(2, 6))
+        vm.send_signal(signal.SIGCONT)
+
+    async def _mute_store(self, vm: Vm) -> None:
+        vm.store_proxy.mute()
+
+    async def _write_odd_row(self, vm: Vm) -> None:
+        odd = self._rng.choice(tuple(ODD_ROWS.values()))
+        self._store.put('nodes', f'odd-{vm.name}', odd)
+
+    async def _overwrite_own_row(self, vm: Vm) -> None:
+        self._store.put('nodes', vm.name, self._rng.choice(tuple(ODD_ROWS.values())))
+
     async def _blackhole_store(self, vm: Vm) -> None:
         vm.store_proxy.dropping = True
         await asyncio.sleep(self._rng.uniform(0.5, 3))
--- a/tests/fault_soak/invariants.py
+++ b/tests/fault_soak/invariants.py
@@ -21,7 +21,10 @@
 
 
 def violated_invariants(
-    outcomes: list[RequestOutcome], vms: list[Vm], faults: Faults, recovered_s: float
+    outcomes: list[RequestOutcome],
+    vms: list[Vm],
+    faults: Faults,
+    recovered_s: tuple[float, float],
 ) -> list[str]:
     """Return a line for each violation of a guarantee.
 
@@ -29,7 +32,7 @@
         outcomes: How each request ended for its caller.
         vms: The VMs, whose upstreams record which requests ran.
         faults: The faults that were injected.
-        recovered_s: Time from which requests must be served again, in s.
+        recovered_s: Begin and end of the time in which requests must be served, in s.
     """
     ran: dict[str, int] = {}
     upstream_violations = [line for vm in vms for line in vm.upstream.violations]
@@ -67,9 +70,10 @@
 
 
 def _recovery_violations(
-    outcomes: list[RequestOutcome], recovered_s: float
+    outcomes: list[RequestOutcome], recovered_s: tuple[float, float]
 ) -> Iterator[str]:
-    late = [outcome for outcome in outcomes if outcome.at_s >= recovered_s]
+    begin_s, end_s = recovered_s
+    late = [outcome for outcome in outcomes if begin_s <= outcome.at_s < end_s]
     served = sum(outcome.status == 200 for outcome in late)
     if len(late) < MIN_JUDGED_REQUESTS or served < MIN_SERVED_SHARE * len(late):
         yield f'{served} of {len(late)} served after the last fault'
--- a/tests/fault_soak/soak_store.py
+++ b/tests/fault_soak/soak_store.py
@@ -18,6 +18,11 @@
         super().__init__()
         self._rules_version = 0
 
+    @property
+    def rules_version(self) -> int:
+        """Return the newest version of the rules."""
+        return self._rules_version
+
     def write_next_rules(self) -> None:
         """Write the next version of the rules; all versions serve the same routes."""
         self._rules_version += 3
--- a/tests/fault_soak/vm.py
+++ b/tests/fault_soak/vm.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -18,6 +19,8 @@
 from gentianmill_node.web_server import WebServer
 
 ROOT = Path(__file__).parent.parent.parent
+NODE_PROGRAM = Path(__file__).parent / 'node_program.py'
+METRICS_PORT = 9464
 PORTS = {'inbound': 8300, 'outbound': 8304, 'ready': 8302, 'controlPlane': 8306}
 RELAY_PORT = 7620
 UPSTREAM_PORT = 8400
@@ -30,6 +33,7 @@
 REFUSED_SHARE = 0.2
 BROKEN_SHARE = 0.3
 RETRY_SLACK = 5
+_RULES_VERSION = re.compile(r'^gentianmill_rules_version\S* (\S+)$', re.MULTILINE)
 
 
 class Upstream:
@@ -130,7 +134,7 @@
             self._log.close()
         self._log = self.log_file.open('ab')
         self._process = subprocess.Popen(
-            [sys.executable, str(ROOT / 'platform' / 'run.py')],
+            [sys.executable, str(NODE_PROGRAM)],
             env=os.environ | {'GENTIANMILL_NODE_FILE': str(settings)},
             stdout=self._log,
             stderr=subprocess.STDOUT,
@@ -180,6 +184,22 @@
             # The node is starting; the next poll tries again.
             return False
 
+    async def rules_version(self, session: aiohttp.ClientSession) -> tuple[int, int]:
+        """Return the process id of the node, and the version of its rules.
+
+        The version is -1 if the node does not answer.
+        """
+        pid = self._process.pid if self._process else 0
+        url = f'http://{self.ip}:{METRICS_PORT}/metrics'
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with session.get(url, timeout=timeout) as response:
+                found = _RULES_VERSION.search(await response.text())
+        except (aiohttp.ClientError, TimeoutError):
+            # The node is stopped or paused; the next poll asks again.
+            return pid, -1
+        return pid, int(float(found.group(1))) if found else -1
+
     async def close(self) -> None:
         """Stop everything on the VM."""
         if self._heartbeat_task is not None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,12 +1,15 @@
 """Tests of the fault soak: short runs with seeds that found faults, and its checks."""
 
 import asyncio
+import math
 
+import aiohttp
 import pytest
 from fault_soak.callers import RequestOutcome
 from fault_soak.deployment import run_soak
 from fault_soak.faults import Faults
 from fault_soak.invariants import beyond_retry_budget, interrupted, violated_invariants
+from fault_soak.version_watch import VersionWatch
 from fault_soak.vm import Vm
 
 SECONDS = 6
@@ -40,7 +43,7 @@
 
 
 def _violations(outcome: RequestOutcome, **ran: int) -> list[str]:
-    lines = violated_invariants([outcome], [_VmStub(**ran)], _Faults(), recovered_s=1)
+    lines = violated_invariants([outcome], [_VmStub(**ran)], _Faults(), (1, math.inf))
     return [line for line in lines if line.startswith('r1')]
 
 
@@ -96,3 +99,43 @@
     assert not beyond_retry_budget(sent, [first, second])
     second.upstream.arrivals.append((7, 'r0.5'))
     assert beyond_retry_budget(sent, [first, second])
+
+
+class _VersionedVm(_VmStub):
+    """Reports versions of the rules one after the other, then the last one."""
+
+    def __init__(self, *versions: tuple[int, int]) -> None:
+        super().__init__()
+        self.name = 'vm'
+        self._versions = list(versions)
+
+    async def rules_version(self, _session: aiohttp.ClientSession) -> tuple[int, int]:
+        return self._versions.pop(0) if len(self._versions) > 1 else self._versions[0]
+
+
+async def _watch(vm: Vm, version: int) -> tuple[list[str], list[str]]:
+    watch = VersionWatch([vm])
+    watch.start()
+    late = await watch.until_in_force(version)
+    await watch.stop()
+    return late, watch.violations
+
+
+@pytest.mark.parametrize(
+    ('versions', 'went_back'),
+    [([(1, 5), (1, 3), (1, 6)], 1), ([(1, 5), (2, 3), (2, 6)], 0), ([(1, 6)], 0)],
+)
+def test_rules_that_go_back_are_noticed(
+    versions: list[tuple[int, int]], went_back: int
+):
+    """Guards against a soak that passes although a process returns to older rules."""
+    late, violations = asyncio.run(_watch(_VersionedVm(*versions), 6))
+    assert not late
+    assert len(violations) == went_back
+
+
+def test_rules_that_stay_old_are_noticed(monkeypatch: pytest.MonkeyPatch):
+    """Guards against a soak that passes although a change never comes into force."""
+    monkeypatch.setattr('fault_soak.version_watch.APPLY_LIMIT_S', 0.5)
+    late, _ = asyncio.run(_watch(_VersionedVm((1, 5)), 6))
+    assert late == ['vm has version 5 instead of 6']
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import json
 
 import pytest
 from gentianmill.clock import BootClock
@@ -12,37 +11,12 @@
 from gentianmill_platform.heartbeats import parse_heartbeat
 from gentianmill_platform.store_adapters import StoreNodes
 from node_records import node_record
+from odd_records import NESTED, ODD_ROWS
 from platform_store import FakeStore
 
 TIMEOUT_S = 10
 """Ends a scenario that hangs."""
 
-NESTED = b'[' * 100_000
-HUGE = 10**30
-
-
-def _row(**changes: object) -> bytes:
-    fields = json.loads(encode_record(node_record('odd', host='127.0.0.1')))
-    return json.dumps(fields | changes).encode()
-
-
-ODD_ROWS = {
-    'nested': b'{"unknown": ' + NESTED,
-    'nested_name': _row().replace(b'"odd"', NESTED),
-    'no_text': b'\xff\xfe',
-    'empty': b'',
-    'huge_slots': _row(slots=HUGE),
-    'huge_incarnation': _row(incarnation=HUGE),
-    'number_that_is_infinite': _row().replace(b'"slots": 10', b'"slots": 1e999'),
-    'port_above_range': _row(relay_port=70_000),
-    'negative_port': _row(relay_port=-1),
-    'port_zero': _row(relay_port=0),
-    'host_with_path': _row(host='a/b?c'),
-    'empty_service': _row(service=''),
-    'unknown_state': _row(state='dancing'),
-    'other_name': _row(name='good'),
-}
-
 
 async def _feed_with(write_odd_row) -> NodeTable:
     """Follow a table in which an odd row appears between two valid ones."""
