--- a/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
+++ b/packages/gentianmill-node/src/gentianmill_node/_claim_committer.py
@@ -10,6 +10,7 @@
 from gentianmill.clock import Clock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.outcome import Outcome
+from gentianmill_node.background import spawn
 from gentianmill_node.table_client import TableStore, TableWrite
 
 MS_PER_S = 1000
@@ -77,7 +78,7 @@
 
     def start(self) -> None:
         """Start the loop."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = spawn(self._run(), 'commit claims')
 
     async def close(self, limit_ms: float) -> int:
         """Refuse new claims, write the pending ones and stop.
--- a/packages/gentianmill-node/src/gentianmill_node/health_watch.py
+++ b/packages/gentianmill-node/src/gentianmill_node/health_watch.py
@@ -6,6 +6,7 @@
 
 from gentianmill.settings_models import UpstreamModel
 
+from gentianmill_node.background import repeat
 from gentianmill_node.logs import component
 from gentianmill_node.upstream_client import UpstreamClient
 
@@ -56,7 +57,7 @@
     async def start(self) -> None:
         """Poll once, then in the background."""
         self._record_poll(await self._upstream.health())
-        self._task = asyncio.ensure_future(self._poll())
+        self._task = repeat(self._poll, self._interval_s, 'poll health')
 
     async def close(self) -> None:
         """Stop polling."""
@@ -64,9 +65,7 @@
             self._task.cancel()
 
     async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(self._interval_s)
-            self._record_poll(await self._upstream.health())
+        self._record_poll(await self._upstream.health())
 
     def _record_poll(self, reported: str) -> None:
         known = reported in set(UpstreamState)
--- a/packages/gentianmill-node/src/gentianmill_node/liveness.py
+++ b/packages/gentianmill-node/src/gentianmill_node/liveness.py
@@ -5,6 +5,7 @@
 
 from gentianmill.clock import Clock
 
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 CONNECT_TIMEOUT_S = 1.0
@@ -38,7 +39,7 @@
 
     async def start(self) -> None:
         """Keep the connection open in the background."""
-        self._task = asyncio.ensure_future(self._keep_open())
+        self._task = spawn(self._keep_open(), 'watch upstream')
 
     async def close(self) -> None:
         """Close the connection."""
--- a/packages/gentianmill-node/src/gentianmill_node/member_loop.py
+++ b/packages/gentianmill-node/src/gentianmill_node/member_loop.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import structlog
 from grpclib.server import Server
@@ -13,6 +14,7 @@
 from gentianmill.membership import MemberTable
 from gentianmill.settings_models import NodeSettingsModel
 from gentianmill.swim import Probe, Swim
+from gentianmill_node.background import spawn
 from gentianmill_node.announcer import Announcer
 from gentianmill_node.channel_pool import Address
 from gentianmill_node.control_auth import GRPC_PROTOCOLS
@@ -35,6 +37,9 @@
 JITTER_RATIO = 0.1
 """Fraction by which intervals vary at random, so that nodes do not synchronise."""
 
+MIN_PROBE_PAUSE_MS = 1
+"""A tick that fails must not keep the event loop busy."""
+
 MAX_LEAVE_PROBES = 5
 """Largest number of members that are notified directly when this node leaves; gossip
 reaches the rest."""
@@ -131,18 +136,25 @@
         """Change this node's status and gossip it to the other members."""
         self._swim.set_own_status(status, self._clock.now_ms())
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = spawn(work, 'membership')
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _probe_forever(self) -> None:
         while True:
-            for probe in self._swim.tick(self._clock.now_ms()):
-                self._spawn(self._probe(probe))
-            self._client.close_idle()
+            try:
+                self._start_probes()
+            except Exception:
+                # An error in one step must not end the loop.
+                _log.exception('membership: Probes failed.')
             wait_ms = self._swim.next_tick_ms - self._clock.now_ms()
-            await asyncio.sleep(max(wait_ms, 1) / MS_PER_S)
+            await asyncio.sleep(max(wait_ms, MIN_PROBE_PAUSE_MS) / MS_PER_S)
+
+    def _start_probes(self) -> None:
+        for probe in self._swim.tick(self._clock.now_ms()):
+            self._spawn(self._probe(probe))
+        self._client.close_idle()
 
     async def _probe(self, probe: Probe) -> None:
         reached = await self._exchange.send_probe(probe)
--- a/packages/gentianmill-node/src/gentianmill_node/node.py
+++ b/packages/gentianmill-node/src/gentianmill_node/node.py
@@ -8,6 +8,7 @@
 from gentianmill.messages import StrikeFrame
 from gentianmill.settings_models import NodeSettingsModel
 
+from gentianmill_node.background import repeat, spawn
 from gentianmill_node.assembly import assemble_control, assemble_data_path
 from gentianmill_node.caller_listener import CallerListener, EgressListener
 from gentianmill_node.drain import drain
@@ -61,7 +62,9 @@
         await self._start_listeners()
         await self._control.members.start()
         await self._health.start()
-        self._tasks.append(asyncio.ensure_future(self._run_housekeeping()))
+        self._tasks.append(
+            repeat(self._keep_house, HOUSEKEEPING_INTERVAL_S, 'housekeeping')
+        )
         log.info('Node started.', node_id=self._control.own.node_id)
 
     async def drain(self) -> None:
@@ -83,7 +86,7 @@
     def start_drain(self) -> None:
         """Drain in the background, as requested by an operator."""
         self.refuse_new_work()
-        self._tasks.append(asyncio.ensure_future(self._drain_for_operator()))
+        self._tasks.append(spawn(self._drain_for_operator(), 'drain'))
 
     async def close(self) -> None:
         """Leave the membership and close all components."""
@@ -165,11 +168,9 @@
         status = MemberStatus.alive if ready else MemberStatus.draining
         self._control.members.set_status(status)
 
-    async def _run_housekeeping(self) -> None:
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            try:
-                await self._control.peers.close_idle()
-            except OSError as error:
-                log.info('Idle connection was not closed cleanly.', error=repr(error))
-            self._data.gate.tick()
+    async def _keep_house(self) -> None:
+        try:
+            await self._control.peers.close_idle()
+        except OSError as error:
+            log.info('Idle connection was not closed cleanly.', error=repr(error))
+        self._data.gate.tick()
--- a/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_listener.py
@@ -13,6 +13,7 @@
     StrikeFrame,
 )
 
+from gentianmill_node.background import spawn
 from gentianmill_node.call import CallResult
 from gentianmill_node.frames import AnyFrame, decode, encode
 from gentianmill_node.auth_keys import same_key
@@ -143,7 +144,7 @@
             await self._send(GrantFrame(call_id=frame.call_id, granted=True))
 
     def _start(self, frame: CallFrame) -> None:
-        task = asyncio.ensure_future(self._run(frame))
+        task = spawn(self._run(frame), 'run call')
         self._calls[frame.call_id] = task
         task.add_done_callback(lambda _: self._calls.pop(frame.call_id, None))
 
--- a/packages/gentianmill-node/src/gentianmill_node/service.py
+++ b/packages/gentianmill-node/src/gentianmill_node/service.py
@@ -8,6 +8,7 @@
 from aiomisc import Service
 from gentianmill.settings_models import NodeSettingsModel
 
+from gentianmill_node.background import spawn
 from gentianmill_node.heap import freeze_heap
 from gentianmill_node.logs import component
 from gentianmill_node.node import Node
@@ -47,8 +48,10 @@
             log.warning('Second signal received, exiting immediately.')
             os._exit(EXIT_SECOND_SIGNAL)
         log.info('Signal received, draining.')
-        self._draining = asyncio.ensure_future(self._drain())
+        self._draining = spawn(self._drain(), 'drain')
 
     async def _drain(self) -> None:
-        await self._node.drain()
-        self._finished.set()
+        try:
+            await self._node.drain()
+        finally:
+            self._finished.set()
--- a/packages/gentianmill-node/src/gentianmill_node/strikes.py
+++ b/packages/gentianmill-node/src/gentianmill_node/strikes.py
@@ -8,6 +8,7 @@
 from gentianmill.messages import StrikeFrame
 from gentianmill.crash_suspects import Strike
 
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 from gentianmill_node.peer_client import PeerPool
 
@@ -43,7 +44,7 @@
     def _start_sending(self, strikes: Sequence[Strike]) -> set[asyncio.Task[None]]:
         frames = [_to_frame(self._members.own.service, strike) for strike in strikes]
         tasks = {
-            asyncio.ensure_future(self._peers.send_strikes(member, frames))
+            spawn(self._peers.send_strikes(member, frames), 'send strikes')
             for member in self._members.members
             if strikes and self._is_other_guard(member)
         }
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -4,7 +4,34 @@
 import gc
 
 import structlog
+from gentianmill.settings_models import UpstreamModel
 from gentianmill_node.background import repeat, spawn
+from gentianmill_node.health_watch import HealthWatch
+from gentianmill_node.upstream_client import UpstreamClient
+
+
+SETTINGS = UpstreamModel(
+    service='s',
+    endpoint='e',
+    host='127.0.0.1',
+    port=1,
+    slots=1,
+    connections=1,
+    poll_ms=10,
+)
+
+
+class _FailingUpstream(UpstreamClient):
+    """Raises an unexpected error at each poll but the first."""
+
+    def __init__(self) -> None:
+        self.polls = 0
+
+    async def health(self) -> str:
+        self.polls += 1
+        if self.polls > 1:
+            raise RuntimeError('a fault')
+        return 'ready'
 
 
 async def _fail() -> None:
@@ -81,3 +108,18 @@
     with structlog.testing.capture_logs() as lines:
         asyncio.run(scenario())
     assert not lines
+
+
+def test_health_is_polled_after_a_poll_that_failed():
+    """Guards against a node that never notices again that its upstream is down."""
+    upstream = _FailingUpstream()
+
+    async def scenario() -> None:
+        watch = HealthWatch(SETTINGS, upstream, lambda _: None)
+        await watch.start()
+        while upstream.polls < 4:
+            await asyncio.sleep(0)
+        await watch.close()
+
+    with structlog.testing.capture_logs():
+        asyncio.run(asyncio.wait_for(scenario(), 5))
