--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -15,6 +15,7 @@
 )
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_mesh.time_limit import within
+from gentianmill_node.keep_alive import KeepAlive
 from gentianmill_node.logs import component
 
 CONNECT_TIMEOUT_S = 0.5
@@ -26,6 +27,10 @@
 IDLE_MARGIN_MS = 1000.0
 """Subtracted from the limit of the upstream, as its close may be in transit."""
 
+KEEP_ALIVE = KeepAlive(idle_s=1, interval_s=1, probes=2)
+"""The kernel notices a connection that has fallen silent within 3 s. An upstream that
+does not read for long is not silent, so sent data has no time limit."""
+
 UNREPEATABLE_IDLE_MS = 200.0
 """A non-repeatable request only reuses connections that were idle for at most this time:
 some upstreams drop connections that were idle for 300 ms, and then it is unknown
@@ -199,7 +204,8 @@
             self._port,
         )
         try:
-            _, connection = await within(connecting, CONNECT_TIMEOUT_S)
+            transport, connection = await within(connecting, CONNECT_TIMEOUT_S)
+            KEEP_ALIVE.apply(transport.get_extra_info('socket'))
         except (OSError, TimeoutError) as error:
             raise UpstreamLostError(
                 LossKind.before_send, f'no connection: {error!r}'
--- a/packages/gentianmill-node/src/gentianmill_node/keep_alive.py
+++ b/packages/gentianmill-node/src/gentianmill_node/keep_alive.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import socket
+from asyncio.trsock import TransportSocket
 from collections.abc import Callable
 from typing import Any
 
@@ -19,11 +20,14 @@
     interval_s: int
     """Time in s between two probes."""
 
-    timeout_ms: int
-    """Time in ms for which probes or sent data may stay unacknowledged before the kernel
-    aborts the connection."""
+    probes: int
+    """Probes without an answer after which the kernel aborts the connection."""
 
-    def apply(self, sock: socket.socket) -> None:
+    timeout_ms: int = 0
+    """Time in ms for which sent data may stay unacknowledged or a peer may not read
+    before the kernel aborts the connection; if not 0, it also replaces ``probes``."""
+
+    def apply(self, sock: socket.socket | TransportSocket) -> None:
         """Set the options of a TCP socket.
 
         Raises:
@@ -32,6 +36,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self.idle_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, self.interval_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, self.probes)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self.timeout_ms)
 
 
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -9,7 +9,7 @@
 from silent_socket import silence
 from standins.processes import HOST
 
-SETTINGS = KeepAlive(idle_s=1, interval_s=1, timeout_ms=1500)
+SETTINGS = KeepAlive(idle_s=1, interval_s=1, probes=1, timeout_ms=1500)
 LIMIT_S = 9
 """Time within which a change must reach all nodes (docs/CAPACITY.md)."""
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -1,12 +1,14 @@
 """Tests of which connections to an upstream are reused."""
 
 import asyncio
+import socket
 
 import pytest
 from gentianmill.clock import ManualClock, MonotonicClock
-from gentianmill_mesh.upstream_connection import UpstreamLostError
+from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UNREPEATABLE_IDLE_MS, UpstreamPool
 from mesh_upstream import NAMES, Script, ScriptedUpstream, request, run
+from silent_socket import silence
 
 OK_RESPONSE = b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nContent-Length: 2\r\n\r\nok'
 
@@ -112,3 +114,25 @@
     assert _run_scenario(scenario) == (b'ok', b'ok')
     assert received[0] == body
     assert received[1].startswith(b'GET /next HTTP/1.1\r\n')
+
+
+def test_request_on_a_connection_that_falls_silent_ends_before_its_time():
+    """Guards against a request that waits to its deadline for a response that is lost."""
+
+    async def scenario() -> LossKind | None:
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            port = server.getsockname()[1]
+            pool = UpstreamPool('127.0.0.1', port, NAMES, MonotonicClock())
+            running = asyncio.ensure_future(
+                pool.run(request(), b'1', [], True, 60, lambda: True)
+            )
+            await asyncio.sleep(0.1)
+            peer, _ = server.accept()
+            with peer:
+                silence(peer)
+                await asyncio.wait({running}, timeout=9)
+        lost = running.exception() if running.done() else None
+        running.cancel()
+        return lost.kind if isinstance(lost, UpstreamLostError) else None
+
+    assert _run_scenario(scenario) is LossKind.after_send
