--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -88,7 +88,7 @@
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
-        """Return the body, or a part of it if requests are refused before it ends."""
+        """Return the body, or nothing if requests are refused before it ends."""
         if self._refusing is None or request.content.is_eof():
             return await request.read()
         reading = asyncio.ensure_future(request.read())
@@ -96,10 +96,9 @@
             await asyncio.wait(
                 {reading, self._refusing}, return_when=asyncio.FIRST_COMPLETED
             )
+            return reading.result() if reading.done() else b''
         finally:
-            if not reading.done():
-                reading.cancel()
-        return b'' if reading.cancelled() or not reading.done() else reading.result()
+            reading.cancel()
 
     def _caller_request(
         self, request: web.BaseRequest, body: bytes, arrived_ms: float
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 
+from gentianmill.node_record_codec import MAX_PORT
 from gentianmill.retry_budget import RetryBudgetSettings
 from gentianmill_mesh.wire_names import WireNames
 
-MAX_PORT = 65_535
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
