--- a/bench/measure.py
+++ b/bench/measure.py
@@ -15,6 +15,7 @@
         'claim_sweep': 'bench.claim_sweep',
         'control': 'bench.control',
         'crest': 'bench.crest',
+        'forwarding_cpu': 'bench.forwarding_cpu',
         'goodput': 'bench.goodput',
         'losses': 'bench.losses',
         'overhead': 'bench.overhead',
