--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -0,0 +1,236 @@
+"""The connection of a caller, which may send requests ahead of the responses."""
+
+import abc
+import asyncio
+
+from aiohttp.base_protocol import BaseProtocol
+
+from gentianmill.clock import Clock
+from gentianmill_mesh.entry_exchange import EntryExchange
+from gentianmill_mesh.exchange_queue import ExchangeQueue, RunAheadPolicy
+from gentianmill_mesh.forwarder import CallerRequest
+from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.lingering_close import LingeringClose, is_sending
+from gentianmill_mesh.mesh_settings import ReadAheadSettings
+from gentianmill_mesh.request_reader import RequestReader
+from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.logs import component
+
+__all__ = ('EntryConnection', 'EntryHandler')
+
+STATUS_REQUEST_TIMEOUT = 408
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+log = component('entry')
+
+
+class EntryHandler(RunAheadPolicy):
+    """Handles the requests of all connections."""
+
+    @property
+    @abc.abstractmethod
+    def max_body_bytes(self) -> int:
+        """Return the longest body that is read."""
+
+    @abc.abstractmethod
+    def start(self, exchange: EntryExchange, connection: 'EntryConnection') -> None:
+        """Handle a request: set its response, or its task, which does so later."""
+
+    @abc.abstractmethod
+    def refuse(self, caller: CallerRequest) -> HttpResponse:
+        """Return the refusal of a request that a stop leaves no time for."""
+
+    @abc.abstractmethod
+    def opened(self, connection: 'EntryConnection') -> None:
+        """Handle a new connection."""
+
+    @abc.abstractmethod
+    def closed(self, connection: 'EntryConnection') -> None:
+        """Handle a connection that was closed."""
+
+
+class EntryConnection(BaseProtocol):
+    """Pass requests on, and send the responses in the order of the requests."""
+
+    def __init__(
+        self,
+        handler: EntryHandler,
+        names: WireNames,
+        settings: ReadAheadSettings,
+        clock: Clock,
+    ) -> None:
+        """Create a protocol without a transport.
+
+        Args:
+            handler: Handles the requests.
+            names: Header names of the deployment.
+            settings: Bounds on what is read ahead of the first open response.
+            clock: Clock of the node.
+        """
+        super().__init__(asyncio.get_running_loop())
+        self._handler = handler
+        self._clock = clock
+        self._exchanges = ExchangeQueue(handler, settings)
+        self._reader = RequestReader(
+            self._exchanges, names, lambda: handler.max_body_bytes
+        )
+        self._received_ms = clock.now_ms()
+        self._active_ms = self._received_ms
+        self._has_unparsed = False
+        self._is_transport_paused = False
+        self._closing: LingeringClose | None = None
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests whose responses are owed."""
+        return self._exchanges.running
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to read."""
+        super().connection_made(transport)
+        self._closing = LingeringClose(self.transport)
+        self._handler.opened(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the requests, as nobody waits for their responses."""
+        super().connection_lost(exc)
+        self._reader.end()
+        if self._closing is not None:
+            self._closing.cancel()
+        self._exchanges.cancel()
+        self._handler.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle bytes of the caller, or drop them after the last response."""
+        if self._reader.ended:
+            return
+        self._received_ms = self._clock.now_ms()
+        self._active_ms = self._received_ms
+        self._read(data)
+        self.proceed()
+
+    def pause_writing(self) -> None:
+        """Read and start nothing more until the caller has read what was sent."""
+        super().pause_writing()
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Send the responses that waited for a caller that reads slowly."""
+        super().resume_writing()
+        self.proceed()
+
+    def proceed(self) -> None:
+        """Send the responses that are due, and start the requests that may start."""
+        may_advance = True
+        while may_advance:
+            may_advance = self._advance()
+        if self.transport is not None and self._exchanges.take_expectation():
+            self.transport.write(_CONTINUE)
+        self._update_reading()
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is still being received."""
+        caller = self._reader.incomplete_request()
+        if caller is not None:
+            self._reader.refuse(self._handler.refuse(caller))
+            self.proceed()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being received or handled."""
+        if not self._exchanges:
+            self._close()
+
+    def abort(self) -> None:
+        """Close the connection immediately."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def check_timeouts(self, header_timeout_ms: float, idle_timeout_ms: float) -> None:
+        """Close a connection whose caller is idle or stopped in the midst of a request.
+
+        Args:
+            header_timeout_ms: Longest pause in a head.
+            idle_timeout_ms: Longest pause in a body, or between two requests.
+        """
+        if self._reader.ended or self.running or is_sending(self.transport):
+            return
+        silent_ms = self._clock.now_ms() - self._active_ms
+        is_in_head = self._reader.is_in_head
+        timeout_ms = header_timeout_ms if is_in_head else idle_timeout_ms
+        if silent_ms <= timeout_ms:
+            return
+        if is_in_head or self._reader.is_in_body:
+            log.info('Request not received in time.', silent_ms=round(silent_ms))
+            self._reader.refuse(
+                HttpResponse(STATUS_REQUEST_TIMEOUT, [], b'not received in time\n')
+            )
+            self.proceed()
+        else:
+            self._close()
+
+    def _advance(self) -> bool:
+        """Send, start and read what is possible; return whether more may be now."""
+        self._send_due()
+        if not self._paused:
+            for exchange in self._exchanges.startable():
+                self._handler.start(exchange, self)
+        if self._is_response_due():
+            return True
+        if self._has_unparsed and self._may_read_on():
+            self._read(b'')
+            return True
+        return False
+
+    def _read(self, data: bytes) -> None:
+        """Parse bytes until a bound on what is read ahead is reached."""
+        self._has_unparsed = False
+        while self._reader.feed(data, self._received_ms):
+            data = b''
+            if not self._may_read_on():
+                self._has_unparsed = True
+                return
+
+    def _may_read_on(self) -> bool:
+        return not self._paused and not self._reader.ended and self._exchanges.has_room
+
+    def _is_response_due(self) -> bool:
+        is_writable = self.transport is not None and not self._paused
+        return is_writable and self._exchanges.is_first_due
+
+    def _send_due(self) -> None:
+        while self._is_response_due():
+            self._active_ms = self._clock.now_ms()
+            exchange = self._exchanges.pop_first()
+            closing = not self._exchanges.running and self._closes_after(exchange)
+            self.transport.write(exchange.encode(exchange.response, closing=closing))
+            if closing:
+                self._close()
+
+    def _closes_after(self, exchange: EntryExchange) -> bool:
+        return (
+            self._handler.closing
+            or not exchange.keeps_alive
+            or not exchange.response.framed
+        )
+
+    def _update_reading(self) -> None:
+        """Read while further requests are taken, or to drop what comes after the last."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        must_pause = not self._reader.ended and (self._paused or self._has_unparsed)
+        if must_pause == self._is_transport_paused:
+            return
+        self._is_transport_paused = must_pause
+        if must_pause:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _close(self) -> None:
+        """Close the sending side, and drop what the caller still sends for a while."""
+        self._reader.end()
+        self._exchanges.clear()
+        self._update_reading()
+        if self._closing is not None:
+            self._closing.begin()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -1,125 +1,189 @@
 """Accepts the requests of callers and of the upstream on the same VM."""
 
 import asyncio
-
-from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
+import socket
 
 from gentianmill.clock import Clock
-from gentianmill_mesh.forwarder import CallerRequest, Forwarder
-from gentianmill_mesh.http_message import HttpResponse, HttpRequest
-from gentianmill_mesh.buffered_response import BufferedResponse
+from gentianmill_mesh.entry_connection import EntryConnection, EntryHandler
+from gentianmill_mesh.entry_exchange import EntryExchange
+from gentianmill_mesh.forwarder import AdmittedRequest, CallerRequest, Forwarder
+from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.mesh_settings import Address, ReadAheadSettings
 from gentianmill_mesh.wire_names import WireNames
-from gentianmill_node.direct_server import direct_server
+from gentianmill_node.listen_queue import refuse_new_connections
 from gentianmill_node.logs import component
+from gentianmill_node.web_server import BACKLOG, HANDSHAKE_WAIT_S
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Longest body that is read; the limit of the rules is checked later."""
+__all__ = ('EntryListener',)
 
-MAX_HEADER_BYTES = 64 * 1024
-"""Longest header line; the limit of the rules is usually lower."""
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Longest body that is read before the first rules arrive."""
 
-STATUS_BAD_REQUEST = 400
+IDLE_POLL_S = 0.02
 STATUS_BAD_GATEWAY = 502
+FAULT_EVENT = 'Request failed with an internal error.'
 
 log = component('entry')
 
 
-class EntryListener:
+class EntryListener(EntryHandler):
     """Serve HTTP to callers."""
 
-    def __init__(self, forwarder: Forwarder, names: WireNames, clock: Clock) -> None:
-        """Create a listener.
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        names: WireNames,
+        settings: ReadAheadSettings,
+        clock: Clock,
+    ) -> None:
+        """Create a listener; call ``start`` to serve.
 
         Args:
             forwarder: Returns the response to a request.
             names: Header names of the deployment.
+            settings: Bounds on what is read ahead on a connection.
             clock: Clock of the node.
         """
         self._forwarder = forwarder
         self._names = names
+        self._settings = settings
         self._clock = clock
-        self._running = 0
+        self._connections: set[EntryConnection] = set()
         self._closing = False
-        self._refusing: asyncio.Future[None] | None = None
+        self._socket: socket.socket | None = None
+        self._server: asyncio.Server | None = None
 
     @property
     def running(self) -> int:
-        """Return the number of requests that have no response yet."""
-        return self._running
-
-    def server(self) -> web.Server:
-        """Return the server; call it while the event loop runs."""
-        self._refusing = asyncio.get_running_loop().create_future()
-        return direct_server(
-            self._handle, MAX_BODY_BYTES, MAX_HEADER_BYTES, decompress=False
+        """Return the number of requests whose responses are owed."""
+        return sum(connection.running for connection in self._connections)
+
+    @property
+    def closing(self) -> bool:
+        """Return whether connections close after their next response."""
+        return self._closing
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the longest body that is read."""
+        limits = self._forwarder.limits
+        return MAX_BODY_BYTES if limits is None else limits.body_bytes
+
+    async def listen(self, address: Address) -> None:
+        """Accept connections.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+        self._socket = socket.create_server(
+            (address.host, address.port), family=family, backlog=BACKLOG
+        )
+        self._server = await loop.create_server(
+            lambda: EntryConnection(self, self._names, self._settings, self._clock),
+            sock=self._socket,
+            backlog=BACKLOG,
         )
 
     def close_connections(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the responses that are owed on it."""
         self._closing = True
 
     def refuse_new(self) -> None:
         """Refuse requests that are not forwarded yet, also those still being received."""
         self._forwarder.refuse_new()
-        if self._refusing is not None and not self._refusing.done():
-            self._refusing.set_result(None)
+        for connection in tuple(self._connections):
+            connection.refuse_incomplete()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._running += 1
+    async def drain(self, timeout_s: float) -> None:
+        """Accept nothing more, and wait until all connections are closed.
+
+        Connections that the kernel has already established are accepted first.
+
+        Args:
+            timeout_s: Time in s after which the remaining connections are aborted.
+        """
+        if self._server is None or self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        refuse_new_connections(self._socket)
+        await asyncio.sleep(HANDSHAKE_WAIT_S)
+        self._server.close()
+        while self._connections and loop.time() < end_s:
+            for connection in tuple(self._connections):
+                connection.close_if_idle()
+            await asyncio.sleep(IDLE_POLL_S)
+        if self.running:
+            log.warning('Requests are cut.', requests=self.running)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close everything immediately."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    def check_timeouts(self) -> None:
+        """Close the connections whose callers are idle for too long."""
+        limits = self._forwarder.limits
+        if limits is None:
+            return
+        for connection in tuple(self._connections):
+            connection.check_timeouts(limits.header_timeout_ms, limits.idle_timeout_ms)
+
+    def may_run_ahead(self, caller: CallerRequest) -> bool:
+        """Return whether a request may run before the responses to earlier ones."""
+        return self._forwarder.is_repeatable(caller)
+
+    def start(self, exchange: EntryExchange, connection: EntryConnection) -> None:
+        """Handle a request: set its response, or its task, which does so later."""
+        if exchange.caller is None:
+            raise ValueError('the request has not been received')
         try:
-            response = await self._respond(request)
+            admitted = self._forwarder.admit(exchange.caller)
         except Exception:
-            log.exception('Request failed with an internal error.')
-            response = HttpResponse(STATUS_BAD_GATEWAY, [], b'fault\n')
-        finally:
-            self._running -= 1
-        return BufferedResponse(response, closing=self._closing)
-
-    async def _respond(self, request: web.BaseRequest) -> HttpResponse:
-        arrived_ms = self._clock.now_ms()
-        try:
-            body = await self._read_body(request)
-        except (HttpProcessingError, web.RequestPayloadError) as error:
-            log.info('Request body not readable.', error=repr(error))
-            return HttpResponse(STATUS_BAD_REQUEST, [], b'the body is not readable\n')
-        return await self._forwarder.forward(
-            self._caller_request(request, body, arrived_ms)
+            log.exception(FAULT_EVENT, request_id=exchange.caller.request_id)
+            exchange.response = _fault()
+            return
+        if isinstance(admitted, HttpResponse):
+            exchange.response = admitted
+            return
+        exchange.task = asyncio.get_running_loop().create_task(
+            self._run(exchange, connection, admitted)
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        """Return the body, or nothing if requests are refused before it ends."""
-        if self._refusing is None or request.content.is_eof():
-            return await request.read()
-        reading = asyncio.ensure_future(request.read())
+    def refuse(self, caller: CallerRequest) -> HttpResponse:
+        """Return the refusal of a request that a stop leaves no time for."""
+        return self._forwarder.refuse_for_stop(caller)
+
+    def opened(self, connection: EntryConnection) -> None:
+        """Count a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: EntryConnection) -> None:
+        """Forget a connection that was closed."""
+        self._connections.discard(connection)
+
+    async def _run(
+        self,
+        exchange: EntryExchange,
+        connection: EntryConnection,
+        admitted: AdmittedRequest,
+    ) -> None:
         try:
-            await asyncio.wait(
-                {reading, self._refusing}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return reading.result() if reading.done() else b''
-        finally:
-            reading.cancel()
-
-    def _caller_request(
-        self, request: web.BaseRequest, body: bytes, arrived_ms: float
-    ) -> CallerRequest:
-        target = request.raw_path
-        headers = self._names.forwarded_request(request.raw_headers)
-        return CallerRequest(
-            request=HttpRequest(
-                request.method, target.encode(errors='surrogateescape'), headers, body
-            ),
-            request_id=request.headers.get(self._names.request_id.decode(), ''),
-            host=request.headers.get('Host', '').partition(':')[0].lower(),
-            path=target.partition('?')[0],
-            arrived_ms=arrived_ms,
-            time_left_ms=_milliseconds(
-                request.headers.get(self._names.time_left.decode())
-            ),
-        )
+            exchange.response = await self._forwarder.run(admitted)
+        except asyncio.CancelledError:
+            # The caller has left; otherwise nothing would answer it.
+            connection.abort()
+            raise
+        except Exception:
+            log.exception(FAULT_EVENT, request_id=admitted.caller.request_id)
+            exchange.response = _fault()
+        connection.proceed()
 
 
-def _milliseconds(text: str | None) -> float | None:
-    if text is None or not text.strip().isdigit():
-        return None
-    return float(text)
+def _fault() -> HttpResponse:
+    return HttpResponse(STATUS_BAD_GATEWAY, [], b'fault\n')
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -6,7 +6,7 @@
 
 from gentianmill.clock import Clock
 from gentianmill.return_time import MIN_PAUSE_MS, return_after_ms
-from gentianmill.route_rules import RouteRule, SplitCounter
+from gentianmill.route_rules import RequestLimits, RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import RequestProgress, Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
@@ -43,6 +43,14 @@
     time_left_ms: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request that may be passed on."""
+
+    caller: CallerRequest
+    progress: RequestProgress
+
+
 class Forwarder:
     """Forward requests by the routing rules in force."""
 
@@ -90,14 +98,30 @@
         """Refuse the requests that are not forwarded yet, as a stop would cut them."""
         self._refusing = True
 
-    async def forward(self, caller: CallerRequest) -> HttpResponse:
-        """Return the response for the caller.
+    @property
+    def limits(self) -> RequestLimits | None:
+        """Return the bounds on requests, or None before the first rules."""
+        rules = self._rules.rules
+        return None if rules is None else rules.limits
+
+    def is_repeatable(self, caller: CallerRequest) -> bool:
+        """Return whether a request may run more than once; False without a route."""
+        rules = self._rules.rules
+        rule = rules.find(caller.host, caller.path) if rules else None
+        return rule is not None and rule.repeatable
+
+    def refuse_for_stop(self, caller: CallerRequest) -> HttpResponse:
+        """Return the refusal of a request that a stop leaves no time for."""
+        return self._refusal(caller, 'stopping')
+
+    def admit(self, caller: CallerRequest) -> HttpResponse | AdmittedRequest:
+        """Return an admitted request, or the response that it is not run.
 
         Args:
             caller: The request.
         """
         if self._refusing:
-            return self._refusal(caller, 'stopping')
+            return self.refuse_for_stop(caller)
         rules = self._rules.rules
         if rules is None:
             return self._refusal(caller, 'no_rules')
@@ -107,24 +131,34 @@
             return HttpResponse(STATUS_NOT_FOUND, [], b'no route\n')
         if len(caller.request.body) > rules.limits.body_bytes:
             return HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n')
+        origin = self._guard.tree.origin(caller.request_id, rule.priority)
+        if not origin.is_inner and not self._admission.admits(
+            rule, caller.time_left_ms
+        ):
+            share = self._admission.share(rule)
+            return self._refusal(caller, 'overloaded_below', share)
         progress = RequestProgress(
             request=caller.request,
             request_id=caller.request_id,
             rule=rule,
             service=self._split.pick(rule),
-            origin=self._guard.tree.origin(caller.request_id, rule.priority),
+            origin=origin,
             deadline_ms=min(_deadline_ms(caller, rule), self._end_ms),
         )
-        if not progress.origin.is_inner and not self._admission.admits(
-            rule, caller.time_left_ms
-        ):
-            share = self._admission.share(rule)
-            return self._refusal(caller, 'overloaded_below', share)
+        return AdmittedRequest(caller, progress)
+
+    async def run(self, admitted: AdmittedRequest) -> HttpResponse:
+        """Return the response of an upstream, or that of a failure.
+
+        Args:
+            admitted: The request.
+        """
+        caller, progress = admitted.caller, admitted.progress
         response = await self._dispatcher.run(progress)
         if response is None:
             response = self._failure(caller, progress)
         spent_ms = self._clock.now_ms() - caller.arrived_ms
-        self._metrics.on_request(rule.name, str(response.status), spent_ms)
+        self._metrics.on_request(progress.rule.name, str(response.status), spent_ms)
         return response
 
     def _refusal(
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -32,7 +32,6 @@
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
-from gentianmill_mesh.time_limit import within
 from gentianmill_node.background import repeat, spawn
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import WebServer
@@ -63,6 +62,9 @@
 """Ticks between two log lines about duplicate attempts: 1 s, fine enough to see when a
 budget was used."""
 
+TIMEOUT_TICKS = 4
+"""Ticks between two checks of idle callers: 1 s, fine enough for limits of seconds."""
+
 FORGET_TICKS = 240
 """Ticks between two cleanups of removed nodes: 1 min; 230 are replaced a day."""
 
@@ -155,7 +157,9 @@
             self._metrics,
             self._clock,
         )
-        self._entry = EntryListener(self._forwarder, settings.names, self._clock)
+        self._entry = EntryListener(
+            self._forwarder, settings.names, settings.read_ahead, self._clock
+        )
         self._guard.crashes.set_announcer(self._announce_crash)
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
@@ -179,7 +183,7 @@
         settings = self._settings
         await self._links.start()
         await self._listen('relay', self._relay.app(), settings.relay)
-        await self._listen('entry', self._entry.server(), settings.entry)
+        await self._entry.listen(settings.entry)
         readiness = web.Application()
         readiness.router.add_get(settings.readiness_path, self._serve_readiness)
         await self._listen('readiness', readiness, settings.readiness)
@@ -237,6 +241,7 @@
         """Close everything immediately."""
         for task in self._tasks:
             task.cancel()
+        self._entry.abort()
         await self._source.close()
         await self._registry.close()
         await asyncio.gather(self._relay.close(), self._links.close())
@@ -256,12 +261,8 @@
         requests would accept new ones until the deadline and abort them then. The
         links stay open meanwhile, as requests that were read need them.
         """
-        await self._web.stop_accepting('entry')
         left_ms = max(deadline_ms - self._clock.now_ms(), 0)
-        try:
-            await within(self._web.stop('entry'), left_ms / MS_PER_S)
-        except TimeoutError:
-            log.warning('Requests are cut.', requests=self._entry.running)
+        await self._entry.drain(left_ms / MS_PER_S)
 
     def _announce_crash(self, digests: list[bytes], cleared: bool) -> None:
         update = CrashNews(digests=digests, cleared=cleared)
@@ -277,6 +278,8 @@
         if not self._ticks % ARRIVAL_LOG_TICKS:
             self._arrival_log.write()
             self._share_slack()
+        if not self._ticks % TIMEOUT_TICKS:
+            self._entry.check_timeouts()
         if not self._ticks % FORGET_TICKS:
             self._forget_removed_nodes()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -27,6 +27,20 @@
         return cls(host, int(port))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAheadSettings:
+    """Bounds on what is read on a caller's connection ahead of its first open response.
+
+    At a bound, the connection is not read until a response was sent.
+    """
+
+    requests: int = 16
+    """Requests without a response."""
+
+    bytes: int = 1024 * 1024
+    """Bytes of the bodies of these requests, and of responses that wait for others."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshSettings:
     """Settings that a node reads when it starts."""
@@ -48,3 +62,4 @@
     """Time from the stop signal until the process is killed."""
 
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    read_ahead: ReadAheadSettings = ReadAheadSettings()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
@@ -41,6 +41,16 @@
     not_run: bytes
     """Marks the response of an upstream that did not run the request."""
 
+    @property
+    def request_id_text(self) -> str:
+        """Return the name of the header with the id of an attempt."""
+        return self.request_id.decode()
+
+    @property
+    def time_left_text(self) -> str:
+        """Return the name of the header with the time for which the sender waits."""
+        return self.time_left.decode()
+
     def forwarded_request(self, headers: HeaderPairs) -> list[list[bytes]]:
         """Return the headers of a request that are forwarded unchanged.
 
