--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -181,8 +181,8 @@
     async def start(self) -> None:
         """Open the listeners and start to receive routing rules and node records."""
         settings = self._settings
-        await self._links.start()
-        await self._listen('relay', self._relay.app(), settings.relay)
+        self._links.start()
+        await self._relay.listen(settings.relay)
         await self._entry.listen(settings.entry)
         readiness = web.Application()
         readiness.router.add_get(settings.readiness_path, self._serve_readiness)
@@ -244,7 +244,8 @@
         self._entry.abort()
         await self._source.close()
         await self._registry.close()
-        await asyncio.gather(self._relay.close(), self._links.close())
+        self._relay.close()
+        await self._links.close()
         self._pool.close()
 
     async def _wait_until_idle(self, deadline_ms: float) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -2,25 +2,18 @@
 
 import abc
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable, Coroutine, Iterator
-
-import aiohttp
+from collections.abc import Callable, Iterator
 
 from gentianmill.clock import Clock
-from gentianmill.errors import GentianmillError
 from gentianmill.node_table import NodeRecord
+from gentianmill_mesh.frame_handshake import open_frames
+from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.relay_codec import RelayFrame, encode
 from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
-from gentianmill_mesh.relay_server import (
-    CLOSE_TIMEOUT_S,
-    MAX_FRAME_BYTES,
-    RELAY_PATH,
-)
-from gentianmill_mesh.send_now import start_sending
+from gentianmill_mesh.relay_server import RELAY_PATH
 from gentianmill_mesh.link_liveness import LinkLiveness
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_mesh.time_limit import within
@@ -53,7 +46,6 @@
     """State that all links of a node share."""
 
     identity: NodeIdentity
-    session: aiohttp.ClientSession
     clock: Clock
     keys: Iterator[int]
     names: WireNames
@@ -102,23 +94,18 @@
         self._record = record
         self._context = context
         self._listener = listener
-        self._socket: aiohttp.ClientWebSocketResponse | None = None
+        self._channel: _Channel | None = None
         self._peer: NodeIdentity | None = None
         self._closed = False
         self._opening: asyncio.Task[None] | None = None
-        self._reader: asyncio.Task[None] | None = None
         self._reconnecting: asyncio.Task[None] | None = None
-        self._closing: asyncio.Future[None] | None = None
         self._recovery: asyncio.Future[None] | None = None
-        self._watch: LinkLiveness | None = None
-        self._pongs: dict[bytes, asyncio.Future[None]] = {}
-        self._ping_keys = itertools.count(1)
         self._last_used_ms = -math.inf
 
     @property
     def connected(self) -> bool:
         """Return whether frames can be sent."""
-        return self._socket is not None and not self._socket.closed
+        return self._channel is not None and not self._channel.closed
 
     @property
     def closed(self) -> bool:
@@ -132,31 +119,22 @@
 
     def send(self, frame: RelayFrame) -> bool:
         """Send a frame if the connection is open, and return whether it is."""
-        socket = self._socket
-        if socket is None:
+        channel = self._channel
+        if channel is None:
             return False
         self._last_used_ms = self._context.clock.now_ms()
-        self._write(socket.send_bytes(encode(frame)))
-        if self._watch is not None:
-            self._watch.on_sent()
+        channel.send(encode(frame))
         return True
 
     async def confirm(self) -> bool:
         """Return whether all frames so far arrived; drop a connection that is silent."""
-        socket = self._socket
-        if socket is None:
-            return False
-        key = b'%d' % next(self._ping_keys)
-        self._pongs[key] = asyncio.get_running_loop().create_future()
-        self._write(socket.ping(key))
-        try:
-            await within(self._pongs[key], CONFIRM_TIMEOUT_S)
-        except TimeoutError:
-            self._drop(socket)
+        channel = self._channel
+        if channel is None:
             return False
-        finally:
-            self._pongs.pop(key, None)
-        return True
+        if await channel.confirm():
+            return True
+        self._drop(channel)
+        return False
 
     async def connect(self) -> bool:
         """Connect, or join an attempt that is in progress; return whether it succeeded."""
@@ -164,7 +142,7 @@
             self._opening = asyncio.ensure_future(self._open())
         try:
             await asyncio.shield(self._opening)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (OSError, TimeoutError) as error:
             self._start_reconnecting(error)
             return False
         return self.connected
@@ -172,13 +150,11 @@
     async def close(self) -> None:
         """Close the connection permanently."""
         self._closed = True
-        for task in (self._opening, self._reader, self._reconnecting, self._recovery):
+        for task in (self._opening, self._reconnecting, self._recovery):
             if task is not None:
                 task.cancel()
-        if self._watch is not None:
-            self._watch.stop()
-        if self._socket is not None:
-            await _close(self._socket)
+        if self._channel is not None:
+            self._channel.close()
 
     def _start_reconnecting(self, error: Exception) -> None:
         if self.unreachable or self._closed:
@@ -199,96 +175,149 @@
     async def _open(self) -> None:
         if self.connected:
             return
-        url = f'http://{self._record.host}:{self._record.relay_port}{RELAY_PATH}'
-        connecting = self._context.session.ws_connect(
-            url,
-            headers=self._context.identity.headers() | {PEER_HEADER: self._record.name},
-            max_msg_size=MAX_FRAME_BYTES,
-            compress=0,
-            autoping=False,
-            timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
+        channel = _Channel(
+            self._context.clock, self._listener, self._drop, self._on_lost
         )
-        socket = await within(connecting, CONNECT_TIMEOUT_S)
-        peer = NodeIdentity.from_headers(socket._response.headers)  # noqa: SLF001
+        opening = open_frames(
+            self._record.host,
+            self._record.relay_port,
+            RELAY_PATH,
+            self._context.identity.headers() | {PEER_HEADER: self._record.name},
+            channel,
+        )
+        socket, headers = await within(opening, CONNECT_TIMEOUT_S)
+        channel.open(socket)
+        peer = NodeIdentity.from_headers(headers)
         if peer != self._peer:
             self._listener.on_peer_restarted()
         self._peer = peer
-        self._socket = socket
+        self._channel = channel
         self._last_used_ms = self._context.clock.now_ms()
-        self._watch = LinkLiveness(
-            self._context.clock,
-            lambda: self._socket is socket and self._listener.busy,
-            lambda: self._write(socket.ping()),
-            lambda: self._drop(socket),
-        )
-        self._reader = spawn(self._read(socket, self._watch), 'read link')
-        self._close_later(socket, IDLE_MS)
+        self._close_later(channel, IDLE_MS)
 
-    def _write(self, sending: Coroutine[object, object, None]) -> None:
-        try:
-            start_sending(sending)
-        except (ConnectionError, RuntimeError, aiohttp.ClientError) as error:
-            # The reader ends too and handles the loss.
-            log.info('Link broke.', peer=self._record.name, error=repr(error))
+    def _on_lost(self, channel: '_Channel') -> None:
+        if self._channel is channel:
+            self._channel = None
+            self._recover()
 
-    async def _read(
-        self, socket: aiohttp.ClientWebSocketResponse, watch: LinkLiveness
-    ) -> None:
-        try:
-            async for message in socket:
-                watch.on_received()
-                if message.type is aiohttp.WSMsgType.BINARY:
-                    self._listener.on_message(message.data)
-                elif message.type is aiohttp.WSMsgType.PONG:
-                    self._on_pong(bytes(message.data))
-                else:
-                    break
-        except GentianmillError as error:
-            log.warning('Link closed.', peer=self._record.name, error=str(error))
-        except Exception:
-            # The link must not stay open without a reader.
-            log.exception('Link closed after a fault.', peer=self._record.name)
-        watch.stop()
-        is_current = self._socket is socket
-        if is_current:
-            self._socket = None
-        await _close(socket)
-        if is_current and not self._closed:
-            await self._listener.on_connection_lost()
-
-    def _on_pong(self, key: bytes) -> None:
-        confirmed = self._pongs.get(key)
-        if confirmed is not None and not confirmed.done():
-            confirmed.set_result(None)
-
-    def _drop(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+    def _drop(self, channel: '_Channel') -> None:
         """Drop a connection whose peer is unresponsive."""
-        if self._socket is not socket or self._closed:
+        if self._channel is not channel or self._closed:
             return
         log.info('Link silent.', peer=self._record.name)
-        self._socket = None
-        self._closing = spawn(_close(socket), 'close link')
-        self._recovery = spawn(self._listener.on_connection_lost(), 'recover link')
+        self._channel = None
+        channel.abort()
+        self._recover()
 
-    def _close_later(
-        self, socket: aiohttp.ClientWebSocketResponse, pause_ms: float
-    ) -> None:
+    def _recover(self) -> None:
+        if not self._closed:
+            self._recovery = spawn(self._listener.on_connection_lost(), 'recover link')
+
+    def _close_later(self, channel: '_Channel', pause_ms: float) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(pause_ms / MS_PER_S, self._close_if_idle, socket)
+        loop.call_later(pause_ms / MS_PER_S, self._close_if_idle, channel)
 
-    def _close_if_idle(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+    def _close_if_idle(self, channel: '_Channel') -> None:
         """Close a connection that is idle; the next call opens another."""
-        if self._socket is not socket:
+        if self._channel is not channel:
             return
         idle_ms = self._context.clock.now_ms() - self._last_used_ms
         if self._listener.busy or idle_ms < IDLE_MS:
-            self._close_later(socket, max(IDLE_MS - idle_ms, IDLE_MS / 2))
+            self._close_later(channel, max(IDLE_MS - idle_ms, IDLE_MS / 2))
             return
-        self._socket = None
-        self._closing = spawn(_close(socket), 'close link')
+        self._channel = None
+        channel.close()
 
 
-async def _close(socket: aiohttp.ClientWebSocketResponse) -> None:
-    """Close a connection; abort it if the peer does not read."""
-    with contextlib.suppress(TimeoutError):
-        await within(socket.close(), 2 * CLOSE_TIMEOUT_S)
+class _Channel(FrameReceiver):
+    """One open connection, and the watch for its silence."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        listener: ConnectionListener,
+        on_silent: Callable[['_Channel'], None],
+        on_lost: Callable[['_Channel'], None],
+    ) -> None:
+        self._listener = listener
+        self._on_lost = on_lost
+        self._socket: FrameSocket | None = None
+        self._pongs: dict[bytes, asyncio.Future[None]] = {}
+        self._ping_keys = itertools.count(1)
+        self._watch = LinkLiveness(
+            clock,
+            lambda: not self.closed and listener.busy,
+            self._ping,
+            lambda: on_silent(self),
+        )
+
+    @property
+    def closed(self) -> bool:
+        """Return whether nothing can be sent."""
+        return self._socket is None or self._socket.closed
+
+    def open(self, socket: FrameSocket) -> None:
+        """Use a connection after its handshake."""
+        self._socket = socket
+
+    def send(self, message: bytes) -> None:
+        """Send a message; if the connection broke, its loss is handled elsewhere."""
+        self._attempt(lambda socket: socket.send(message))
+        self._watch.on_sent()
+
+    async def confirm(self) -> bool:
+        """Return whether the peer responds to a ping, and thus got all before it."""
+        key = b'%d' % next(self._ping_keys)
+        self._pongs[key] = asyncio.get_running_loop().create_future()
+        self._ping(key)
+        try:
+            await within(self._pongs[key], CONFIRM_TIMEOUT_S)
+        except TimeoutError:
+            # The caller drops the connection, which is logged.
+            return False
+        finally:
+            self._pongs.pop(key, None)
+        return True
+
+    def close(self) -> None:
+        """Close the connection when all messages were sent."""
+        self._watch.stop()
+        if self._socket is not None:
+            self._socket.close()
+
+    def abort(self) -> None:
+        """Close the connection immediately."""
+        self._watch.stop()
+        if self._socket is not None:
+            self._socket.abort()
+
+    def on_received(self) -> None:
+        """Record a sign of life."""
+        self._watch.on_received()
+
+    def on_message(self, message: bytes) -> None:
+        """Pass a message on."""
+        self._listener.on_message(message)
+
+    def on_pong(self, key: bytes) -> None:
+        """End the wait for a pong."""
+        confirmed = self._pongs.get(key)
+        if confirmed is not None and not confirmed.done():
+            confirmed.set_result(None)
+
+    def on_closed(self) -> None:
+        """Report the end of the connection."""
+        self._watch.stop()
+        self._on_lost(self)
+
+    def _ping(self, key: bytes = b'') -> None:
+        self._attempt(lambda socket: socket.ping(key))
+
+    def _attempt(self, action: Callable[[FrameSocket], None]) -> None:
+        if self._socket is None:
+            return
+        try:
+            action(self._socket)
+        except ConnectionError as error:
+            # The end of the connection is reported, too, which handles the loss.
+            log.info('Link broke.', error=repr(error))
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import aiohttp
-
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import RulesRequest
@@ -51,16 +49,10 @@
         self._context: RelayContext | None = None
         self._requested_versions: set[int] = set()
 
-    async def start(self) -> None:
-        """Open the session that creates connections."""
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
-        )
+    def start(self) -> None:
+        """Make links possible; call it while the event loop runs."""
         self._context = RelayContext(
             identity=self._identity,
-            session=session,
             clock=self._clock,
             keys=new_call_keys(),
             names=self._names,
@@ -71,8 +63,6 @@
     async def close(self) -> None:
         """Close all links."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
-        if self._context is not None:
-            await self._context.session.close()
 
     def to(self, record: NodeRecord) -> RelayLink:
         """Return the link to a node."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -2,13 +2,11 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-
-from aiohttp import WSMsgType, web
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
 
 from gentianmill.arrivals import Cause
 from gentianmill.clock import Clock
-from gentianmill.errors import GentianmillError
 from gentianmill.relay_messages import (
     CrashNews,
     NodeNews,
@@ -18,23 +16,19 @@
     RulesReply,
     RulesRequest,
 )
+from gentianmill_mesh.frame_handshake import FrameAcceptor, accept_frames
+from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
+from gentianmill_mesh.mesh_settings import Address
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
 from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
-from gentianmill_mesh.send_now import start_sending
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames, compact_headers
 from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
-
-MAX_FRAME_BYTES = 80 * 1024 * 1024
-"""Longest message: the largest body that callers may send, plus headers."""
-
-CLOSE_TIMEOUT_S = 0.2
-"""Time for the other node to confirm the close of a connection; the round trip between
-regions takes 60 ms. The 10 s of aiohttp exceed the time for a stop."""
+from gentianmill_node.web_server import BACKLOG
 
 SENDER_TIMEOUT_MS = 3000.0
 """Time without frames after which a sender that awaits responses counts as lost: it
@@ -85,16 +79,16 @@
         """Number of calls that have not ended."""
 
         self.last_received_ms = float(0)
-        self.socket: web.WebSocketResponse | None = None
+        self.socket: FrameSocket | None = None
         self.expiry: asyncio.TimerHandle | None = None
 
-    def attach(self, socket: web.WebSocketResponse) -> None:
+    def attach(self, socket: FrameSocket) -> None:
         self.socket = socket
         if self.expiry is not None:
             self.expiry.cancel()
             self.expiry = None
 
-    def detach(self, socket: web.WebSocketResponse) -> None:
+    def detach(self, socket: FrameSocket) -> None:
         if self.socket is not socket:
             return
         self.socket = None
@@ -125,7 +119,7 @@
                 job.task.cancel()
 
 
-class RelayServer:
+class RelayServer(FrameAcceptor):
     """Accept the links of other nodes and run their calls."""
 
     def __init__(
@@ -164,19 +158,62 @@
         self._request_id = names.request_id
         self._clock = clock
         self._senders: dict[NodeIdentity, _Sender] = {}
-        self._sockets: set[web.WebSocketResponse] = set()
-        self._closing: asyncio.Future[bool] | None = None
+        self._sockets: set[FrameSocket] = set()
+        self._server: asyncio.Server | None = None
 
     @property
     def busy(self) -> bool:
         """Return whether a call of another node has not ended."""
         return any(sender.running for sender in self._senders.values())
 
-    def app(self) -> web.Application:
-        """Return the web application of the listener."""
-        app = web.Application()
-        app.router.add_get(RELAY_PATH, self._accept)
-        return app
+    @property
+    def response_headers(self) -> Mapping[str, str]:
+        """Return the headers that identify this node."""
+        return self._identity.headers()
+
+    async def listen(self, address: Address) -> None:
+        """Accept connections.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: accept_frames(RELAY_PATH, self),
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+        )
+
+    def refusal(self, headers: Mapping[str, str]) -> HTTPStatus | None:
+        """Return the status with which a handshake is refused, or None."""
+        identity = NodeIdentity.from_headers(headers)
+        if identity is None:
+            log.info('Link without a node.')
+            return HTTPStatus.BAD_REQUEST
+        intended = headers.get(PEER_HEADER)
+        if intended not in {None, self._identity.name}:
+            # A second link of the same process would receive the responses of the first.
+            log.info('Link for another node.', peer=identity.name, meant=intended)
+            return HTTPStatus.MISDIRECTED_REQUEST
+        return None
+
+    def receiver(self, headers: Mapping[str, str]) -> '_SenderLink':
+        """Return the receiver of a connection that is accepted.
+
+        Raises:
+            ValueError: If the handshake names no node.
+        """
+        identity = NodeIdentity.from_headers(headers)
+        if identity is None:
+            raise ValueError('the handshake names no node')
+        sender = self._senders.setdefault(identity, _Sender(identity.name))
+        return _SenderLink(sender, self._clock, self._handle, self._on_closed)
+
+    def opened(self, receiver: FrameReceiver, socket: FrameSocket) -> None:
+        """Use a connection that was accepted."""
+        if isinstance(receiver, _SenderLink):
+            receiver.open(socket)
+            self._sockets.add(socket)
 
     def forget_departed_senders(self) -> None:
         """Forget senders that are disconnected and have no calls here."""
@@ -194,58 +231,21 @@
             if sender.socket is None or now_ms - sender.last_received_ms < timeout_ms:
                 continue
             log.info('Sender silent.', peer=identity.name, running=sender.running)
-            self._closing = spawn(sender.socket.close(), 'close link')
-            sender.detach(sender.socket)
-
-    async def close(self) -> None:
-        """Close all links."""
-        await asyncio.gather(*(socket.close() for socket in tuple(self._sockets)))
-
-    async def _accept(self, request: web.Request) -> web.WebSocketResponse:
-        identity = NodeIdentity.from_headers(request.headers)
-        if identity is None:
-            raise web.HTTPBadRequest(text='the handshake names no node')
-        intended = request.headers.get(PEER_HEADER)
-        if intended not in {None, self._identity.name}:
-            # A second link of the same process would receive the responses of the first.
-            log.info('Link for another node.', peer=identity.name, meant=intended)
-            raise web.HTTPMisdirectedRequest(text='this is another node')
-        socket = web.WebSocketResponse(
-            timeout=CLOSE_TIMEOUT_S,
-            max_msg_size=MAX_FRAME_BYTES,
-            compress=False,
-            autoping=False,
-        )
-        socket.headers.update(self._identity.headers())
-        await socket.prepare(request)
-        sender = self._senders.setdefault(identity, _Sender(identity.name))
-        sender.attach(socket)
-        sender.last_received_ms = self._clock.now_ms()
-        self._sockets.add(socket)
-        try:
-            await self._serve(sender, socket, identity.name)
-        finally:
+            silent = sender.socket
+            sender.detach(silent)
+            silent.abort()
+
+    def close(self) -> None:
+        """Close all links, and accept no more."""
+        if self._server is not None:
+            self._server.close()
+        for socket in tuple(self._sockets):
+            socket.close()
+
+    def _on_closed(self, sender: _Sender, socket: FrameSocket | None) -> None:
+        if socket is not None:
             self._sockets.discard(socket)
             sender.detach(socket)
-        return socket
-
-    async def _serve(
-        self, sender: _Sender, socket: web.WebSocketResponse, peer: str
-    ) -> None:
-        try:
-            async for message in socket:
-                sender.last_received_ms = self._clock.now_ms()
-                if message.type is WSMsgType.BINARY:
-                    self._handle(sender, decode(message.data, peer))
-                elif message.type is WSMsgType.PING:
-                    start_sending(socket.pong(message.data))
-                else:
-                    break
-        except ConnectionError as error:
-            log.info('Link broke.', peer=peer, error=repr(error))
-        except GentianmillError as error:
-            log.warning('Link closed.', peer=peer, error=str(error))
-            await socket.close()
 
     def _handle(self, sender: _Sender, frame: RelayFrame) -> None:
         handle = self._handlers.get(type(frame))
@@ -268,7 +268,7 @@
             self._on_version(sender.name, frame.known_version)
         elif frame.known_version < self._rules.version:
             reply = RulesReply(self._rules.version, self._rules.document)
-            spawn(_send(sender, reply), 'send rules')
+            _send(sender, reply)
 
     def _start(self, sender: _Sender, frame: RelayCall) -> None:
         known = sender.jobs.get(frame.key)
@@ -277,7 +277,7 @@
             sender.jobs[frame.key] = _Job(frame.repeatable, task)
             sender.running += 1
         elif known.response is not None:
-            spawn(_send(sender, known.response), 'send response')
+            _send(sender, known.response)
 
     async def _run(self, sender: _Sender, frame: RelayCall) -> None:
         reply = GuardReply.unknown('cancelled')
@@ -292,7 +292,7 @@
         job = sender.jobs[frame.key]
         job.response = response
         sender.end(frame.key, self._clock.now_ms())
-        await _send(sender, response)
+        _send(sender, response)
 
     def _relay_answer(
         self, frame: RelayCall, reply: GuardReply, arrived_ms: float
@@ -333,10 +333,48 @@
     )
 
 
-async def _send(sender: _Sender, frame: RelayAnswer | RulesReply) -> None:
+class _SenderLink(FrameReceiver):
+    """The connection of a sender."""
+
+    def __init__(
+        self,
+        sender: _Sender,
+        clock: Clock,
+        handle: Callable[[_Sender, RelayFrame], None],
+        on_closed: Callable[[_Sender, FrameSocket | None], None],
+    ) -> None:
+        self._sender = sender
+        self._clock = clock
+        self._handle = handle
+        self._on_closed = on_closed
+        self._socket: FrameSocket | None = None
+
+    def open(self, socket: FrameSocket) -> None:
+        """Use a connection after its handshake."""
+        self._socket = socket
+        self._sender.attach(socket)
+        self.on_received()
+
+    def on_received(self) -> None:
+        """Record a sign of life."""
+        self._sender.last_received_ms = self._clock.now_ms()
+
+    def on_message(self, message: bytes) -> None:
+        """Handle a frame of the sender."""
+        self._handle(self._sender, decode(message, self._sender.name))
+
+    def on_pong(self, key: bytes) -> None:
+        """Do nothing, as this side does not ping."""
+
+    def on_closed(self) -> None:
+        """Report the end of the connection."""
+        self._on_closed(self._sender, self._socket)
+
+
+def _send(sender: _Sender, frame: RelayAnswer | RulesReply) -> None:
     if sender.socket is None:
         return
     try:
-        await sender.socket.send_bytes(encode(frame))
-    except (ConnectionError, RuntimeError) as error:
+        sender.socket.send(encode(frame))
+    except ConnectionError as error:
         log.info('Reply not sent, the link is closed.', error=repr(error))
