--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -93,6 +93,7 @@
         self._skipped = 0
         self._exchange_count = 0
         self._echoes_ids = False
+        self._parses_bodies = False
 
     @property
     def reusable(self) -> bool:
@@ -131,16 +132,10 @@
         self._head_bytes = 0
         self._skipped = 0
         self._waiter = self._loop.create_future()
-        self._parser = HttpResponseParser(
-            self,
-            self._loop,
-            READ_LIMIT_BYTES,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            response_with_body=request.method != 'HEAD',
-            read_until_eof=True,
-            auto_decompress=False,
-        )
+        has_body = request.method != 'HEAD'
+        if self._parser is None or self._parses_bodies is not has_body:
+            self._parses_bodies = has_body
+            self._parser = _response_parser(self, self._loop, has_body=has_body)
         self.transport.write(head + request.body)
         timer = self._loop.call_later(
             timeout_s, self._fail, LossKind.timed_out, 'the request timed out'
@@ -215,7 +210,6 @@
     def _end_exchange(self) -> None:
         self._memory.release(self)
         self._waiter = None
-        self._parser = None
 
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -292,6 +286,21 @@
             self.transport.abort()
 
 
+def _response_parser(
+    protocol: BaseProtocol, loop: asyncio.AbstractEventLoop, *, has_body: bool
+) -> HttpResponseParser:
+    return HttpResponseParser(
+        protocol,
+        loop,
+        READ_LIMIT_BYTES,
+        max_line_size=MAX_FIELD_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        response_with_body=has_body,
+        read_until_eof=True,
+        auto_decompress=False,
+    )
+
+
 def _chunks(payload: StreamReader) -> list[bytes]:
     chunks = []
     while chunk := payload.read_nowait(-1):
