--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -26,9 +26,10 @@
 from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
-from gentianmill_mesh.relay_server import RelayServer
+from gentianmill_mesh.relay_server import RelayServer, StateExchange
 from gentianmill_mesh.rules_gossip import RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.store_following import StoreFollowing
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
@@ -117,7 +118,15 @@
             settings.retry_budget,
         )
         self._links = RelayLinks(
-            self._identity, rules, self._table, settings.names, self._clock
+            self._identity,
+            settings.region,
+            rules,
+            self._table,
+            settings.names,
+            self._clock,
+        )
+        self._following = StoreFollowing(
+            self._own, self._table, self._links, rules, self._clock
         )
         peers = RandomPeers(
             settings.node,
@@ -126,7 +135,9 @@
             random.Random(),  # noqa: S311
         )
         self._gossip = NodeGossip(self._table, self._links, peers)
-        rules.on_change(RulesGossip(peers, self._links).announce)
+        rules.on_change(
+            RulesGossip(peers, self._links, settings.region, self._following).announce
+        )
         self._table.keep_deleted_if(self._links.is_connected)
         self._reaper = NodeReaper(
             settings.node, self._table, self._links, registry, self._clock
@@ -137,8 +148,12 @@
             rules,
             settings.names,
             self._clock,
-            self._gossip.apply,
-            self._links.on_peer_version,
+            StateExchange(
+                self._gossip.apply,
+                self._links.on_peer_version,
+                self._following.status,
+                self._gossip.latest_for,
+            ),
         )
         self._dispatcher = Dispatcher(
             self._table,
@@ -181,7 +196,7 @@
     async def start(self) -> None:
         """Open the listeners and start to receive routing rules and node records."""
         settings = self._settings
-        self._links.start()
+        self._links.start(self._following.on_status, self._gossip.apply)
         await self._relay.listen(settings.relay)
         await self._entry.listen(settings.entry)
         readiness = web.Application()
@@ -190,8 +205,16 @@
         metrics = web.Application()
         metrics.router.add_get(METRICS_PATH, self._serve_metrics)
         await self._listen('metrics', metrics, settings.metrics)
-        await self._source.start(self._rules)
-        await self._registry.start(self._table, self._gossip.announce)
+        following = self._following
+        await self._source.start(
+            self._rules, following.rules_turns, following.rules_confirmed
+        )
+        await self._registry.start(
+            self._table,
+            self._gossip.announce,
+            following.nodes_turns,
+            following.nodes_confirmed,
+        )
         self._tasks = [
             repeat(self._tick, TICK_S, 'tick'),
             repeat(self._reap, REAP_INTERVAL_S, 'reap'),
@@ -274,6 +297,7 @@
     def _tick(self) -> None:
         self._ticks += 1
         self._suspension.check()
+        self._following.check()
         self._guard.check()
         self._relay.check()
         if not self._ticks % ARRIVAL_LOG_TICKS:
@@ -352,6 +376,21 @@
                 'Time in ms since the source of the rules last answered.',
                 self._source.silent_ms,
             ),
+            (
+                'rules_age_ms',
+                'Time in ms since the rules were known to be the newest.',
+                self._following.rules_age_ms,
+            ),
+            (
+                'nodes_age_ms',
+                'Time in ms since the node records were known to be the newest.',
+                self._following.nodes_freshness().age_ms,
+            ),
+            (
+                'follower',
+                'Whether this node asks the store on behalf of others.',
+                int(self._following.is_follower),
+            ),
             ('entry_running', 'Requests of callers under way.', self._entry.running),
             ('upstream_connections', 'Connections opened.', self._pool.opened),
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -25,6 +25,10 @@
 NEXT_FANOUT = 3
 """Nodes to which each receiver sends a new record; about 1 in 20 nodes is missed."""
 
+MAX_LATEST = 32
+"""Records that are sent to a node that lacks some: more than change within the seconds in
+which a difference is found, about 3 KB."""
+
 log = component('gossip')
 
 
@@ -74,6 +78,16 @@
         if changed:
             self._send(changed, NEXT_FANOUT)
 
+    def latest_for(self, digest: int) -> NodeNews | None:
+        """Return the records that changed last, for a node that lacks some.
+
+        Args:
+            digest: Digest of the records that it knows; nothing is sent if it is the own.
+        """
+        if digest == self._table.digest:
+            return None
+        return NodeNews([_entry(record) for record in self._table.latest(MAX_LATEST)])
+
     def _send(self, records: Sequence[NodeRecord], fanout: int) -> None:
         update = NodeNews([_entry(record) for record in records])
         for node in self._peers.choose(fanout):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -7,6 +7,19 @@
 from gentianmill_mesh.rules_holder import RulesHolder
 
 
+class PollTurns(abc.ABC):
+    """Decides when a platform's store is polled, as nodes follow it together."""
+
+    @property
+    @abc.abstractmethod
+    def is_urgent(self) -> bool:
+        """Return whether the next poll should be answered without waiting for a change."""
+
+    @abc.abstractmethod
+    async def until_due(self) -> None:
+        """Wait until this node must poll; others may confirm meanwhile what it knows."""
+
+
 class RulesSource(abc.ABC):
     """Deliver each new version of the routing rules."""
 
@@ -16,8 +29,20 @@
         """Return the time since the source last answered, or since the start, in ms."""
 
     @abc.abstractmethod
-    async def start(self, holder: RulesHolder) -> None:
-        """Start to offer rules to a holder; return before the first rules arrive."""
+    async def start(
+        self,
+        holder: RulesHolder,
+        turns: PollTurns,
+        on_confirmed: Callable[[float], None],
+    ) -> None:
+        """Start to offer rules to a holder; return before the first rules arrive.
+
+        Args:
+            holder: Receives each version.
+            turns: Decides when to poll.
+            on_confirmed: Called after each poll, with a time in ms, by the clock of the
+                node, at which there was no newer version.
+        """
 
     @abc.abstractmethod
     def refresh(self) -> None:
@@ -33,7 +58,11 @@
 
     @abc.abstractmethod
     async def start(
-        self, table: NodeTable, on_accepted: Callable[[NodeRecord], None]
+        self,
+        table: NodeTable,
+        on_accepted: Callable[[NodeRecord], None],
+        turns: PollTurns,
+        on_confirmed: Callable[[float], None],
     ) -> None:
         """Start to merge the records of all nodes into a table.
 
@@ -41,6 +70,9 @@
             table: Receives the records.
             on_accepted: Called with each accepted record of this node, with the
                 revision that the registry gave it.
+            turns: Decides when to poll.
+            on_confirmed: Called after each poll, with a time in ms, by the clock of the
+                node, at which there were no other records.
         """
 
     @abc.abstractmethod
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
@@ -1,6 +1,7 @@
 """Random choice of the nodes that gossip is sent to."""
 
 import random
+from collections.abc import Callable
 
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.relay_links import RelayLinks
@@ -27,12 +28,21 @@
         self._links = links
         self._rng = rng
 
-    def choose(self, count: int) -> list[NodeRecord]:
-        """Return up to ``count`` nodes that are not known to be unreachable."""
+    def choose(
+        self, count: int, fits: Callable[[NodeRecord], bool] | None = None
+    ) -> list[NodeRecord]:
+        """Return up to ``count`` nodes that are not known to be unreachable.
+
+        Args:
+            count: Largest number of nodes.
+            fits: Returns whether a node may be chosen; by default all may.
+        """
         others = [
             record
             for record in self._table.records
-            if record.name != self._own_name and self._links.reaches(record)
+            if record.name != self._own_name
+            and self._links.reaches(record)
+            and (fits is None or fits(record))
         ]
         self._rng.shuffle(others)
         others.sort(key=self._links.is_connected, reverse=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -5,6 +5,7 @@
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill.relay_messages import (
     CrashNews,
+    FreshnessStatus,
     NodeNews,
     RelayAnswer,
     RelayCall,
@@ -15,6 +16,7 @@
 
 RelayFrame = (
     CrashNews
+    | FreshnessStatus
     | NodeNews
     | RelayAnswer
     | RelayCall
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -9,6 +9,7 @@
 
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord
+from gentianmill.relay_messages import FreshnessStatus, NodeNews
 from gentianmill_mesh.frame_handshake import open_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.relay_codec import RelayFrame, encode
@@ -51,6 +52,8 @@
     names: WireNames
     on_version: Callable[[NodeRecord, int], None]
     on_rules: Callable[[bytes, str], object]
+    on_status: Callable[[FreshnessStatus, float], None]
+    on_nodes: Callable[[NodeNews], None]
 
 
 class ConnectionListener(abc.ABC):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -9,6 +9,7 @@
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import (
     CrashNews,
+    FreshnessStatus,
     GuardLoad,
     NodeNews,
     RelayAnswer,
@@ -91,6 +92,7 @@
         self._pending: dict[int, _Pending] = {}
         self._connection = RelayConnection(record, context, self)
         self._round_trip = RoundTrip()
+        self._status_asked_ms: float | None = None
 
     @property
     def record(self) -> NodeRecord:
@@ -120,7 +122,7 @@
         Args:
             call: The call.
         """
-        pending = self._new_pending(call)
+        pending = _new_pending(call, self._context)
         key = pending.frame.key
         self._pending[key] = pending
         left_ms = call.deadline_ms - self._context.clock.now_ms()
@@ -154,6 +156,15 @@
                 return
         log.info('Frame not delivered.', peer=self._record.name)
 
+    async def ask_status(self, request: RulesRequest) -> None:
+        """Ask the other node how recent its rules and node records are.
+
+        Args:
+            request: What this node knows; what is newer is sent, too.
+        """
+        self._status_asked_ms = self._context.clock.now_ms()
+        await self.post(request)
+
     def end_overdue_calls(self) -> None:
         """Time out the calls whose deadlines have passed during a suspension."""
         now_ms = self._context.clock.now_ms()
@@ -173,6 +184,12 @@
         if isinstance(frame, RulesReply):
             self._context.on_rules(frame.document, self._record.name)
             return
+        if isinstance(frame, FreshnessStatus):
+            self._on_status(frame)
+            return
+        if isinstance(frame, NodeNews):
+            self._context.on_nodes(frame)
+            return
         if not isinstance(frame, RelayAnswer):
             return
         self._context.on_version(self._record, frame.rules_version)
@@ -180,7 +197,10 @@
         if pending is not None:
             total_ms = self._context.clock.now_ms() - pending.started_ms
             self._round_trip.observe(total_ms, frame.spent_ms)
-            pending.complete(self._reply(frame, pending.frame), frame.load)
+            self._context.on_status(_status(frame), pending.started_ms + frame.spent_ms)
+            pending.complete(
+                _reply(frame, pending.frame, self._context.names.request_id), frame.load
+            )
 
     def on_peer_restarted(self) -> None:
         """Fail the calls that were sent to an earlier incarnation of the other node."""
@@ -204,26 +224,11 @@
                     pending.fail('link_lost')
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
-    def _new_pending(self, call: GuardCall) -> _Pending:
-        request = call.request
-        now_ms = self._context.clock.now_ms()
-        frame = RelayCall(
-            key=next(self._context.keys),
-            service=call.service,
-            method=request.method,
-            target=request.target,
-            headers=request.headers,
-            body=request.body,
-            time_left_ms=int(call.deadline_ms - now_ms),
-            rank=call.rank,
-            patience_ms=int(call.max_wait_ms),
-            repeatable=call.repeatable,
-            caller_service=call.caller_service,
-            route=call.route,
-            cause=call.cause.value,
-        )
-        waiter = asyncio.get_running_loop().create_future()
-        return _Pending(frame, call.deadline_ms, waiter, now_ms)
+    def _on_status(self, status: FreshnessStatus) -> None:
+        """Apply a status that was asked for; without a request its age is unknown."""
+        if self._status_asked_ms is not None:
+            self._context.on_version(self._record, status.rules_version)
+            self._context.on_status(status, self._status_asked_ms)
 
     def _time_out(self, pending: _Pending) -> None:
         self._cancel_remote(pending)
@@ -263,15 +268,6 @@
         if pending.sent:
             self._connection.send(RelayCancel(pending.frame.key))
 
-    def _reply(self, frame: RelayAnswer, call: RelayCall) -> GuardReply:
-        outcome = Outcome(frame.outcome)
-        if outcome is not Outcome.answered:
-            return GuardReply(outcome, reason=frame.reason)
-        request_id = self._context.names.request_id
-        headers = restore_headers(frame.headers, call.headers, request_id)
-        response = HttpResponse(frame.status, headers, frame.body, frame.framed)
-        return GuardReply(outcome, response, frame.reason)
-
 
 def _stop(
     timer: asyncio.TimerHandle, connecting: 'asyncio.Future[None] | None'
@@ -279,3 +275,43 @@
     timer.cancel()
     if connecting is not None:
         connecting.cancel()
+
+
+def _status(answer: RelayAnswer) -> FreshnessStatus:
+    return FreshnessStatus(
+        rules_version=answer.rules_version,
+        rules_age_ms=answer.rules_age_ms,
+        nodes_digest=answer.nodes_digest,
+        nodes_age_ms=answer.nodes_age_ms,
+    )
+
+
+def _new_pending(call: GuardCall, context: RelayContext) -> _Pending:
+    request = call.request
+    now_ms = context.clock.now_ms()
+    frame = RelayCall(
+        key=next(context.keys),
+        service=call.service,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        time_left_ms=int(call.deadline_ms - now_ms),
+        rank=call.rank,
+        patience_ms=int(call.max_wait_ms),
+        repeatable=call.repeatable,
+        caller_service=call.caller_service,
+        route=call.route,
+        cause=call.cause.value,
+    )
+    waiter = asyncio.get_running_loop().create_future()
+    return _Pending(frame, call.deadline_ms, waiter, now_ms)
+
+
+def _reply(frame: RelayAnswer, call: RelayCall, request_id: bytes) -> GuardReply:
+    outcome = Outcome(frame.outcome)
+    if outcome is not Outcome.answered:
+        return GuardReply(outcome, reason=frame.reason)
+    headers = restore_headers(frame.headers, call.headers, request_id)
+    response = HttpResponse(frame.status, headers, frame.body, frame.framed)
+    return GuardReply(outcome, response, frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -1,10 +1,11 @@
 """The links of a node to all others."""
 
 import asyncio
+from collections.abc import Callable
 
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeTable
-from gentianmill.relay_messages import RulesRequest
+from gentianmill.relay_messages import FreshnessStatus, NodeNews, RulesRequest
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_connection import RelayContext
 from gentianmill_mesh.relay_link import RelayLink, new_call_keys
@@ -13,8 +14,7 @@
 from gentianmill_node.background import spawn
 
 RULES_REQUEST_DELAY_S = 0.3
-"""Wait before newer rules are requested from another node; this node's source
-usually delivers them within this time."""
+"""Time in which newer rules usually arrive, from this region or after a request."""
 
 MAX_FAILING_SHARE = 0.5
 """Share of links that may fail; above it this node is more likely disconnected."""
@@ -26,6 +26,7 @@
     def __init__(
         self,
         identity: NodeIdentity,
+        region: str,
         rules: RulesHolder,
         table: NodeTable,
         names: WireNames,
@@ -35,12 +36,14 @@
 
         Args:
             identity: Identity of this node.
+            region: Region of this node.
             rules: Routing rules in force, updated from nodes with newer ones.
             table: The other nodes.
             names: Header names of the deployment.
             clock: Clock of the node.
         """
         self._identity = identity
+        self._region = region
         self._rules = rules
         self._table = table
         self._names = names
@@ -49,8 +52,18 @@
         self._context: RelayContext | None = None
         self._requested_versions: set[int] = set()
 
-    def start(self) -> None:
-        """Make links possible; call it while the event loop runs."""
+    def start(
+        self,
+        on_status: Callable[[FreshnessStatus, float], None],
+        on_nodes: Callable[[NodeNews], None],
+    ) -> None:
+        """Make links possible; call it while the event loop runs.
+
+        Args:
+            on_status: Called with what another node knows, and with a time in ms, by the
+                clock of this node, before which it was not sent.
+            on_nodes: Called with node records of another node.
+        """
         self._context = RelayContext(
             identity=self._identity,
             clock=self._clock,
@@ -58,6 +71,8 @@
             names=self._names,
             on_version=self._on_version,
             on_rules=self._rules.offer,
+            on_status=on_status,
+            on_nodes=on_nodes,
         )
 
     async def close(self) -> None:
@@ -127,10 +142,17 @@
             spawn(self._request_rules(record, version), 'request rules')
 
     async def _request_rules(self, record: NodeRecord, version: int) -> None:
-        await asyncio.sleep(RULES_REQUEST_DELAY_S)
-        self._requested_versions.discard(version)
+        """Request newer rules, at once from this region, else if nobody else brings them.
+
+        Bytes between regions cost more than those from the source.
+        """
+        if record.region != self._region:
+            await asyncio.sleep(RULES_REQUEST_DELAY_S)
         if self._rules.version < version:
-            await self.to(record).post(RulesRequest(self._rules.version))
+            request = RulesRequest(self._rules.version)
+            spawn(self.to(record).post(request), 'request rules')
+            await asyncio.sleep(RULES_REQUEST_DELAY_S)
+        self._requested_versions.discard(version)
 
 
 def _address_changed(known: NodeRecord, record: NodeRecord) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -1,6 +1,7 @@
 """Accepts calls from other nodes for this node's upstream."""
 
 import asyncio
+import dataclasses
 from collections import deque
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
@@ -9,6 +10,7 @@
 from gentianmill.clock import Clock
 from gentianmill.relay_messages import (
     CrashNews,
+    FreshnessStatus,
     NodeNews,
     RelayAnswer,
     RelayCall,
@@ -50,6 +52,23 @@
 log = component('relay')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateExchange:
+    """What nodes tell each other beside calls."""
+
+    on_nodes: Callable[[NodeNews], None]
+    """Called with node records of other nodes."""
+
+    on_version: Callable[[str, int], None]
+    """Called with a node and the version of its rules if it is newer."""
+
+    status: Callable[[], FreshnessStatus]
+    """Returns how recent the rules and records of this node are."""
+
+    news_for: Callable[[int], NodeNews | None]
+    """Returns the latest records for a node whose records have another digest."""
+
+
 class _Job:
     """A call of another node and, once it has ended, its response."""
 
@@ -129,8 +148,7 @@
         rules: RulesHolder,
         names: WireNames,
         clock: Clock,
-        on_nodes: Callable[[NodeNews], None],
-        on_version: Callable[[str, int], None],
+        exchange: 'StateExchange',
     ) -> None:
         """Create a server.
 
@@ -140,11 +158,9 @@
             rules: Routing rules that other nodes may request.
             names: Header names of the deployment.
             clock: Clock of the node.
-            on_nodes: Called with node records of other nodes.
-            on_version: Called with a node and the version of its rules if it is newer.
+            exchange: What nodes tell each other beside calls.
         """
-        self._on_version = on_version
-        self._on_nodes = on_nodes
+        self._exchange = exchange
         self._handlers: dict[type, Callable[..., None]] = {
             RelayCall: self._start,
             RelayCancel: self._cancel,
@@ -261,14 +277,19 @@
         self._guard.crashes.apply_update(frame.digests, frame.cleared)
 
     def _on_node_news(self, _sender: _Sender, frame: NodeNews) -> None:
-        self._on_nodes(frame)
+        self._exchange.on_nodes(frame)
 
     def _on_rules_request(self, sender: _Sender, frame: RulesRequest) -> None:
         if frame.known_version > self._rules.version:
-            self._on_version(sender.name, frame.known_version)
+            self._exchange.on_version(sender.name, frame.known_version)
         elif frame.known_version < self._rules.version:
             reply = RulesReply(self._rules.version, self._rules.document)
             _send(sender, reply)
+        if frame.wants_status:
+            news = self._exchange.news_for(frame.nodes_digest)
+            if news is not None:
+                _send(sender, news)
+            _send(sender, self._exchange.status())
 
     def _start(self, sender: _Sender, frame: RelayCall) -> None:
         known = sender.jobs.get(frame.key)
@@ -298,6 +319,7 @@
         self, frame: RelayCall, reply: GuardReply, arrived_ms: float
     ) -> RelayAnswer:
         response = reply.response
+        status = self._exchange.status()
         return RelayAnswer(
             key=frame.key,
             outcome=reply.outcome.value,
@@ -306,9 +328,12 @@
             body=response.body if response else b'',
             reason=reply.reason,
             framed=response.framed if response else True,
-            rules_version=self._rules.version,
+            rules_version=status.rules_version,
             load=self._guard.load(frame.route),
             spent_ms=int(self._clock.now_ms() - arrived_ms),
+            rules_age_ms=status.rules_age_ms,
+            nodes_digest=status.nodes_digest,
+            nodes_age_ms=status.nodes_age_ms,
         )
 
     def _compact(
@@ -371,7 +396,9 @@
         self._on_closed(self._sender, self._socket)
 
 
-def _send(sender: _Sender, frame: RelayAnswer | RulesReply) -> None:
+def _send(
+    sender: _Sender, frame: RelayAnswer | RulesReply | FreshnessStatus | NodeNews
+) -> None:
     if sender.socket is None:
         return
     try:
--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 import enum
+import itertools
 from collections.abc import Callable, Iterable
 
+from gentianmill.rendezvous import hash_text
+
 MAX_TOMBSTONES = 1024
 """Tombstones to keep, enough for four days at the design size. A record that arrives
 after its tombstone was dropped is added again until its watchers delete it."""
@@ -50,6 +53,7 @@
         self._by_service: dict[str, list[NodeRecord]] = {}
         self._tombstones: dict[str, int] = {}
         self._is_connected: Callable[[NodeRecord], bool] | None = None
+        self._digest = 0
 
     def __len__(self) -> int:
         """Return the number of nodes."""
@@ -60,6 +64,18 @@
         """Return the records of all nodes."""
         return list(self._records.values())
 
+    @property
+    def digest(self) -> int:
+        """Return a digest of the records; that of an empty table is 0.
+
+        Tables with the same nodes and revisions have the same digest.
+        """
+        return self._digest
+
+    def latest(self, count: int) -> list[NodeRecord]:
+        """Return the records that changed last."""
+        return list(itertools.islice(reversed(self._records.values()), count))
+
     def find(self, name: str) -> NodeRecord | None:
         """Return the record of a node, or None."""
         return self._records.get(name)
@@ -79,7 +95,9 @@
         """
         changed = [record for record in records if self._is_new(record)]
         for record in changed:
+            self._drop(record.name)
             self._records[record.name] = record
+            self._digest ^= _record_hash(record)
         if changed:
             self._rebuild_index()
         return changed
@@ -130,10 +148,15 @@
             and not (self._is_connected and self._is_connected(record))
         ]
         for name in purged:
-            self._records.pop(name)
+            self._drop(name)
         if purged:
             self._rebuild_index()
 
+    def _drop(self, name: str) -> None:
+        known = self._records.pop(name, None)
+        if known is not None:
+            self._digest ^= _record_hash(known)
+
     def _is_new(self, record: NodeRecord) -> bool:
         if record.revision < self._tombstones.get(record.name, 0):
             return False
@@ -145,3 +168,7 @@
         for record in self._records.values():
             if record.state is NodeState.serving:
                 self._by_service.setdefault(record.service, []).append(record)
+
+
+def _record_hash(record: NodeRecord) -> int:
+    return hash_text(f'{record.name} {record.revision}')
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -102,6 +102,33 @@
     spent_ms: Annotated[
         int, Meta(description='Time from the arrival of the call to this answer.')
     ]
+    rules_age_ms: (
+        Annotated[
+            int,
+            Meta(
+                description="Time since the sender's rules were known to be the newest, or -1 if unknown."
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    nodes_digest: (
+        Annotated[
+            int,
+            Meta(
+                description='Digest of the node records that the sender knows, or 0 if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    nodes_age_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Time since these were known to be the newest, or -1 if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = -1
 
 
 class RelayCancel(Frame):
@@ -118,6 +145,32 @@
     """
 
     known_version: int
+    wants_status: (
+        Annotated[bool, Meta(description='Whether the sender wants a status, too.')]
+        | UnsetType
+    ) = False
+    nodes_digest: (
+        Annotated[
+            int,
+            Meta(
+                description="Digest of the node records that the sender knows; if the receiver's differs, it sends its latest ones."
+            ),
+        ]
+        | UnsetType
+    ) = 0
+
+
+class FreshnessStatus(Frame):
+    """
+    Tells how recently rules and node records were known to be the newest.
+    """
+
+    rules_version: int
+    rules_age_ms: Annotated[int, Meta(description='Time in ms, or -1 if unknown.')]
+    nodes_digest: Annotated[
+        int, Meta(description='Digest of all node records of the sender.')
+    ]
+    nodes_age_ms: Annotated[int, Meta(description='Time in ms, or -1 if unknown.')]
 
 
 class RulesReply(Frame):
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -14,7 +14,7 @@
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.mesh_node import MeshNode
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
-from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.ports import NodeRegistry, PollTurns, RulesSource
 from gentianmill_mesh.rules_holder import RulesDecoder, RulesHolder
 from gentianmill_node.direct_server import direct_server
 from gentianmill_node.web_server import WebServer
@@ -73,7 +73,12 @@
         """Return 0, as the source always answers."""
         return 0
 
-    async def start(self, holder: RulesHolder) -> None:
+    async def start(
+        self,
+        holder: RulesHolder,
+        _turns: PollTurns,
+        _on_confirmed: Callable[[float], None],
+    ) -> None:
         """Offer the document."""
         if self._document is not None:
             holder.offer(self._document, 'test')
@@ -94,7 +99,11 @@
         self._port = port
 
     async def start(
-        self, table: NodeTable, _on_accepted: Callable[[NodeRecord], None]
+        self,
+        table: NodeTable,
+        _on_accepted: Callable[[NodeRecord], None],
+        _turns: PollTurns,
+        _on_confirmed: Callable[[float], None],
     ) -> None:
         """Add a table."""
         self._tables.append(table)
--- /dev/null
+++ b/tests/poll_turns.py
@@ -0,0 +1,24 @@
+"""Turns of a node that follows the store alone."""
+
+import asyncio
+
+from gentianmill_mesh.ports import PollTurns
+
+PAUSE_S = 0.5
+
+
+class ImmediateTurns(PollTurns):
+    """Let a node poll again after a short pause."""
+
+    @property
+    def is_urgent(self) -> bool:
+        """Return that a poll may wait for a change."""
+        return False
+
+    async def until_due(self) -> None:
+        """Pause."""
+        await asyncio.sleep(PAUSE_S)
+
+
+def ignore_confirmation(_as_of_ms: float) -> None:
+    """Do nothing."""
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -13,6 +13,7 @@
 from node_records import node_record
 from odd_records import NESTED, ODD_ROWS
 from platform_store import FakeStore
+from poll_turns import ImmediateTurns, ignore_confirmation
 
 TIMEOUT_S = 10
 """Ends a scenario that hangs."""
@@ -24,7 +25,9 @@
         table = NodeTable()
         registry = StoreNodes(store.client, BootClock())
         store.put('nodes', 'good', encode_record(node_record('good')))
-        await registry.start(table, lambda _: None)
+        await registry.start(
+            table, lambda _: None, ImmediateTurns(), ignore_confirmation
+        )
         while table.find('good') is None:
             await asyncio.sleep(0.01)
         write_odd_row(store)
@@ -81,7 +84,12 @@
         async with FakeStore() as store:
             table = NodeTable()
             registry = StoreNodes(store.client, BootClock())
-            await registry.start(table, lambda record: table.merge([record]))
+            await registry.start(
+                table,
+                lambda record: table.merge([record]),
+                ImmediateTurns(),
+                ignore_confirmation,
+            )
             registry.publish(own)
             while table.find('own') is None:
                 await asyncio.sleep(0.01)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,6 +13,7 @@
 from mesh_deployment import JsonRules, rules_document
 from node_records import node_record
 from platform_store import FakeStore
+from poll_turns import ImmediateTurns, ignore_confirmation
 
 TIMEOUT_S = 10
 """Ends a scenario that hangs."""
@@ -41,14 +42,19 @@
 async def _follow_rules(store: FakeStore) -> tuple[StoreRules, RulesHolder]:
     holder = RulesHolder(JsonRules())
     source = StoreRules(store.client, BootClock())
-    await source.start(holder)
+    await source.start(holder, ImmediateTurns(), ignore_confirmation)
     return source, holder
 
 
 async def _follow_nodes(store: FakeStore) -> tuple[StoreNodes, NodeTable]:
     registry = StoreNodes(store.client, BootClock())
     table = NodeTable()
-    await registry.start(table, lambda record: table.merge([record]))
+    await registry.start(
+        table,
+        lambda record: table.merge([record]),
+        ImmediateTurns(),
+        ignore_confirmation,
+    )
     return registry, table
 
 
--- /dev/null
+++ b/tests/test_store_following.py
@@ -0,0 +1,179 @@
+"""Tests of nodes that follow the store together."""
+
+import asyncio
+import json
+
+import pytest
+from gentianmill.clock import ManualClock
+from gentianmill.node_table import NodeTable
+from gentianmill.relay_messages import FreshnessStatus, RulesRequest
+from gentianmill_mesh.rules_holder import RulesHolder
+from gentianmill_mesh.store_following import StoreFollowing
+from mesh_deployment import JsonRules, rules_document
+from node_records import node_record
+from rules_deployment import RulesDeployment, rules_deployment
+
+APPLY_LIMIT_S = 9
+"""A confirmed change is in force everywhere within this time (docs/CAPACITY.md)."""
+
+NODES = 8
+STEADY_S = 6.0
+WARM_UP_S = 5.0
+FOLLOWERS = 2
+POLL_WAIT_S = 2.5
+UNKNOWN_MS = -1
+
+
+class _Links:
+    """Record the requests to other nodes."""
+
+    def __init__(self) -> None:
+        self.requests: list[RulesRequest] = []
+
+    def reaches(self, _record: object) -> bool:
+        return True
+
+    def to(self, _record: object) -> '_Links':
+        return self
+
+    async def ask_status(self, request: RulesRequest) -> None:
+        self.requests.append(request)
+
+
+def _following() -> tuple[StoreFollowing, ManualClock, NodeTable]:
+    clock = ManualClock(100_000)
+    table = NodeTable()
+    own = node_record('own')
+    table.merge([own, node_record('other'), node_record('third')])
+    holder = RulesHolder(JsonRules())
+    holder.offer(rules_document(3), 'test')
+    return StoreFollowing(own, table, _Links(), holder, clock), clock, table
+
+
+def _status(version: int, age_ms: int, digest: int = 0) -> FreshnessStatus:
+    return FreshnessStatus(version, age_ms, digest, age_ms)
+
+
+@pytest.mark.parametrize(
+    ('version', 'told_ms', 'expected_ms'),
+    [
+        pytest.param(3, 200, 300, id='same_version'),
+        pytest.param(2, 0, 5000, id='older_version'),
+        pytest.param(4, 0, 5000, id='newer_version_not_told_yet'),
+        pytest.param(3, UNKNOWN_MS, 5000, id='unknown_age'),
+    ],
+)
+def test_only_the_same_version_is_confirmed(
+    version: int, told_ms: int, expected_ms: int
+):
+    """Guards against a node that counts its rules as the newest on the word of others.
+
+    One that tells an older version knows less; one that knows a newer one must hand it
+    over first.
+    """
+    following, clock, _ = _following()
+    following.rules_confirmed(clock.now_ms())
+    clock.advance(5000)
+    following.on_status(_status(version, told_ms), clock.now_ms() - 100)
+    assert following.rules_age_ms == expected_ms
+
+
+def test_age_counts_from_before_the_status_was_sent():
+    """Guards against a status that was long under way and counts as recent."""
+    following, clock, _ = _following()
+    following.on_status(_status(3, 1000), clock.now_ms() - 4000)
+    assert following.rules_age_ms == 5000
+
+
+def test_both_sides_of_a_cut_keep_their_own_age():
+    """Guards against nodes that confirm each other without anybody asking the store."""
+    one, clock, _ = _following()
+    other, other_clock, _ = _following()
+    one.rules_confirmed(clock.now_ms())
+    for _ in range(50):
+        clock.advance(100)
+        other_clock.advance(100)
+        for teller, listener in ((one, other), (other, one)):
+            listener.on_status(teller.status(), clock.now_ms())
+    assert one.rules_age_ms >= 5000
+    assert other.rules_age_ms >= 5000
+
+
+def test_different_records_are_noticed_until_they_are_the_same():
+    """Guards against a record that gossip missed and nobody looks for."""
+    following, clock, table = _following()
+    following.nodes_confirmed(clock.now_ms())
+    clock.advance(100)
+    following.on_status(_status(3, 0, digest=table.digest + 1), clock.now_ms())
+    clock.advance(700)
+    assert following.nodes_freshness().mismatch_ms == 700
+    following.on_status(_status(3, 0, digest=table.digest), clock.now_ms())
+    assert following.nodes_freshness().mismatch_ms == 0
+
+
+def test_status_of_an_older_version_is_understood():
+    """Guards against a link that breaks while nodes of two versions run together."""
+    following, clock, _ = _following()
+    following.rules_confirmed(clock.now_ms())
+    clock.advance(1000)
+    following.on_status(FreshnessStatus(3, UNKNOWN_MS, 0, UNKNOWN_MS), clock.now_ms())
+    assert following.rules_age_ms == 1000
+
+
+def _run(scenario, count: int) -> None:
+    async def run_in_deployment() -> None:
+        async with rules_deployment(count) as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run_in_deployment())
+
+
+def test_calls_to_the_store_are_those_of_the_followers():
+    """Guards against each node that polls for itself, also without requests."""
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        await asyncio.sleep(WARM_UP_S)
+        before = deployment.store.calls
+        await asyncio.sleep(STEADY_S)
+        calls = deployment.store.calls - before
+        # Each follower polls the rules, and the node records half as often.
+        assert calls <= FOLLOWERS * 1.5 * (STEADY_S / POLL_WAIT_S + 1)
+
+    _run(scenario, NODES)
+
+
+def test_change_reaches_nodes_that_do_not_poll():
+    """Guards against a change that only the followers hear of."""
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        await asyncio.sleep(WARM_UP_S)
+        deployment.put(2)
+        await asyncio.wait_for(deployment.until_all(2), APPLY_LIMIT_S)
+
+    _run(scenario, NODES)
+
+
+def test_node_that_hears_no_other_node_gets_a_change_from_the_store():
+    """Guards against a node that waits for news from followers it does not reach."""
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        await asyncio.sleep(WARM_UP_S)
+        for node in deployment.nodes:
+            node.relay_proxy.refusing = True
+            node.relay_proxy.reset()
+        deployment.put(2)
+        await asyncio.wait_for(deployment.until_all(2), APPLY_LIMIT_S)
+
+    _run(scenario, 4)
+
+
+def test_invalid_rules_are_no_confirmation_of_older_ones_elsewhere():
+    """Guards against an invalid version that keeps nodes from a later valid one."""
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        deployment.store.put('op', 'config', json.dumps({'version': 9}).encode())
+        await asyncio.sleep(0.5)
+        deployment.put(10)
+        await asyncio.wait_for(deployment.until_all(10), APPLY_LIMIT_S)
+
+    _run(scenario, 4)
