--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -139,7 +139,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being received or handled."""
         if not self._exchanges:
-            self._close()
+            self._close_idle()
 
     def abort(self) -> None:
         """Close the connection immediately."""
@@ -167,7 +167,7 @@
             )
             self.proceed()
         else:
-            self._close()
+            self._close_idle()
 
     def _advance(self) -> bool:
         """Send, start and read what is possible; return whether more may be now."""
@@ -202,18 +202,12 @@
         while self._is_response_due():
             self._active_ms = self._clock.now_ms()
             exchange = self._exchanges.pop_first()
-            closing = not self._exchanges.running and self._closes_after(exchange)
+            ends = not exchange.keeps_alive or not exchange.response.framed
+            closing = not self._exchanges.running and (self._handler.closing or ends)
             self.transport.write(exchange.encode(exchange.response, closing=closing))
             if closing:
                 self._close()
 
-    def _closes_after(self, exchange: EntryExchange) -> bool:
-        return (
-            self._handler.closing
-            or not exchange.keeps_alive
-            or not exchange.response.framed
-        )
-
     def _update_reading(self) -> None:
         """Read while further requests are taken, or to drop what comes after the last."""
         if self.transport is None or self.transport.is_closing():
@@ -227,6 +221,16 @@
         else:
             self.transport.resume_reading()
 
+    def _close_idle(self) -> None:
+        """Close a connection on which no response is owed.
+
+        A request that crosses the close stays unread, so that its caller, which sees the
+        connection end, knows that it has not run.
+        """
+        self._reader.end()
+        if self.transport is not None:
+            self.transport.close()
+
     def _close(self) -> None:
         """Close the sending side, and drop what the caller still sends for a while."""
         self._reader.end()
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -261,3 +261,24 @@
         return (await reader.read(4096)).count(b'204')
 
     assert _converse(handler, talk) == 5
+
+
+def test_request_that_crosses_the_close_of_an_idle_connection_stays_unread():
+    """Guards against a request that is read during a stop and gets no answer."""
+    handler = _Responder(HttpResponse(204, [], b''))
+
+    async def talk(reader, writer) -> bytes:
+        writer.write(GET)
+        await reader.readuntil(b'\r\n\r\n')
+        connection = handler.connections[0]
+        connection.close_if_idle()
+        connection.data_received(GET)
+        try:
+            writer.write(GET)
+            return await reader.read()
+        except ConnectionResetError:
+            # The request was not read.
+            return b''
+
+    assert _converse(handler, talk) == b''
+    assert len(handler.started) == 1
