--- a/packages/gentianmill/src/gentianmill/route_rules.py
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -75,6 +75,13 @@
         for host_rules in by_host.values():
             host_rules.sort(key=_prefix_length, reverse=True)
         self._by_host = by_host
+        # By prefix, the first of equal ones, as a scan of all routes would find it.
+        self._by_prefix = {
+            host: {route.prefix: route for route in reversed(routes)}
+            for host, routes in by_host.items()
+        }
+        self._longest_prefix = max((len(rule.prefix) for rule in rules), default=0)
+        self._prefixes_end_with_slash = all(rule.prefix.endswith('/') for rule in rules)
 
     @property
     def version(self) -> int:
@@ -102,8 +109,19 @@
             host: Host of the request, without a port.
             path: Path of the request as it was sent.
         """
-        candidates = self._by_host.get(host, ())
-        return next((rule for rule in candidates if path.startswith(rule.prefix)), None)
+        if not self._prefixes_end_with_slash:
+            candidates = self._by_host.get(host, ())
+            return next(
+                (rule for rule in candidates if path.startswith(rule.prefix)), None
+            )
+        by_prefix = self._by_prefix.get(host)
+        end = path.rfind('/', 0, self._longest_prefix) + 1
+        while by_prefix and end:
+            rule = by_prefix.get(path[:end])
+            if rule is not None:
+                return rule
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
 
 
 def _prefix_length(rule: RouteRule) -> int:
--- a/tests/test_route_rules.py
+++ b/tests/test_route_rules.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import pytest
 from gentianmill.route_rules import (
     Destination,
     RequestLimits,
@@ -9,6 +10,8 @@
     RuleSet,
     SplitCounter,
 )
+from hypothesis import given
+from hypothesis import strategies as st
 
 LIMITS = RequestLimits(1000, 1000, 1000, 1000)
 
@@ -43,6 +46,25 @@
     assert rules.find('other', '/a/b') is None
 
 
+@pytest.mark.parametrize('end', ['/', ''])
+@given(data=st.data())
+def test_route_is_that_of_a_scan_of_all_routes(end: str, data: st.DataObject):
+    """Guards against an index that finds another route than the longest prefix."""
+    paths = st.text(alphabet='ab/', max_size=8).map(lambda text: f'/{text}')
+    prefixes = data.draw(st.lists(paths, max_size=8))
+    routes = [rule(f'{prefix}{end}') for prefix in prefixes]
+    path = data.draw(paths)
+    matching = [route for route in routes if path.startswith(route.prefix)]
+    expected = max(matching, key=lambda route: len(route.prefix), default=None)
+    assert RuleSet(1, routes, {}, LIMITS).find('h', path) is expected
+
+
+def test_path_of_slashes_is_matched_at_once():
+    """Guards against a search that grows with the square of the path."""
+    rules = RuleSet(1, [rule('/a/')], {}, LIMITS)
+    assert rules.find('h', '/' * 10_000_000) is None
+
+
 def test_split_keeps_weights_over_short_spans():
     """Guards against random choices that miss the weights by a tenth in 20 requests."""
     split = rule('/a/', Destination('x', 90), Destination('y', 10))
