--- a/packages/gentianmill/src/gentianmill/route_rules.py
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -76,10 +76,7 @@
             host_rules.sort(key=_prefix_length, reverse=True)
         self._by_host = by_host
         # By prefix, the first of equal ones, as a scan of all routes would find it.
-        self._by_prefix = {
-            host: {route.prefix: route for route in reversed(routes)}
-            for host, routes in by_host.items()
-        }
+        self._by_prefix = {host: _by_prefix(routes) for host, routes in by_host.items()}
         self._longest_prefix = max((len(rule.prefix) for rule in rules), default=0)
         self._prefixes_end_with_slash = all(rule.prefix.endswith('/') for rule in rules)
 
@@ -124,6 +121,10 @@
         return None
 
 
+def _by_prefix(rules: Sequence[RouteRule]) -> dict[str, RouteRule]:
+    return {rule.prefix: rule for rule in reversed(rules)}
+
+
 def _prefix_length(rule: RouteRule) -> int:
     return len(rule.prefix)
 
