--- a/packages/gentianmill/src/gentianmill/route_rules.py
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -77,8 +77,10 @@
         self._by_host = by_host
         # By prefix, the first of equal ones, as a scan of all routes would find it.
         self._by_prefix = {host: _by_prefix(routes) for host, routes in by_host.items()}
-        self._longest_prefix = max((len(rule.prefix) for rule in rules), default=0)
-        self._prefixes_end_with_slash = all(rule.prefix.endswith('/') for rule in rules)
+        self._longest_prefix = max(map(_prefix_length, rules), default=0)
+        self._prefixes_end_with_slash = all(
+            route.prefix.endswith('/') for route in rules
+        )
 
     @property
     def version(self) -> int:
