--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -8,7 +8,7 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from gentianmill_mesh.head_splitter import HeadSplitter
+from gentianmill_mesh.head_splitter import END, HeadSplitter
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse, header
 from gentianmill_mesh.response_memory import ResponseCollector, ResponseMemory
 
@@ -90,6 +90,7 @@
         self._memory = memory
         self._head_splitter = HeadSplitter()
         self._head_bytes = 0
+        self._body_bytes = 0
         self._skipped = 0
         self._exchange_count = 0
         self._echoes_ids = False
@@ -130,6 +131,7 @@
         self._messages.clear()
         self._head_splitter = HeadSplitter()
         self._head_bytes = 0
+        self._body_bytes = 0
         self._skipped = 0
         self._waiter = self._loop.create_future()
         has_body = request.method != 'HEAD'
@@ -185,6 +187,11 @@
         """Do nothing, as reading never pauses."""
 
     def _parse(self, piece: bytes) -> None:
+        if self._messages:
+            self._body_bytes += len(piece)
+        elif END in piece[: -len(END)]:
+            # What follows a head in the same piece can't be told from its body.
+            self._reusable = False
         try:
             messages, upgraded, tail = self._parser.feed_data(piece)
         except (HttpProcessingError, ValueError, AssertionError) as error:
@@ -246,6 +253,7 @@
         """Drop an interim response or the response to another request."""
         self._messages.pop(0)
         self._memory.release(self)
+        self._body_bytes = 0
         self._skipped += 1
         if self._skipped > MAX_SKIPPED_RESPONSES:
             self._fail(
@@ -263,7 +271,8 @@
 
     def _finish(self, message: RawResponseMessage, payload: StreamReader) -> None:
         body = b''.join(_chunks(payload))
-        if message.should_close or self._messages:
+        has_excess = not message.chunked and self._body_bytes > payload.total_bytes
+        if message.should_close or self._messages or has_excess:
             self._reusable = False
         self._idle_limit_ms = _idle_limit_ms(message)
         if self._waiter is not None and not self._waiter.done():
