--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -54,6 +54,7 @@
         self._tombstones: dict[str, int] = {}
         self._is_connected: Callable[[NodeRecord], bool] | None = None
         self._digest = 0
+        self._complete_revision = -1
 
     def __len__(self) -> int:
         """Return the number of nodes."""
@@ -130,6 +131,9 @@
     def apply_snapshot(self, names: Iterable[str], revision: int) -> None:
         """Remove the records that a snapshot of the registry does not contain.
 
+        Merge the records of the snapshot before: older ones of unknown nodes are refused
+        from then on, as a peer may still know nodes that were deleted.
+
         Args:
             names: Names of the nodes in the snapshot.
             revision: The registry's version of the snapshot; newer records stay.
@@ -138,6 +142,7 @@
         for record in self.records:
             if record.name not in present and record.revision < revision:
                 self.remove(record.name, revision)
+        self._complete_revision = max(self._complete_revision, revision)
 
     def purge_deleted(self) -> None:
         """Remove deleted records whose nodes are no longer connected."""
@@ -161,7 +166,10 @@
         if record.revision < self._tombstones.get(record.name, 0):
             return False
         current = self._records.get(record.name)
-        return current is None or record.is_newer_than(current)
+        if current is None:
+            # An older record that the snapshot lacked was deleted before it.
+            return record.revision > self._complete_revision
+        return record.is_newer_than(current)
 
     def _rebuild_index(self) -> None:
         self._by_service = {}
