--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from gentianmill.clock import Clock
-from gentianmill.confirmed import UNKNOWN_AGE_MS, Confirmed
+from gentianmill.confirmed import Confirmed
 from gentianmill.followers import FollowerChoice
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.poll_turn import Freshness, PollTurn, TurnAction, TurnSettings
@@ -126,18 +126,18 @@
         )
 
     def on_status(self, status: FreshnessStatus, sent_ms: float) -> None:
-        """Apply what another node tells.
+        """Apply what another node tells; a negative age confirms nothing.
 
         Args:
             status: What it knows.
             sent_ms: A time, by the clock of this node, before which it was not sent.
         """
-        if status.rules_age_ms != UNKNOWN_AGE_MS:
+        if status.rules_age_ms >= 0:
             as_of_ms = sent_ms - status.rules_age_ms
             if status.rules_version == self._rules.version:
                 self._confirmed_rules.confirm(as_of_ms)
                 self._rules_from_others.confirm(as_of_ms)
-        if status.nodes_age_ms != UNKNOWN_AGE_MS:
+        if status.nodes_age_ms >= 0:
             self._on_nodes(status.nodes_digest, sent_ms - status.nodes_age_ms)
 
     def rules_freshness(self) -> Freshness:
