--- a/packages/gentianmill-mesh/src/gentianmill_mesh/link_liveness.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/link_liveness.py
@@ -5,11 +5,13 @@
 
 from gentianmill.clock import Clock
 
-PING_AFTER_MS = 1200.0
-"""Time without received bytes after which a ping is sent: about the longest usual call."""
+PING_AFTER_MS = 400.0
+"""Time without received bytes after which a ping is sent. The shortest calls have 700 ms,
+and one on a link that has been silent for longer must have time to go elsewhere."""
 
-PONG_WITHIN_MS = 600.0
-"""Wait for the response to a ping: ten round trips between regions."""
+PONG_WITHIN_MS = 400.0
+"""Wait for the response to a ping: six round trips between regions, or a lost packet. A
+link that is dropped by mistake costs a handshake: its calls are joined on the next one."""
 
 MS_PER_S = 1000
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -34,7 +34,7 @@
 
 SENDER_TIMEOUT_MS = 3000.0
 """Time without frames after which a sender that awaits responses counts as lost: it
-pings 1.2 s after the last frame, and a lost packet delays that by 1 s."""
+pings 0.4 s after the last frame, and a lost packet delays that by 1 s."""
 
 IDLE_SENDER_TIMEOUT_MS = 180_000.0
 """Time without frames after which a sender that awaits nothing counts as lost: it would
