--- a/review/bed/bed.py
+++ b/review/bed/bed.py
@@ -106,6 +106,12 @@
     )
 
 
+def whole_body(attempt: str, size: int) -> bytes:
+    """Return the body of an endpoint's answer without a length."""
+    line = f'{attempt} {"x" * 80}\n'.encode()
+    return (line * (size // len(line) + 1))[:size]
+
+
 async def call(
     ip: str,
     port: int,
@@ -425,9 +431,20 @@
             return False
         status = 200 if work_s <= deadline_s else 504
         body = f'{self.service} {attempt}\n'.encode() * 4
-        self.record.add('ran', id=self.id, attempt=attempt, status=status)
-        writer.write(response_bytes(status, body, own))
-        return True
+        if 'unframed' in query:
+            body = whole_body(attempt, int(query['unframed'][0]))
+        self.record.add(
+            'ran', id=self.id, attempt=attempt, status=status, bytes=len(body)
+        )
+        if 'unframed' not in query:
+            writer.write(response_bytes(status, body, own))
+            return True
+        # The answer has no length and ends with the connection.
+        lines = [f'HTTP/1.1 {status} X', 'Connection: close']
+        lines.extend(f'{name}: {text}' for name, text in own.items())
+        writer.write('\r\n'.join((*lines, '', '')).encode() + body)
+        await writer.drain()
+        return False
 
     async def _until_closed(self, reader: asyncio.StreamReader) -> None:
         while not (reader.at_eof() or reader.exception()):
