--- a/review/bed/bed.py
+++ b/review/bed/bed.py
@@ -25,6 +25,9 @@
 PORTS = {'inbound': 8300, 'outbound': 8304, 'ready': 8302, 'controlPlane': 8306}
 APP_PORT = 8301
 RELAY_PORT = 7620
+PROXY_PORT = 7634
+"""Port between nodes on which a proxy listens in front of ``RELAY_PORT``."""
+
 METRICS_PORT = 9464
 HEARTBEAT_S = 1.5
 ACK_LIMIT_S = 1.0
@@ -144,6 +147,9 @@
         self.rows: dict[tuple[str, str, str], dict[str, object]] = {}
         self.version = 1
         self.port = 0
+        self.proxied: set[str] = set()
+        """Nodes that others reach through a proxy: readers get its port in their rows."""
+
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -194,7 +200,14 @@
             return self._transact(json.loads(request.body))
         return json_response(404, {})
 
+    def _seen(self, row: dict[str, object]) -> dict[str, object]:
+        if row['key'] not in self.proxied or row['tombstone']:
+            return row
+        told = json.loads(base64.b64decode(row['value'])) | {'relay_port': PROXY_PORT}
+        return row | {'value': base64.b64encode(json.dumps(told).encode()).decode()}
+
     def _page(self, rows: list[dict[str, object]]) -> bytes:
+        rows = [self._seen(row) for row in rows]
         now = f'{int(time.monotonic() * 1000)}ms'
         return json_response(
             200,
@@ -254,6 +267,68 @@
         return json_response(200, {'rowVersion': self.version, 'now': '0ms'})
 
 
+class CutProxy:
+    """A proxy in front of the node port of a machine, whose path can be cut.
+
+    During a cut nothing passes, and new connections hang. Afterwards, the connections
+    of before are gone and new ones work.
+    """
+
+    def __init__(self, record: Record, ip: str) -> None:
+        self.record = record
+        self.ip = ip
+        self.cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, self.ip, PROXY_PORT)
+
+    def begin_cut(self) -> None:
+        self.record.add('cut_begins', ip=self.ip)
+        self.cut = True
+
+    def end_cut(self) -> None:
+        self.record.add('cut_ends', ip=self.ip)
+        self.cut = False
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        while self.cut:
+            await asyncio.sleep(0.02)
+            if writer.transport.is_closing() or reader.at_eof():
+                writer.close()
+                return
+        try:
+            to_reader, to_writer = await asyncio.open_connection(self.ip, RELAY_PORT)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers.add(to_writer)
+        await asyncio.gather(
+            self._forward(reader, to_writer), self._forward(to_reader, writer)
+        )
+        self._writers -= {writer, to_writer}
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                if self.cut:
+                    # Held up, and lost as the sender drops the connection.
+                    return
+                writer.write(data)
+        except ConnectionError:
+            pass
+        if not self.cut:
+            writer.close()
+
+
 class Endpoint:
     """An application endpoint.
 
@@ -716,6 +791,7 @@
             return NOT_RUN
         finally:
             await bed.close()
+            await _end_tasks()
             keep = os.environ.get('KEEP_LOGS')
             if keep:
                 for log in Path(folder).glob('*.log'):
@@ -728,6 +804,13 @@
     return BROKEN if breaches else HELD
 
 
+async def _end_tasks() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _free_net() -> str:
     """Return the first three bytes of loopback addresses whose ports are free."""
     for _ in range(50):
