--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'bed'))
-from bed import Bed, main, rule  # noqa: E402
+from bed import Bed, CannotRunError, main, rule  # noqa: E402
 
 DRAIN_S = 2.5
 CONTACT_S = 4.0
@@ -34,7 +34,7 @@
     made_at = record.now
     await asyncio.sleep(0.3)
     if not await endpoint.send('leave', b'{}'):
-        return []
+        raise CannotRunError('the leave is not acknowledged')
     acked_at = record.now
     await asyncio.sleep(0.3)
     started_at = acked_at - CONTACT_S
--- a/review/bed/bed.py
+++ b/review/bed/bed.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -776,7 +777,14 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(here / 'record.txt')
     record.add('case', folder=here.name, trouble=trouble)
-    sys.exit(asyncio.run(_run(record, case, trouble)))
+    try:
+        status = asyncio.run(_run(record, case, trouble))
+    except Exception as error:
+        # Any other end of the test bed must not look like a broken rule.
+        record.add('cannot_run', error=repr(error))
+        traceback.print_exc()
+        status = NOT_RUN
+    sys.exit(status)
 
 
 async def _run(record: Record, case, trouble: bool) -> int:
