--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,6 +22,7 @@
 async def case(bed: Bed, trouble: bool) -> list[str]:
     entry = bed.add('entry-1', 'front', 'a')
     back = bed.add('back-1', 'back', 'b')
+    third = bed.add('entry-2', 'front', 'a')
     bed.configure([rule('pay', 'back', 'unsafe', timeout='12s')])
     record = bed.record
     await bed.store.start()
@@ -37,8 +38,9 @@
 
     await until(is_known, 20, 'the node beside the endpoint is not known')
     await asyncio.sleep(1)
-    await entry.endpoint.start()
-    entry.start_node()
+    for machine in (entry, third):
+        await machine.endpoint.start()
+        machine.start_node()
     await bed.until_ready(20)
     await asyncio.sleep(CONTACT_S + 2)
 
