--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-from collections import deque
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
@@ -24,6 +23,7 @@
 from gentianmill_mesh.mesh_settings import Address
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
 from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
+from gentianmill_mesh.relay_sender import RelayJob, RelaySender
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.upstream_guard import UpstreamGuard
@@ -40,13 +40,6 @@
 """Time without frames after which a sender that awaits nothing counts as lost: it would
 have closed the link after 60 s without use."""
 
-REATTACH_TIMEOUT_MS = 1500.0
-"""Time that repeatable calls keep running after the link of their sender was lost."""
-
-RESPONSE_RETENTION_MS = 10_000.0
-"""Time that a response is kept for a sender that lost its link."""
-
-MS_PER_S = 1000
 RELAY_PATH = '/relay'
 
 log = component('relay')
@@ -69,75 +62,6 @@
     """Returns the latest records for a node whose records have another digest."""
 
 
-class _Job:
-    """A call of another node and, once it has ended, its response."""
-
-    __slots__ = ('repeatable', 'response', 'task')
-
-    def __init__(self, repeatable: bool, task: 'asyncio.Task[None]') -> None:
-        self.repeatable = repeatable
-        self.task = task
-        self.response: RelayAnswer | None = None
-
-
-class _Sender:
-    """An incarnation of a node that sends calls.
-
-    Its calls outlive a connection: a call that is resent on a new connection is
-    matched with the earlier one, so that a call that may run only once is not run
-    again.
-    """
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.jobs: dict[int, _Job] = {}
-        self.ended: deque[tuple[float, int]] = deque()
-        """End in ms and key of the calls whose responses are kept, oldest first."""
-
-        self.running = 0
-        """Number of calls that have not ended."""
-
-        self.last_received_ms = float(0)
-        self.socket: FrameSocket | None = None
-        self.expiry: asyncio.TimerHandle | None = None
-
-    def attach(self, socket: FrameSocket) -> None:
-        self.socket = socket
-        if self.expiry is not None:
-            self.expiry.cancel()
-            self.expiry = None
-
-    def detach(self, socket: FrameSocket) -> None:
-        if self.socket is not socket:
-            return
-        self.socket = None
-        self.expiry = asyncio.get_running_loop().call_later(
-            REATTACH_TIMEOUT_MS / MS_PER_S, self._stop_repeatable
-        )
-
-    def end(self, key: int, now_ms: float) -> None:
-        """Keep the response of a call for a while, and delete old ones."""
-        self.running -= 1
-        self.ended.append((now_ms, key))
-        self.delete_ended_before(now_ms - RESPONSE_RETENTION_MS)
-
-    def delete_ended_before(self, latest_ms: float) -> None:
-        """Delete the responses of calls that ended before a time."""
-        while self.ended and self.ended[0][0] < latest_ms:
-            _, key = self.ended.popleft()
-            self.jobs.pop(key, None)
-
-    @property
-    def expired(self) -> bool:
-        """Return whether the sender is disconnected and has no calls here."""
-        return self.socket is None and not self.jobs
-
-    def _stop_repeatable(self) -> None:
-        for job in self.jobs.values():
-            if job.repeatable:
-                job.task.cancel()
-
-
 class RelayServer(FrameAcceptor):
     """Accept the links of other nodes and run their calls."""
 
@@ -165,7 +89,7 @@
             RelayCall: self._start,
             RelayCancel: self._cancel,
             CrashNews: self._on_crash_news,
-            NodeNews: self._on_node_news,
+            NodeNews: lambda _sender, news: exchange.on_nodes(news),
             RulesRequest: self._on_rules_request,
         }
         self._identity = identity
@@ -173,7 +97,7 @@
         self._rules = rules
         self._request_id = names.request_id
         self._clock = clock
-        self._senders: dict[NodeIdentity, _Sender] = {}
+        self._senders: dict[NodeIdentity, RelaySender] = {}
         self._sockets: set[FrameSocket] = set()
         self._server: asyncio.Server | None = None
 
@@ -222,7 +146,7 @@
         identity = NodeIdentity.from_headers(headers)
         if identity is None:
             raise ValueError('the handshake names no node')
-        sender = self._senders.setdefault(identity, _Sender(identity.name))
+        sender = self._senders.setdefault(identity, RelaySender(identity.name))
         return _SenderLink(sender, self._clock, self._handle, self._on_closed)
 
     def opened(self, receiver: FrameReceiver, socket: FrameSocket) -> None:
@@ -232,23 +156,23 @@
             self._sockets.add(socket)
 
     def forget_departed_senders(self) -> None:
-        """Forget senders that are disconnected and have no calls here."""
-        latest_ms = self._clock.now_ms() - RESPONSE_RETENTION_MS
+        """Forget senders that are disconnected and whose calls are forgotten."""
+        now_ms = self._clock.now_ms()
         for identity, sender in tuple(self._senders.items()):
-            sender.delete_ended_before(latest_ms)
-            if sender.expired:
+            if sender.is_departed(now_ms):
                 self._senders.pop(identity)
 
     def check(self) -> None:
-        """Close the links of unresponsive nodes."""
+        """Close the links of unresponsive nodes, and forget what is not needed."""
         now_ms = self._clock.now_ms()
         for identity, sender in self._senders.items():
+            sender.forget_expired(now_ms)
             timeout_ms = SENDER_TIMEOUT_MS if sender.running else IDLE_SENDER_TIMEOUT_MS
             if sender.socket is None or now_ms - sender.last_received_ms < timeout_ms:
                 continue
             log.info('Sender silent.', peer=identity.name, running=sender.running)
             silent = sender.socket
-            sender.detach(silent)
+            sender.detach(silent, now_ms)
             silent.abort()
 
     def close(self) -> None:
@@ -258,28 +182,25 @@
         for socket in tuple(self._sockets):
             socket.close()
 
-    def _on_closed(self, sender: _Sender, socket: FrameSocket | None) -> None:
+    def _on_closed(self, sender: RelaySender, socket: FrameSocket | None) -> None:
         if socket is not None:
             self._sockets.discard(socket)
-            sender.detach(socket)
+            sender.detach(socket, self._clock.now_ms())
 
-    def _handle(self, sender: _Sender, frame: RelayFrame) -> None:
+    def _handle(self, sender: RelaySender, frame: RelayFrame) -> None:
         handle = self._handlers.get(type(frame))
         if handle is not None:
             handle(sender, frame)
 
-    def _cancel(self, sender: _Sender, frame: RelayCancel) -> None:
-        job = sender.jobs.get(frame.key)
-        if job is not None:
+    def _cancel(self, sender: RelaySender, frame: RelayCancel) -> None:
+        job = sender.calls.find(frame.key)
+        if job is not None and job.task is not None:
             job.task.cancel()
 
-    def _on_crash_news(self, _sender: _Sender, frame: CrashNews) -> None:
+    def _on_crash_news(self, _sender: RelaySender, frame: CrashNews) -> None:
         self._guard.crashes.apply_update(frame.digests, frame.cleared)
 
-    def _on_node_news(self, _sender: _Sender, frame: NodeNews) -> None:
-        self._exchange.on_nodes(frame)
-
-    def _on_rules_request(self, sender: _Sender, frame: RulesRequest) -> None:
+    def _on_rules_request(self, sender: RelaySender, frame: RulesRequest) -> None:
         if frame.known_version > self._rules.version:
             self._exchange.on_version(sender.name, frame.known_version)
         elif frame.known_version < self._rules.version:
@@ -291,29 +212,44 @@
                 _send(sender, news)
             _send(sender, self._exchange.status())
 
-    def _start(self, sender: _Sender, frame: RelayCall) -> None:
-        known = sender.jobs.get(frame.key)
-        if known is None:
-            task = spawn(self._run(sender, frame), 'run call')
-            sender.jobs[frame.key] = _Job(frame.repeatable, task)
-            sender.running += 1
-        elif known.response is not None:
-            _send(sender, known.response)
-
-    async def _run(self, sender: _Sender, frame: RelayCall) -> None:
-        reply = GuardReply.unknown('cancelled')
+    def _start(self, sender: RelaySender, frame: RelayCall) -> None:
+        known = sender.calls.find(frame.key)
+        if known is not None:
+            if known.answer is not None:
+                _send(sender, known.answer)
+            return
         arrived_ms = self._clock.now_ms()
+        if sender.calls.may_be_forgotten(frame.key):
+            log.warning('Forgotten call not run.', peer=sender.name, key=frame.key)
+            reply = GuardReply.unknown('forgotten')
+            _send(sender, self._relay_answer(frame, reply, arrived_ms))
+            return
+        job = RelayJob(frame.key, frame.repeatable, arrived_ms + frame.time_left_ms)
+        sender.begin(job)
+        job.task = spawn(self._run(sender, job, frame, arrived_ms), 'run call')
+        # A task that is cancelled before its first step never runs.
+        job.task.add_done_callback(lambda _: self._end(sender, job, frame, arrived_ms))
+
+    async def _run(
+        self, sender: RelaySender, job: RelayJob, frame: RelayCall, arrived_ms: float
+    ) -> None:
         try:
-            reply = await self._guard.run(_guard_call(frame, arrived_ms))
+            job.reply = await self._guard.run(_guard_call(frame, arrived_ms))
         except asyncio.CancelledError:
             log.debug('Call cancelled.', key=frame.key)
         except Exception:
             log.exception('Call failed with an internal error.', key=frame.key)
-        response = self._relay_answer(frame, reply, arrived_ms)
-        job = sender.jobs[frame.key]
-        job.response = response
-        sender.end(frame.key, self._clock.now_ms())
-        _send(sender, response)
+        self._end(sender, job, frame, arrived_ms)
+
+    def _end(
+        self, sender: RelaySender, job: RelayJob, frame: RelayCall, arrived_ms: float
+    ) -> None:
+        if job.answer is not None:
+            return
+        reply = job.reply or GuardReply.unknown('cancelled')
+        job.answer = self._relay_answer(frame, reply, arrived_ms)
+        sender.end(job, self._clock.now_ms())
+        _send(sender, job.answer)
 
     def _relay_answer(
         self, frame: RelayCall, reply: GuardReply, arrived_ms: float
@@ -363,10 +299,10 @@
 
     def __init__(
         self,
-        sender: _Sender,
+        sender: RelaySender,
         clock: Clock,
-        handle: Callable[[_Sender, RelayFrame], None],
-        on_closed: Callable[[_Sender, FrameSocket | None], None],
+        handle: Callable[[RelaySender, RelayFrame], None],
+        on_closed: Callable[[RelaySender, FrameSocket | None], None],
     ) -> None:
         self._sender = sender
         self._clock = clock
@@ -397,7 +333,7 @@
 
 
 def _send(
-    sender: _Sender, frame: RelayAnswer | RulesReply | FreshnessStatus | NodeNews
+    sender: RelaySender, frame: RelayAnswer | RulesReply | FreshnessStatus | NodeNews
 ) -> None:
     if sender.socket is None:
         return
