--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -256,6 +256,10 @@
         before the caller is notified that the outcome is unknown.
         """
         left_ms = pending.deadline_ms - self._context.clock.now_ms()
+        if pending.sent and left_ms <= 0:
+            # The other node may have forgotten the call, and would say it has not run.
+            self._time_out(pending)
+            return
         left_ms -= self._round_trip.ms
         if left_ms <= LATE_MARGIN_MS and not pending.sent:
             pending.fail('deadline')
