--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -0,0 +1,233 @@
+"""Keeps what a guard has acknowledged beyond the end of its process.
+
+A departure is acknowledged once the registry has it or, while that can't be reached, other
+nodes. A node that starts asks both before its guard takes calls: the registry's records,
+some nodes that are chosen by its name, and each node that connects to it.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from gentianmill import rendezvous
+from gentianmill.departures import Departure, DepartureTable
+from gentianmill.node_record_codec import to_departures
+from gentianmill.node_table import NodeRecord, NodeTable
+from gentianmill.relay_messages import DepartureEntry, KnownState, StateRequest
+from gentianmill_mesh.mesh_settings import MeshSettings
+from gentianmill_mesh.random_peers import RandomPeers
+from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.time_limit import within
+from gentianmill_mesh.upstream_guard import STARTING, UpstreamGuard
+from gentianmill_node.background import spawn
+from gentianmill_node.logs import component
+
+__all__ = ('GuardRecovery',)
+
+KEEPERS = 5
+"""Nodes that are told of a departure, and asked at the next start: with the loss of a rack
+or a zone, some remain."""
+
+ENOUGH_KEEPERS = 2
+"""Nodes that must have a departure before it is acknowledged without the registry."""
+
+ASK_TIMEOUT_S = 1.0
+"""Time for the answers of other nodes at a start; nodes that are down don't answer."""
+
+REGISTRY_ALONE_S = 0.15
+"""Time after which other nodes are told, too; the registry usually answers in 4 ms."""
+
+ACKNOWLEDGE_WITHIN_S = 0.9
+"""Time in which a departure must be kept: upstreams wait 1 s for an acknowledgement."""
+
+NEXT_FANOUT = 3
+"""Nodes to which a node passes on a departure that it did not know."""
+
+log = component('recovery')
+
+
+class GuardRecovery:
+    """Know the departures of this VM and, for other nodes, those of theirs."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        guard: UpstreamGuard,
+        table: NodeTable,
+        links: RelayLinks,
+        peers: RandomPeers,
+    ) -> None:
+        """Create a recovery that has not begun.
+
+        Args:
+            settings: Settings of this node.
+            guard: Guard of the upstream on this VM.
+            table: Records of all nodes.
+            links: Links to the other nodes.
+            peers: Chooses the nodes to which departures are passed on.
+        """
+        self._own_name = settings.node
+        self._is_first_start = settings.first_start
+        self._guard = guard
+        self._table = table
+        self._links = links
+        self._peers = peers
+        self._others = DepartureTable()
+        self._kept: set[Departure] = set()
+        self._has_read_table = False
+        self._on_ended: Callable[[], None] | None = None
+
+    @property
+    def has_read_table(self) -> bool:
+        """Return whether the records of all nodes were read."""
+        return self._has_read_table
+
+    @property
+    def may_publish(self) -> bool:
+        """Return whether the record of an earlier process may be overwritten."""
+        return self._has_read_table and self._on_ended is None
+
+    def begin(self, on_ended: Callable[[], None]) -> None:
+        """Let the guard take no calls until ``on_ended`` is called.
+
+        Args:
+            on_ended: Called once when the guard knows what it must not forget.
+        """
+        self._on_ended = on_ended
+        self._guard.refuse_calls(STARTING)
+
+    def abandon(self) -> None:
+        """Stop learning, as the node stops."""
+        self._on_ended = None
+
+    def table_read(self) -> None:
+        """Learn from the records of all nodes, and ask some of these nodes."""
+        if self._has_read_table:
+            return
+        own = self._table.find(self._own_name)
+        if own is not None:
+            self._restore(own.departures, 'registry')
+        self._has_read_table = True
+        if self._is_first_start:
+            self._end()
+        else:
+            spawn(self._ask_keepers(), 'ask what must be known')
+
+    def wanted_state(self) -> StateRequest | None:
+        """Return what to ask a node that connects, while the registry is silent."""
+        if self._on_ended is None or self._has_read_table:
+            return None
+        return StateRequest(self._own_name)
+
+    def state_of(self, request: StateRequest) -> KnownState:
+        """Return what this node knows for another one."""
+        record = self._table.find(request.node)
+        known = set(self._others.of_node(request.node))
+        if record is not None:
+            known.update(record.departures)
+        return KnownState(request.node, _entries(known))
+
+    def on_state(self, state: KnownState) -> None:
+        """Learn what another node knows, for this node or to pass it on."""
+        try:
+            departures = to_departures(state.departures)
+        except ValueError as error:
+            log.warning('Departures not readable.', error=str(error))
+            return
+        if state.node == self._own_name:
+            self._restore(departures, 'node')
+            if not self._has_read_table:
+                self._end()
+        elif self._others.add(state.node, departures):
+            log.info('Departures kept for a node.', node=state.node)
+            for record in self._peers.choose(NEXT_FANOUT):
+                spawn(self._links.to(record).post(state), 'pass on departures')
+
+    async def keep(self, stored: 'asyncio.Future[None] | None') -> bool:
+        """Wait until the departures outlive this process, and return whether they do.
+
+        Args:
+            stored: Done when the registry has the own record with the departures; None
+                if it may not be written yet.
+        """
+        departures = set(self._guard.status.departures)
+        if departures <= self._kept:
+            return True
+        waits = {asyncio.ensure_future(self._tell_keepers(departures, stored))}
+        if stored is not None:
+            waits.add(asyncio.ensure_future(asyncio.shield(stored)))
+        done, pending = await asyncio.wait(
+            waits, timeout=ACKNOWLEDGE_WITHIN_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        for late in pending:
+            late.cancel()
+        is_kept = any(ended.exception() is None for ended in done)
+        if is_kept:
+            self._kept |= departures
+        log.info('Departures.', kept=is_kept, count=len(departures))
+        return is_kept
+
+    async def _tell_keepers(
+        self, departures: set[Departure], stored: 'asyncio.Future[None] | None'
+    ) -> None:
+        """Return when the registry or enough other nodes know, else wait for ever."""
+        if stored is not None:
+            await asyncio.wait({stored}, timeout=REGISTRY_ALONE_S)
+            if stored.done():
+                return
+        state = KnownState(self._own_name, _entries(departures))
+        told = [
+            asyncio.ensure_future(self._links.to(record).post(state))
+            for record in self._keepers()
+        ]
+        delivered = 0
+        try:
+            for next_told in asyncio.as_completed(told):
+                delivered += await next_told
+                if delivered >= min(ENOUGH_KEEPERS, len(told)):
+                    return
+            await asyncio.get_running_loop().create_future()
+        finally:
+            if delivered < ENOUGH_KEEPERS:
+                for task in told:
+                    task.cancel()
+
+    async def _ask_keepers(self) -> None:
+        request = StateRequest(self._own_name)
+        asked = [self._links.to(record).post(request) for record in self._keepers()]
+        try:
+            await within(asyncio.gather(*asked), ASK_TIMEOUT_S)
+        except TimeoutError:
+            log.info('Not all nodes told what they know.', asked=len(asked))
+        self._end()
+
+    def _keepers(self) -> list[NodeRecord]:
+        """Return the nodes that keep departures for this one, the same at each start."""
+        others = [
+            record for record in self._table.records if record.name != self._own_name
+        ]
+        others.sort(key=lambda other: rendezvous.score(self._own_name, other.name))
+        return others[-KEEPERS:]
+
+    def _restore(self, departures: Iterable[Departure], source: str) -> None:
+        known = set(departures) - set(self._guard.status.departures)
+        if known:
+            log.info('Departures restored.', source=source, count=len(known))
+            self._kept |= known
+            self._guard.status.restore(known)
+
+    def _end(self) -> None:
+        on_ended = self._on_ended
+        if on_ended is not None:
+            self._on_ended = None
+            self._guard.refuse_calls('')
+            log.info('Guard takes calls.', read_records=self._has_read_table)
+            on_ended()
+
+
+def _entries(departures: Iterable[Departure]) -> list[DepartureEntry]:
+    return [
+        msgspec.convert(departure, DepartureEntry, from_attributes=True)
+        for departure in departures
+    ]
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -1,15 +1,14 @@
 """Assembles a node that forwards requests."""
 
 import asyncio
-import dataclasses
 import random
 import time
 
 from aiohttp import web
 
 from gentianmill.admission_share import ShareTable
-from gentianmill.clock import Clock
-from gentianmill.node_table import NodeRecord, NodeState, NodeTable
+from gentianmill.clock import NS_PER_MS, Clock
+from gentianmill.node_table import NodeTable
 from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.arrival_log import ArrivalLog
@@ -18,10 +17,12 @@
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.entry_listener import EntryListener
 from gentianmill_mesh.forwarder import Forwarder
+from gentianmill_mesh.guard_recovery import GuardRecovery
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from gentianmill_mesh.node_gossip import NodeGossip
 from gentianmill_mesh.node_reaper import NodeReaper
+from gentianmill_mesh.own_state import OwnState, own_record
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
 from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_handshake import NodeIdentity
@@ -31,7 +32,7 @@
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.store_following import StoreFollowing
 from gentianmill_mesh.suspension_watch import SuspensionWatch
-from gentianmill_mesh.upstream_guard import UpstreamGuard
+from gentianmill_mesh.upstream_guard import STOPPING, UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
 from gentianmill_node.background import repeat, spawn
 from gentianmill_node.logs import component
@@ -102,8 +103,8 @@
         self._clock = clock
         self._table = NodeTable()
         self._metrics = MeshMetrics()
-        self._identity = NodeIdentity(settings.node, time.time_ns() // 1_000_000)
-        self._own = _own_record(settings, self._identity)
+        self._identity = NodeIdentity(settings.node, time.time_ns() // NS_PER_MS)
+        own = own_record(settings, self._identity)
         shares = ShareTable()
         upstream = settings.upstream
         self._pool = UpstreamPool(
@@ -126,7 +127,7 @@
             self._clock,
         )
         self._following = StoreFollowing(
-            self._own, self._table, self._links, rules, self._clock
+            own, self._table, self._links, rules, self._clock
         )
         peers = RandomPeers(
             settings.node,
@@ -142,6 +143,10 @@
         self._reaper = NodeReaper(
             settings.node, self._table, self._links, registry, self._clock
         )
+        self._recovery = GuardRecovery(
+            settings, self._guard, self._table, self._links, peers
+        )
+        self._own = OwnState(own, self._guard, self._recovery, registry)
         self._relay = RelayServer(
             self._identity,
             self._guard,
@@ -153,11 +158,14 @@
                 self._links.on_peer_version,
                 self._following.status,
                 self._gossip.latest_for,
+                self._recovery.on_state,
+                self._recovery.state_of,
+                self._recovery.wanted_state,
             ),
         )
         self._dispatcher = Dispatcher(
             self._table,
-            self._own,
+            own,
             self._guard,
             self._links,
             shares,
@@ -196,7 +204,13 @@
     async def start(self) -> None:
         """Open the listeners and start to receive routing rules and node records."""
         settings = self._settings
-        self._links.start(self._following.on_status, self._gossip.apply)
+        self._links.start(
+            self._following.on_status,
+            self._gossip.apply,
+            self._recovery.on_state,
+            self._recovery.state_of,
+        )
+        self._recovery.begin(self._own.publish)
         await self._relay.listen(settings.relay)
         await self._entry.listen(settings.entry)
         readiness = web.Application()
@@ -213,7 +227,7 @@
             self._table,
             self._gossip.announce,
             following.nodes_turns,
-            following.nodes_confirmed,
+            self._on_nodes_confirmed,
         )
         self._tasks = [
             repeat(self._tick, TICK_S, 'tick'),
@@ -235,19 +249,35 @@
             )
             return
         if self._guard.apply_report(report):
-            self._publish()
+            self._own.publish()
+        else:
+            self._own.publish_departures()
+
+    def upstream_left(self, upstream_id: str, start_unix_ms: int = 0) -> None:
+        """Record that the upstream on the VM is leaving.
+
+        Args:
+            upstream_id: Its id.
+            start_unix_ms: Its start as Unix time in ms, or 0 if it is not told.
+        """
+        now_unix_ms = time.time_ns() // NS_PER_MS
+        self._guard.upstream_left(upstream_id, start_unix_ms, now_unix_ms)
+        self._own.publish_departures()
+
+    async def departures_kept(self) -> bool:
+        """Return whether what upstreams said of their leaving outlives this process.
 
-    def upstream_left(self, upstream_id: str) -> None:
-        """Record that the upstream on the VM is leaving."""
-        if self._guard.upstream_left(upstream_id):
-            self._publish()
+        It waits for the registry or for other nodes, for less than a second.
+        """
+        return await self._own.departures_kept()
 
     async def stop(self) -> None:
         """Finish the running requests and close the listeners."""
         begin_ms = self._clock.now_ms()
         self._stopping = True
-        self._publish()
-        self._guard.stop()
+        self._recovery.abandon()
+        self._guard.refuse_calls(STOPPING)
+        self._own.publish()
         self._entry.close_connections()
         log.info('Stopping.', requests=self._entry.running)
         deadline_ms = begin_ms + self._settings.stop_within_ms - STOP_MARGIN_MS
@@ -302,7 +332,8 @@
         self._relay.check()
         if not self._ticks % ARRIVAL_LOG_TICKS:
             self._arrival_log.write()
-            self._share_slack()
+            guards = self._table.of_service(self._settings.service)
+            self._guard.gate.share_slack(len(guards))
         if not self._ticks % TIMEOUT_TICKS:
             self._entry.check_timeouts()
         if not self._ticks % FORGET_TICKS:
@@ -317,31 +348,17 @@
         if not self._stopping:
             await self._reaper.check()
 
-    def _share_slack(self) -> None:
-        guards = self._table.of_service(self._settings.service)
-        self._guard.gate.share_slack(len(guards))
-
     def _forget_removed_nodes(self) -> None:
         self._table.purge_deleted()
         self._links.forget_removed_nodes()
         self._dispatcher.forget_removed_nodes()
         self._relay.forget_departed_senders()
 
-    def _publish(self) -> None:
-        accepts_calls = self._guard.accepts_calls and not self._stopping
-        report = self._guard.status.report
-        self._own = _with_state(
-            self._own,
-            NodeState.serving if accepts_calls else NodeState.leaving,
-            report.slots if report else 0,
-        )
-        self._registry.publish(self._own)
-        log.info(
-            'Own state.',
-            state=self._own.state.value,
-            slots=self._own.slots,
-            upstream=report.upstream_id if report else None,
-        )
+    def _on_nodes_confirmed(self, as_of_ms: float) -> None:
+        self._following.nodes_confirmed(as_of_ms)
+        if not self._recovery.has_read_table:
+            self._recovery.table_read()
+            self._own.publish()
 
     async def _listen(
         self, name: str, served: web.Application | web.Server, address: Address
@@ -402,24 +419,3 @@
 
     async def _serve_readiness(self, _request: web.Request) -> web.Response:
         return web.Response(status=STATUS_OK if self.ready else STATUS_NOT_READY)
-
-
-def _own_record(settings: MeshSettings, identity: NodeIdentity) -> NodeRecord:
-    return NodeRecord(
-        name=settings.node,
-        incarnation=identity.incarnation,
-        revision=0,
-        host=settings.relay.host,
-        relay_port=settings.relay.port,
-        service=settings.service,
-        zone=settings.zone,
-        region=settings.region,
-        slots=0,
-        state=NodeState.leaving,
-    )
-
-
-def _with_state(record: NodeRecord, state: NodeState, slots: int) -> NodeRecord:
-    return dataclasses.replace(
-        record, revision=record.revision + 1, state=state, slots=slots
-    )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -1,6 +1,7 @@
 """Interfaces that a platform implements: source of routing rules, registry of nodes."""
 
 import abc
+import asyncio
 from collections.abc import Callable
 
 from gentianmill.node_table import NodeRecord, NodeTable
@@ -76,8 +77,12 @@
         """
 
     @abc.abstractmethod
-    def publish(self, record: NodeRecord) -> None:
-        """Store the record of this node for the others; retry until it succeeds."""
+    def publish(self, record: NodeRecord) -> 'asyncio.Future[None]':
+        """Store the record of this node for the others; retry until it succeeds.
+
+        Returns:
+            A future that is done when this record or a later one is stored.
+        """
 
     @abc.abstractmethod
     def refresh(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -6,23 +6,27 @@
 from gentianmill.relay_messages import (
     CrashNews,
     FreshnessStatus,
+    KnownState,
     NodeNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
     RulesReply,
     RulesRequest,
+    StateRequest,
 )
 
 RelayFrame = (
     CrashNews
     | FreshnessStatus
+    | KnownState
     | NodeNews
     | RelayAnswer
     | RelayCall
     | RelayCancel
     | RulesReply
     | RulesRequest
+    | StateRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -9,11 +9,21 @@
 
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord
-from gentianmill.relay_messages import FreshnessStatus, NodeNews
+from gentianmill.relay_messages import (
+    FreshnessStatus,
+    KnownState,
+    NodeNews,
+    StateRequest,
+)
 from gentianmill_mesh.frame_handshake import open_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.relay_codec import RelayFrame, encode
-from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
+from gentianmill_mesh.relay_handshake import (
+    PEER_HEADER,
+    PROTOCOL,
+    NodeIdentity,
+    protocol_of,
+)
 from gentianmill_mesh.relay_server import RELAY_PATH
 from gentianmill_mesh.link_liveness import LinkLiveness
 from gentianmill_mesh.wire_names import WireNames
@@ -37,6 +47,9 @@
 the design size. An idle link costs no traffic, but the bytes of each handshake between
 regions cost money; closing after 10 s cost more bytes than it saved."""
 
+NEWER_FRAMES = (KnownState, StateRequest)
+"""Frames that nodes of protocol 1 do not know; they would close the link."""
+
 MS_PER_S = 1000
 
 log = component('relay')
@@ -54,6 +67,8 @@
     on_rules: Callable[[bytes, str], object]
     on_status: Callable[[FreshnessStatus, float], None]
     on_nodes: Callable[[NodeNews], None]
+    on_state: Callable[[KnownState], None]
+    state_of: Callable[[StateRequest], KnownState]
 
 
 class ConnectionListener(abc.ABC):
@@ -99,6 +114,7 @@
         self._listener = listener
         self._channel: _Channel | None = None
         self._peer: NodeIdentity | None = None
+        self._protocol = PROTOCOL
         self._closed = False
         self._opening: asyncio.Task[None] | None = None
         self._reconnecting: asyncio.Task[None] | None = None
@@ -125,6 +141,8 @@
         channel = self._channel
         if channel is None:
             return False
+        if self._protocol < PROTOCOL and isinstance(frame, NEWER_FRAMES):
+            return False
         self._last_used_ms = self._context.clock.now_ms()
         channel.send(encode(frame))
         return True
@@ -191,6 +209,7 @@
         socket, headers = await within(opening, CONNECT_TIMEOUT_S)
         channel.open(socket)
         peer = NodeIdentity.from_headers(headers)
+        self._protocol = protocol_of(headers)
         if peer != self._peer:
             self._listener.on_peer_restarted()
         self._peer = peer
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
@@ -6,6 +6,11 @@
 NODE_HEADER = 'X-Node'
 INCARNATION_HEADER = 'X-Incarnation'
 
+PROTOCOL_HEADER = 'X-Protocol'
+PROTOCOL = 2
+"""Version of the frames: nodes of version 1 know neither parts of bodies nor requests for
+state. A node without the header has version 1."""
+
 PEER_HEADER = 'X-Peer'
 """Name of the node that the sender intends to reach; the address of a removed VM may be
 reused by another one."""
@@ -21,7 +26,11 @@
 
     def headers(self) -> dict[str, str]:
         """Return the headers that carry the identity."""
-        return {NODE_HEADER: self.name, INCARNATION_HEADER: str(self.incarnation)}
+        return {
+            NODE_HEADER: self.name,
+            INCARNATION_HEADER: str(self.incarnation),
+            PROTOCOL_HEADER: str(PROTOCOL),
+        }
 
     @classmethod
     def from_headers(cls, headers: Mapping[str, str]) -> 'NodeIdentity | None':
@@ -31,3 +40,9 @@
         if not name or not incarnation.isdigit():
             return None
         return cls(name, int(incarnation))
+
+
+def protocol_of(headers: Mapping[str, str]) -> int:
+    """Return the version of the frames that a peer understands."""
+    version = headers.get(PROTOCOL_HEADER, '')
+    return int(version) if version.isdecimal() else 1
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -11,17 +11,19 @@
     CrashNews,
     FreshnessStatus,
     GuardLoad,
+    KnownState,
     NodeNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
     RulesReply,
     RulesRequest,
+    StateRequest,
 )
 from gentianmill.round_trip import RoundTrip
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpResponse
-from gentianmill_mesh.relay_codec import decode
+from gentianmill_mesh.relay_codec import RelayFrame, decode
 from gentianmill_mesh.relay_connection import (
     ConnectionListener,
     RelayConnection,
@@ -39,6 +41,8 @@
 POST_ATTEMPTS = 2
 """A connection may be silent; the next one was just opened."""
 
+PostedFrame = CrashNews | KnownState | NodeNews | RulesRequest | StateRequest
+
 MS_PER_S = 1000
 
 log = component('relay')
@@ -143,18 +147,19 @@
         """Return whether the other node is reachable; connect if needed."""
         return self.connected or await self._connection.connect()
 
-    async def post(self, frame: CrashNews | NodeNews | RulesRequest) -> None:
-        """Deliver a frame that is not a call to the other node, if it is reachable.
+    async def post(self, frame: PostedFrame) -> bool:
+        """Deliver a frame that is not a call; return whether the other node got it.
 
         The frame is sent again on a new connection if the node does not answer a ping
         after it, as the connection may have fallen silent unnoticed.
         """
         for _ in range(POST_ATTEMPTS):
             if not await self.reach():
-                return
+                return False
             if self._connection.send(frame) and await self._connection.confirm():
-                return
+                return True
         log.info('Frame not delivered.', peer=self._record.name)
+        return False
 
     async def ask_status(self, request: RulesRequest) -> None:
         """Ask the other node how recent its rules and node records are.
@@ -184,13 +189,8 @@
         if isinstance(frame, RulesReply):
             self._context.on_rules(frame.document, self._record.name)
             return
-        if isinstance(frame, FreshnessStatus):
-            self._on_status(frame)
-            return
-        if isinstance(frame, NodeNews):
-            self._context.on_nodes(frame)
-            return
         if not isinstance(frame, RelayAnswer):
+            self._on_news(frame)
             return
         self._context.on_version(self._record, frame.rules_version)
         pending = self._pending.get(frame.key)
@@ -224,11 +224,18 @@
                     pending.fail('link_lost')
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
-    def _on_status(self, status: FreshnessStatus) -> None:
-        """Apply a status that was asked for; without a request its age is unknown."""
-        if self._status_asked_ms is not None:
-            self._context.on_version(self._record, status.rules_version)
-            self._context.on_status(status, self._status_asked_ms)
+    def _on_news(self, frame: RelayFrame) -> None:
+        if isinstance(frame, NodeNews):
+            self._context.on_nodes(frame)
+        elif isinstance(frame, FreshnessStatus):
+            # Without a request, its age is unknown.
+            if self._status_asked_ms is not None:
+                self._context.on_version(self._record, frame.rules_version)
+                self._context.on_status(frame, self._status_asked_ms)
+        elif isinstance(frame, KnownState):
+            self._context.on_state(frame)
+        elif isinstance(frame, StateRequest):
+            spawn(self.post(self._context.state_of(frame)), 'tell state')
 
     def _time_out(self, pending: _Pending) -> None:
         self._cancel_remote(pending)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -5,7 +5,13 @@
 
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeTable
-from gentianmill.relay_messages import FreshnessStatus, NodeNews, RulesRequest
+from gentianmill.relay_messages import (
+    FreshnessStatus,
+    KnownState,
+    NodeNews,
+    RulesRequest,
+    StateRequest,
+)
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_connection import RelayContext
 from gentianmill_mesh.relay_link import RelayLink, new_call_keys
@@ -56,6 +62,8 @@
         self,
         on_status: Callable[[FreshnessStatus, float], None],
         on_nodes: Callable[[NodeNews], None],
+        on_state: Callable[[KnownState], None],
+        state_of: Callable[[StateRequest], KnownState],
     ) -> None:
         """Make links possible; call it while the event loop runs.
 
@@ -63,6 +71,8 @@
             on_status: Called with what another node knows, and with a time in ms, by the
                 clock of this node, before which it was not sent.
             on_nodes: Called with node records of another node.
+            on_state: Called with what another node knows about the guard of a node.
+            state_of: Returns what this node knows about the guard of another one.
         """
         self._context = RelayContext(
             identity=self._identity,
@@ -73,6 +83,8 @@
             on_rules=self._rules.offer,
             on_status=on_status,
             on_nodes=on_nodes,
+            on_state=on_state,
+            state_of=state_of,
         )
 
     async def close(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
@@ -10,6 +10,7 @@
 from gentianmill.relay_messages import RelayAnswer
 from gentianmill_mesh.frame_socket import FrameSocket
 from gentianmill_mesh.guard_call import GuardReply
+from gentianmill_mesh.relay_handshake import PROTOCOL
 
 __all__ = ('RelayJob', 'RelaySender')
 
@@ -83,6 +84,9 @@
         """
         self.name = name
         self.calls: CallLedger[RelayJob] = CallLedger()
+        self.protocol = PROTOCOL
+        """Version of the frames that the node understands."""
+
         self.running = 0
         """Number of calls that have not ended."""
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -10,19 +10,26 @@
 from gentianmill.relay_messages import (
     CrashNews,
     FreshnessStatus,
+    KnownState,
     NodeNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
     RulesReply,
     RulesRequest,
+    StateRequest,
 )
 from gentianmill_mesh.frame_handshake import FrameAcceptor, accept_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
 from gentianmill_mesh.mesh_settings import Address
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
-from gentianmill_mesh.relay_handshake import PEER_HEADER, NodeIdentity
+from gentianmill_mesh.relay_handshake import (
+    PEER_HEADER,
+    PROTOCOL,
+    NodeIdentity,
+    protocol_of,
+)
 from gentianmill_mesh.relay_sender import RelayJob, RelaySender
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
@@ -61,6 +68,15 @@
     news_for: Callable[[int], NodeNews | None]
     """Returns the latest records for a node whose records have another digest."""
 
+    on_state: Callable[[KnownState], None]
+    """Called with what another node knows about the guard of a node."""
+
+    state_of: Callable[[StateRequest], KnownState]
+    """Returns what this node knows about the guard of another one."""
+
+    wanted_state: Callable[[], StateRequest | None]
+    """Returns what to ask a node that connects, or None."""
+
 
 class RelayServer(FrameAcceptor):
     """Accept the links of other nodes and run their calls."""
@@ -91,6 +107,8 @@
             CrashNews: self._on_crash_news,
             NodeNews: lambda _sender, news: exchange.on_nodes(news),
             RulesRequest: self._on_rules_request,
+            StateRequest: lambda sender, asked: _send(sender, exchange.state_of(asked)),
+            KnownState: lambda _sender, state: exchange.on_state(state),
         }
         self._identity = identity
         self._guard = guard
@@ -147,6 +165,7 @@
         if identity is None:
             raise ValueError('the handshake names no node')
         sender = self._senders.setdefault(identity, RelaySender(identity.name))
+        sender.protocol = protocol_of(headers)
         return _SenderLink(sender, self._clock, self._handle, self._on_closed)
 
     def opened(self, receiver: FrameReceiver, socket: FrameSocket) -> None:
@@ -154,6 +173,9 @@
         if isinstance(receiver, _SenderLink):
             receiver.open(socket)
             self._sockets.add(socket)
+            wanted = self._exchange.wanted_state()
+            if wanted is not None and receiver.sender.protocol >= PROTOCOL:
+                _send(receiver.sender, wanted)
 
     def forget_departed_senders(self) -> None:
         """Forget senders that are disconnected and whose calls are forgotten."""
@@ -310,6 +332,11 @@
         self._on_closed = on_closed
         self._socket: FrameSocket | None = None
 
+    @property
+    def sender(self) -> RelaySender:
+        """Return the sender."""
+        return self._sender
+
     def open(self, socket: FrameSocket) -> None:
         """Use a connection after its handshake."""
         self._socket = socket
@@ -332,9 +359,7 @@
         self._on_closed(self._sender, self._socket)
 
 
-def _send(
-    sender: RelaySender, frame: RelayAnswer | RulesReply | FreshnessStatus | NodeNews
-) -> None:
+def _send(sender: RelaySender, frame: RelayFrame) -> None:
     if sender.socket is None:
         return
     try:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -23,6 +23,10 @@
 
 log = component('guard')
 
+STARTING = 'starting'
+"""Refusal while what an earlier process acknowledged is not known."""
+
+STOPPING = 'draining'
 CRASH_SUSPECT = 'crash_suspect'
 OTHER_UPSTREAM = 'other_upstream'
 RETRY_BUDGET = 'retry_budget'
@@ -76,7 +80,7 @@
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
         self._crashes = CrashWatch(pool, clock)
-        self._stopping = False
+        self._refusing = ''
         self._gate = RetryBudgetGate(budget, clock)
 
     @property
@@ -107,7 +111,7 @@
     @property
     def accepts_calls(self) -> bool:
         """Return whether new calls may be sent to the upstream."""
-        return self._status.accepts_calls and not self._stopping
+        return self._status.accepts_calls and not self._refusing
 
     @property
     def busy(self) -> bool:
@@ -146,10 +150,18 @@
         self._apply()
         return _published_state(self._status) != before
 
-    def upstream_left(self, upstream_id: str) -> bool:
-        """Record that the upstream leaves; return whether to notify other nodes."""
+    def upstream_left(
+        self, upstream_id: str, start_unix_ms: int, now_unix_ms: int
+    ) -> bool:
+        """Record that the upstream leaves; return whether to notify other nodes.
+
+        Args:
+            upstream_id: Its id.
+            start_unix_ms: Its start as Unix time in ms, or 0 if it is not told.
+            now_unix_ms: Current time as Unix time in ms.
+        """
         before = _published_state(self._status)
-        self._status.leave(upstream_id)
+        self._status.leave(upstream_id, start_unix_ms, now_unix_ms)
         self._apply()
         return _published_state(self._status) != before
 
@@ -162,10 +174,15 @@
         if abandoned:
             log.warning('Upstream silent.', abandoned=abandoned)
 
-    def stop(self) -> None:
-        """Refuse new calls; running calls are completed."""
-        self._stopping = True
-        self._slots.refuse_waiting()
+    def refuse_calls(self, reason: str) -> None:
+        """Refuse new calls; running calls are completed.
+
+        Args:
+            reason: Why calls are refused; with an empty one, they are taken again.
+        """
+        self._refusing = reason
+        if reason:
+            self._slots.refuse_waiting()
 
     async def run(self, call: GuardCall) -> GuardReply:
         """Run a call on the upstream.
@@ -194,6 +211,8 @@
     def _refusal(self, call: GuardCall) -> str:
         if call.service != self._service:
             return 'other_service'
+        if self._refusing:
+            return self._refusing
         if not self.accepts_calls:
             return 'draining'
         if not self._liveness.accepts_calls(self._clock.now_ms()):
--- a/packages/gentianmill/src/gentianmill/node_record_codec.py
+++ b/packages/gentianmill/src/gentianmill/node_record_codec.py
@@ -4,13 +4,15 @@
 rejected here, as an invalid port or number raises errors wherever it is used later.
 """
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
 
+from gentianmill.departures import MAX_DEPARTURES, Departure
 from gentianmill.node_table import NodeRecord, NodeState
 
-__all__ = ('check_record', 'decode_record', 'encode_record')
+__all__ = ('check_record', 'decode_record', 'encode_record', 'to_departures')
 
 MAX_INT64 = 2**63 - 1
 """Largest number that a frame carries."""
@@ -28,6 +30,11 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
 
 
+class _DepartureRow(msgspec.Struct):
+    upstream_id: _Name
+    start_unix_ms: _Count
+
+
 class _NodeRow(msgspec.Struct):
     name: _Name
     incarnation: _Count
@@ -39,6 +46,9 @@
     region: _Name
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: NodeState
+    departures: Annotated[
+        list[_DepartureRow], msgspec.Meta(max_length=MAX_DEPARTURES)
+    ] = []
 
 
 def encode_record(record: NodeRecord) -> bytes:
@@ -77,4 +87,18 @@
         ValueError: If an attribute is missing or not valid.
     """
     row = msgspec.convert(fields, _NodeRow, from_attributes=True)
-    return NodeRecord(**msgspec.structs.asdict(row))
+    return NodeRecord(
+        **msgspec.structs.asdict(row) | {'departures': to_departures(row.departures)}
+    )
+
+
+def to_departures(entries: Iterable[object]) -> tuple[Departure, ...]:
+    """Return checked departures from objects with their attributes, such as frames.
+
+    Raises:
+        ValueError: If an attribute is missing or not valid.
+    """
+    rows = [
+        msgspec.convert(entry, _DepartureRow, from_attributes=True) for entry in entries
+    ]
+    return tuple(Departure(row.upstream_id, row.start_unix_ms) for row in rows)
--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -5,6 +5,7 @@
 import itertools
 from collections.abc import Callable, Iterable
 
+from gentianmill.departures import Departure
 from gentianmill.rendezvous import hash_text
 
 MAX_TOMBSTONES = 1024
@@ -38,6 +39,9 @@
     region: str
     slots: int
     state: NodeState
+    departures: tuple[Departure, ...] = ()
+    """Starts of its upstreams that take no more calls, which its next process must
+    know."""
 
     def is_newer_than(self, other: 'NodeRecord') -> bool:
         """Return whether this record replaces another one of the same node."""
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -74,6 +74,15 @@
     cause: Annotated[
         str, Meta(description='Why it is sent: first, retry, hedge or inherited.')
     ]
+    body_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description='Length of a body that follows in parts, or 0 if the frame holds all of it.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
 
 
 class RelayAnswer(Frame):
@@ -92,9 +101,7 @@
             description='Why the call has no answer, or that it failed at a service below.'
         ),
     ]
-    framed: Annotated[
-        bool, Meta(description='Whether the upstream told the length of the body.')
-    ]
+    framed: Annotated[bool, Meta(description='True; nodes of protocol 1 read it.')]
     rules_version: Annotated[
         int, Meta(description='Version of the routing rules that the sender knows.')
     ]
@@ -129,6 +136,43 @@
         ]
         | UnsetType
     ) = -1
+    body_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description='Length of a body that follows in parts, -1 if it follows and its length is not known yet, or 0 if the frame holds all of it.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
+
+
+class RelayPart(Frame):
+    """
+    Carries a part of the body of a call or of its answer.
+    """
+
+    key: int
+    offset: Annotated[int, Meta(description='Bytes of the body before this part.')]
+    content: bytes
+    end: Annotated[
+        str,
+        Meta(
+            description='complete after the last part, cut if the rest is lost, else empty.'
+        ),
+    ]
+
+
+class RelayCredit(Frame):
+    """
+    Tells how much of a body the receiver has and takes.
+    """
+
+    key: int
+    received: Annotated[int, Meta(description='Bytes that have arrived.')]
+    limit: Annotated[
+        int, Meta(description='Bytes from the start of the body that may be sent.')
+    ]
 
 
 class RelayCancel(Frame):
@@ -182,6 +226,78 @@
     document: bytes
 
 
+class DepartureEntry(Frame):
+    """
+    A start of an upstream that takes no more calls.
+    """
+
+    upstream_id: str
+    start_unix_ms: Annotated[
+        int, Meta(description='Start as Unix time in ms; later ones are not meant.')
+    ]
+
+
+class StrikeEntry(Frame):
+    """
+    Crashes of upstreams in which a request was lost.
+    """
+
+    digest: Annotated[bytes, Meta(description='Digest of the request.')]
+    crashes: Annotated[list[int], Meta(description='Numbers of the crashes.')]
+    cleared: Annotated[
+        list[int],
+        Meta(
+            description='Numbers of those that it did not cause, as it was answered later.'
+        ),
+    ]
+
+
+class StrikeNews(Frame):
+    """
+    Tells of requests that were lost in crashes.
+    """
+
+    entries: list[StrikeEntry]
+
+
+class StateRequest(Frame):
+    """
+    Asks what the receiver knows that the guard of a node must not forget.
+    """
+
+    node: str
+
+
+class KnownState(Frame):
+    """
+    Tells what the guard of a node must not forget.
+    """
+
+    node: str
+    departures: Annotated[
+        list[DepartureEntry],
+        Meta(description="Starts of the node's upstreams that take no more calls."),
+    ]
+    strikes: (
+        Annotated[
+            list[StrikeEntry], Meta(description='Requests that were lost in crashes.')
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+
+
+class CrashNews(Frame):
+    """
+    Tells of requests lost in a crash; sent by nodes of protocol 1.
+    """
+
+    digests: list[bytes]
+    cleared: Annotated[
+        bool,
+        Meta(description='Whether they were answered since and are not the cause.'),
+    ]
+
+
 class NodeEntry(Frame):
     """
     What a node tells the others about itself.
@@ -201,6 +317,13 @@
     region: str
     slots: int
     state: Annotated[str, Meta(description='serving or leaving.')]
+    departures: (
+        Annotated[
+            list[DepartureEntry],
+            Meta(description="Starts of the node's upstreams that take no more calls."),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
 
 
 class NodeNews(Frame):
@@ -209,15 +332,3 @@
     """
 
     entries: list[NodeEntry]
-
-
-class CrashNews(Frame):
-    """
-    Tells a guard of the same service about requests lost in a crash.
-    """
-
-    digests: list[bytes]
-    cleared: Annotated[
-        bool,
-        Meta(description='Whether they were answered since and are not the cause.'),
-    ]
--- a/packages/gentianmill/src/gentianmill/upstream_status.py
+++ b/packages/gentianmill/src/gentianmill/upstream_status.py
@@ -1,6 +1,9 @@
 """What an upstream reports about itself, in the order of its reports."""
 
 import dataclasses
+from collections.abc import Iterable
+
+from gentianmill.departures import Departure, Departures
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,20 +42,35 @@
     def __init__(self) -> None:
         """Start without a report."""
         self._report: UpstreamReport | None = None
-        self._departed: set[tuple[str, int]] = set()
+        self._departures = Departures()
 
     @property
     def report(self) -> UpstreamReport | None:
         """Return the newest report, or None before the first."""
         return self._report
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Return the starts of upstreams on this VM that take no more calls."""
+        return self._departures.entries
+
+    @property
+    def is_blank(self) -> bool:
+        """Return whether nothing is known."""
+        return self._report is None and not self._departures.entries
+
     @property
     def accepts_calls(self) -> bool:
         """Return whether the upstream is known, not draining and has not left."""
         report = self._report
         if report is None or report.draining:
             return False
-        return (report.upstream_id, report.start_unix_ms) not in self._departed
+        return not self._departures.covers(report.upstream_id, report.start_unix_ms)
+
+    def restore(self, departures: Iterable[Departure]) -> None:
+        """Apply what an earlier process of the node has acknowledged."""
+        for departure in departures:
+            self._departures.add(departure)
 
     def apply(self, report: UpstreamReport) -> bool:
         """Apply a report unless a newer one is known.
@@ -68,30 +86,36 @@
             return False
         if known is not None and _undoes_drain(known, report):
             report = dataclasses.replace(report, draining=True)
+        if report.draining:
+            # An acknowledged drain applies until the upstream restarts.
+            self._departures.add(Departure(report.upstream_id, report.start_unix_ms))
         self._report = report
         return True
 
-    def leave(self, upstream_id: str) -> bool:
-        """Record that an upstream accepts no more calls.
+    def leave(self, upstream_id: str, start_unix_ms: int, now_unix_ms: int) -> bool:
+        """Record that a start of an upstream, and earlier ones, accept no more calls.
 
         Args:
             upstream_id: Id of the upstream.
+            start_unix_ms: Its start, or 0 if it is not told: then the start that is
+                known by reports, or else any until now.
+            now_unix_ms: Current time as Unix time in ms.
 
         Returns:
-            Whether it is the known upstream.
+            Whether the start is the known one.
         """
         known = self._report
         if known is None or known.upstream_id != upstream_id:
+            last_start = start_unix_ms or now_unix_ms
+            self._departures.add(Departure(upstream_id, last_start))
             return False
-        self._departed.add((known.upstream_id, known.start_unix_ms))
-        return True
+        last_start = start_unix_ms or known.start_unix_ms
+        self._departures.add(Departure(upstream_id, last_start))
+        return last_start >= known.start_unix_ms
 
 
 def _undoes_drain(known: UpstreamReport, report: UpstreamReport) -> bool:
-    """Return whether a report without a restart would end a drain.
-
-    An acknowledged drain applies until the upstream restarts.
-    """
+    """Return whether a report without a restart would end a drain."""
     is_same_start = (known.upstream_id, known.start_unix_ms) == (
         report.upstream_id,
         report.start_unix_ms,
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -1,5 +1,6 @@
 """Two nodes, a fault proxy between them and an upstream, all in one process."""
 
+import asyncio
 import dataclasses
 import json
 from collections.abc import Awaitable, Callable
@@ -103,17 +104,21 @@
         table: NodeTable,
         _on_accepted: Callable[[NodeRecord], None],
         _turns: PollTurns,
-        _on_confirmed: Callable[[float], None],
+        on_confirmed: Callable[[float], None],
     ) -> None:
         """Add a table."""
         self._tables.append(table)
+        on_confirmed(0)
 
-    def publish(self, record: NodeRecord) -> None:
+    def publish(self, record: NodeRecord) -> asyncio.Future[None]:
         """Merge a record into all tables."""
         if self._port is not None:
             record = dataclasses.replace(record, relay_port=self._port)
         for table in self._tables:
             table.merge([record])
+        stored = asyncio.get_running_loop().create_future()
+        stored.set_result(None)
+        return stored
 
     def refresh(self) -> None:
         """Do nothing."""
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -5,7 +5,7 @@
 
 from gentianmill.clock import ManualClock
 from gentianmill.outcome import Outcome
-from gentianmill.relay_messages import FreshnessStatus, GuardLoad, RelayCall
+from gentianmill.relay_messages import FreshnessStatus, GuardLoad, KnownState, RelayCall
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
@@ -75,6 +75,9 @@
                 lambda _name, _version: None,
                 lambda: FreshnessStatus(0, -1, 0, -1),
                 lambda _: None,
+                lambda _: None,
+                lambda asked: KnownState(asked.node, []),
+                lambda: None,
             ),
         )
 
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -73,8 +73,8 @@
         super().__init__(store, clock)
         self._port = port
 
-    def publish(self, record: NodeRecord) -> None:
-        super().publish(dataclasses.replace(record, relay_port=self._port))
+    def publish(self, record: NodeRecord) -> asyncio.Future[None]:
+        return super().publish(dataclasses.replace(record, relay_port=self._port))
 
 
 class FollowingNode:
--- /dev/null
+++ b/tests/test_guard_recovery.py
@@ -0,0 +1,272 @@
+"""Tests that a node which restarts knows what it has acknowledged before."""
+
+import asyncio
+import dataclasses
+
+import pytest
+from gentianmill.departures import Departure
+from gentianmill.relay_messages import DepartureEntry, KnownState, StateRequest
+from gentianmill_mesh.guard_recovery import GuardRecovery
+from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from mesh_upstream import NAMES
+from node_records import node_record
+from gentianmill.node_table import NodeTable
+from gentianmill.upstream_status import UpstreamStatus
+from test_upstream_status import _report
+
+LEFT = Departure('a', 9)
+LEFT_ENTRY = DepartureEntry('a', 9)
+OTHERS = [f'n{number}' for number in range(8)]
+
+
+class _Guard:
+    def __init__(self) -> None:
+        self.status = UpstreamStatus()
+        self.refusing = ''
+
+    def refuse_calls(self, reason: str) -> None:
+        self.refusing = reason
+
+
+class _Links:
+    """Links to other nodes, of which some answer."""
+
+    def __init__(self, known: dict[str, KnownState], *, reachable: bool = True) -> None:
+        self.posted: list[tuple[str, object]] = []
+        self.recovery: GuardRecovery | None = None
+        self._known = known
+        self._reachable = reachable
+
+    def to(self, record) -> '_Link':
+        return _Link(self, record.name)
+
+    async def deliver(self, name: str, frame: object) -> bool:
+        self.posted.append((name, frame))
+        if not self._reachable:
+            return False
+        if isinstance(frame, StateRequest) and name in self._known:
+            self.recovery.on_state(self._known[name])
+        return True
+
+
+@dataclasses.dataclass
+class _Link:
+    links: _Links
+    name: str
+
+    async def post(self, frame: object) -> bool:
+        return await self.links.deliver(self.name, frame)
+
+
+class _Peers:
+    def choose(self, _count: int) -> list[object]:
+        return []
+
+
+class _Bench:
+    def __init__(
+        self,
+        known: dict[str, KnownState] | None = None,
+        *,
+        reachable: bool = True,
+        first_start: bool = False,
+    ) -> None:
+        self.guard = _Guard()
+        self.table = NodeTable()
+        self.links = _Links(known or {}, reachable=reachable)
+        self.ended = 0
+        self.recovery = GuardRecovery(
+            _settings(first_start), self.guard, self.table, self.links, _Peers()
+        )
+        self.links.recovery = self.recovery
+        self.recovery.begin(self._end)
+
+    def _end(self) -> None:
+        self.ended += 1
+
+    def read(self, own: tuple[Departure, ...] | None = None) -> None:
+        """Read the table of the registry."""
+        self.table.merge([node_record(name) for name in OTHERS])
+        if own is not None:
+            self.table.merge([node_record('own', departures=own)])
+        self.recovery.table_read()
+
+    @property
+    def uses(self) -> bool:
+        """Return whether a report from before the leave makes the upstream used."""
+        self.guard.status.apply(_report(start_unix_ms=9))
+        return self.guard.status.accepts_calls and not self.guard.refusing
+
+
+def _settings(first_start: bool) -> MeshSettings:
+    address = Address('127.0.0.1', 1)
+    return MeshSettings(
+        node='own',
+        zone='a',
+        region='r',
+        service='s',
+        upstream=address,
+        entry=address,
+        readiness=address,
+        relay=address,
+        metrics=address,
+        readiness_path='/ready',
+        names=NAMES,
+        stop_within_ms=5000,
+        first_start=first_start,
+    )
+
+
+def _run(scenario) -> object:
+    return asyncio.run(asyncio.wait_for(scenario(), 5))
+
+
+async def _settle() -> None:
+    for _ in range(6):
+        await asyncio.sleep(0)
+
+
+def test_guard_takes_no_calls_before_it_has_learned():
+    """Guards against calls to an upstream of which nothing is known yet."""
+
+    async def scenario() -> tuple[bool, bool, bool]:
+        bench = _Bench()
+        before = bench.uses
+        bench.read()
+        await _settle()
+        return before, bench.uses, bench.recovery.may_publish
+
+    assert _run(scenario) == (False, True, True)
+
+
+@pytest.mark.parametrize('source', ['registry', 'node'])
+def test_departure_is_learned_before_calls_are_taken(source: str):
+    """Guards against payments to an upstream that has left, after a kill of its node."""
+
+    async def scenario() -> tuple[bool, int]:
+        state = KnownState('own', [LEFT_ENTRY])
+        known = dict.fromkeys(OTHERS, state) if source == 'node' else {}
+        bench = _Bench(known)
+        bench.read((LEFT,) if source == 'registry' else None)
+        await _settle()
+        return bench.uses, bench.ended
+
+    assert _run(scenario) == (False, 1)
+
+
+def test_node_that_connects_tells_while_the_registry_is_silent():
+    """Guards against an upstream that takes no calls as long as the registry is away."""
+
+    async def scenario() -> tuple[StateRequest | None, bool, StateRequest | None, bool]:
+        bench = _Bench()
+        asked = bench.recovery.wanted_state()
+        bench.recovery.on_state(KnownState('own', []))
+        return (
+            asked,
+            bench.uses,
+            bench.recovery.wanted_state(),
+            bool(bench.recovery.may_publish),
+        )
+
+    assert _run(scenario) == (StateRequest('own'), True, None, False)
+
+
+def test_first_start_asks_nobody():
+    """Guards against a start of all nodes at once in which each asks the others."""
+
+    async def scenario() -> tuple[int, int]:
+        bench = _Bench(first_start=True)
+        bench.read()
+        await _settle()
+        return len(bench.links.posted), bench.ended
+
+    assert _run(scenario) == (0, 1)
+
+
+def test_departure_is_kept_by_the_registry():
+    """Guards against an acknowledgement before anything outlives the process."""
+
+    async def scenario() -> tuple[bool, bool, int]:
+        bench = _Bench()
+        bench.read()
+        await _settle()
+        bench.links.posted.clear()
+        bench.guard.status.leave('a', 9, 1000)
+        stored = asyncio.get_running_loop().create_future()
+        keeping = asyncio.ensure_future(bench.recovery.keep(stored))
+        await asyncio.sleep(0.02)
+        before = keeping.done()
+        stored.set_result(None)
+        return before, await keeping, len(bench.links.posted)
+
+    assert _run(scenario) == (False, True, 0)
+
+
+@pytest.mark.parametrize('reachable', [True, False])
+def test_departure_is_kept_by_other_nodes_while_the_registry_is_away(reachable: bool):
+    """Guards against a leave that waits for the registry, or is forgotten without it."""
+
+    async def scenario() -> tuple[bool, bool]:
+        bench = _Bench(reachable=reachable)
+        bench.read()
+        await _settle()
+        bench.guard.status.leave('a', 9, 1000)
+        stored = asyncio.get_running_loop().create_future()
+        kept = await bench.recovery.keep(stored)
+        told = any(
+            isinstance(frame, KnownState) and frame.departures == [LEFT_ENTRY]
+            for _, frame in bench.links.posted
+        )
+        return kept, told
+
+    assert _run(scenario) == (reachable, True)
+
+
+def test_same_nodes_are_told_and_asked():
+    """Guards against asking nodes at a start that were not told before."""
+
+    async def scenario() -> tuple[set[str], set[str]]:
+        first = _Bench()
+        first.read()
+        await _settle()
+        first.links.posted.clear()
+        first.guard.status.leave('a', 9, 1000)
+        await first.recovery.keep(asyncio.get_running_loop().create_future())
+        await _settle()
+        second = _Bench()
+        second.read()
+        await _settle()
+        return (
+            {name for name, _ in first.links.posted},
+            {name for name, _ in second.links.posted},
+        )
+
+    told, asked = _run(scenario)
+    assert told == asked
+    assert len(told) > 1
+
+
+def test_other_nodes_are_told_what_is_known_of_them():
+    """Guards against a node that keeps a departure and does not tell it."""
+
+    async def scenario() -> tuple[KnownState, KnownState]:
+        bench = _Bench()
+        bench.recovery.on_state(KnownState('x', [LEFT_ENTRY]))
+        bench.table.merge([node_record('y', departures=(LEFT,))])
+        return tuple(bench.recovery.state_of(StateRequest(name)) for name in 'xy')
+
+    assert _run(scenario) == (
+        KnownState('x', [LEFT_ENTRY]),
+        KnownState('y', [LEFT_ENTRY]),
+    )
+
+
+def test_state_that_is_not_valid_is_ignored():
+    """Guards against a malformed message that ends the learning."""
+
+    async def scenario() -> int:
+        bench = _Bench()
+        bench.recovery.on_state(KnownState('own', [DepartureEntry('', -1)]))
+        return bench.ended
+
+    assert _run(scenario) == 0
--- a/tests/test_overdue_resends.py
+++ b/tests/test_overdue_resends.py
@@ -5,6 +5,7 @@
 from gentianmill.arrivals import Cause
 from gentianmill.clock import ManualClock
 from gentianmill.outcome import Outcome
+from gentianmill.relay_messages import KnownState
 from gentianmill_mesh.guard_call import GuardCall
 from gentianmill_mesh.relay_connection import RelayContext
 from gentianmill_mesh.relay_handshake import NodeIdentity
@@ -43,6 +44,8 @@
         on_rules=lambda _document, _name: None,
         on_status=lambda _status, _time_ms: None,
         on_nodes=lambda _news: None,
+        on_state=lambda _state: None,
+        state_of=lambda asked: KnownState(asked.node, []),
     )
     link = RelayLink(node_record('back'), context)
     connection = _Connection()
--- a/tests/test_upstream_status.py
+++ b/tests/test_upstream_status.py
@@ -2,6 +2,8 @@
 
 from gentianmill.upstream_status import UpstreamReport, UpstreamStatus
 
+NOW_UNIX_MS = 1000
+
 
 def _report(
     upstream_id: str = 'a',
@@ -43,7 +45,7 @@
     """Guards against ignoring an upstream that restarts its sequence under its id."""
     status = UpstreamStatus()
     status.apply(_report(sequence=50))
-    status.leave('a')
+    status.leave('a', 0, NOW_UNIX_MS)
     assert status.apply(_report(start_unix_ms=2, sequence=1))
     assert status.accepts_calls
 
@@ -60,5 +62,5 @@
     """Guards against a late leave of the predecessor that stops its successor."""
     status = UpstreamStatus()
     status.apply(_report('b', start_unix_ms=2))
-    assert not status.leave('a')
+    assert not status.leave('a', 0, NOW_UNIX_MS)
     assert status.accepts_calls
