--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -141,6 +141,9 @@
         if not progress.origin.cause.is_duplicate:
             self._throttle(progress.service).on_call(self._clock.now_ms())
         response: HttpResponse | None = None
+        if self._guard.crashes.refuses(self._own.service, progress.request):
+            progress.reason = CRASH_SUSPECT
+            return None
         while node := self._choose(progress):
             reply = await self._call_hedged(progress, node)
             response = reply.response or response
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -18,6 +18,7 @@
 from gentianmill_mesh.mesh_settings import MeshSettings
 from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.strike_gossip import MAX_ENTRIES, to_entries
 from gentianmill_mesh.time_limit import within
 from gentianmill_mesh.upstream_guard import STARTING, UpstreamGuard
 from gentianmill_node.background import spawn
@@ -48,7 +49,7 @@
 
 
 class GuardRecovery:
-    """Know the departures of this VM and, for other nodes, those of theirs."""
+    """Know what this guard must not forget and, for other nodes, what theirs must not."""
 
     def __init__(
         self,
@@ -126,7 +127,8 @@
         known = set(self._others.of_node(request.node))
         if record is not None:
             known.update(record.departures)
-        return KnownState(request.node, _entries(known))
+        strikes = self._guard.crashes.latest(MAX_ENTRIES)
+        return KnownState(request.node, _entries(known), to_entries(strikes))
 
     def on_state(self, state: KnownState) -> None:
         """Learn what another node knows, for this node or to pass it on."""
@@ -137,6 +139,7 @@
             return
         if state.node == self._own_name:
             self._restore(departures, 'node')
+            self._guard.crashes.merge(state.strikes)
             if not self._has_read_table:
                 self._end()
         elif self._others.add(state.node, departures):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -9,7 +9,6 @@
 from gentianmill.admission_share import ShareTable
 from gentianmill.clock import NS_PER_MS, Clock
 from gentianmill.node_table import NodeTable
-from gentianmill.relay_messages import CrashNews
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.arrival_log import ArrivalLog
 from gentianmill_mesh.crash_watch import CrashWatch
@@ -31,10 +30,11 @@
 from gentianmill_mesh.rules_gossip import RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.store_following import StoreFollowing
+from gentianmill_mesh.strike_gossip import StrikeGossip
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import STOPPING, UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
-from gentianmill_node.background import repeat, spawn
+from gentianmill_node.background import repeat
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import WebServer
 
@@ -146,6 +146,9 @@
         self._recovery = GuardRecovery(
             settings, self._guard, self._table, self._links, peers
         )
+        strikes = StrikeGossip(
+            settings.service, self._guard.crashes, self._table, self._links, peers
+        )
         self._own = OwnState(own, self._guard, self._recovery, registry)
         self._relay = RelayServer(
             self._identity,
@@ -160,6 +163,8 @@
                 self._gossip.latest_for,
                 self._recovery.on_state,
                 self._recovery.state_of,
+                strikes.apply,
+                strikes.apply_uncounted,
                 self._recovery.wanted_state,
             ),
         )
@@ -183,7 +188,6 @@
         self._entry = EntryListener(
             self._forwarder, settings.names, settings.read_ahead, self._clock
         )
-        self._guard.crashes.set_announcer(self._announce_crash)
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
         self._web = WebServer()
@@ -318,12 +322,6 @@
         left_ms = max(deadline_ms - self._clock.now_ms(), 0)
         await self._entry.drain(left_ms / MS_PER_S)
 
-    def _announce_crash(self, digests: list[bytes], cleared: bool) -> None:
-        update = CrashNews(digests=digests, cleared=cleared)
-        for record in self._table.of_service(self._settings.service):
-            if record.name != self._settings.node:
-                spawn(self._links.to(record).post(update), 'announce crash')
-
     def _tick(self) -> None:
         self._ticks += 1
         self._suspension.check()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
@@ -28,6 +28,11 @@
         self._links = links
         self._rng = rng
 
+    @property
+    def own_name(self) -> str:
+        """Return the name of this node."""
+        return self._own_name
+
     def choose(
         self, count: int, fits: Callable[[NodeRecord], bool] | None = None
     ) -> list[NodeRecord]:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -14,6 +14,7 @@
     RulesReply,
     RulesRequest,
     StateRequest,
+    StrikeNews,
 )
 
 RelayFrame = (
@@ -27,6 +28,7 @@
     | RulesReply
     | RulesRequest
     | StateRequest
+    | StrikeNews
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -14,6 +14,7 @@
     KnownState,
     NodeNews,
     StateRequest,
+    StrikeNews,
 )
 from gentianmill_mesh.frame_handshake import open_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
@@ -47,7 +48,7 @@
 the design size. An idle link costs no traffic, but the bytes of each handshake between
 regions cost money; closing after 10 s cost more bytes than it saved."""
 
-NEWER_FRAMES = (KnownState, StateRequest)
+NEWER_FRAMES = (KnownState, StateRequest, StrikeNews)
 """Frames that nodes of protocol 1 do not know; they would close the link."""
 
 MS_PER_S = 1000
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -8,7 +8,6 @@
 from gentianmill.node_table import NodeRecord
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import (
-    CrashNews,
     FreshnessStatus,
     GuardLoad,
     KnownState,
@@ -19,6 +18,7 @@
     RulesReply,
     RulesRequest,
     StateRequest,
+    StrikeNews,
 )
 from gentianmill.round_trip import RoundTrip
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
@@ -41,7 +41,7 @@
 POST_ATTEMPTS = 2
 """A connection may be silent; the next one was just opened."""
 
-PostedFrame = CrashNews | KnownState | NodeNews | RulesRequest | StateRequest
+PostedFrame = KnownState | NodeNews | RulesRequest | StateRequest | StrikeNews
 
 MS_PER_S = 1000
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -18,6 +18,7 @@
     RulesReply,
     RulesRequest,
     StateRequest,
+    StrikeNews,
 )
 from gentianmill_mesh.frame_handshake import FrameAcceptor, accept_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
@@ -74,6 +75,12 @@
     state_of: Callable[[StateRequest], KnownState]
     """Returns what this node knows about the guard of another one."""
 
+    on_strikes: Callable[[StrikeNews], None]
+    """Called with requests that were lost in crashes."""
+
+    on_uncounted_crash: Callable[[CrashNews], None]
+    """Called with such requests by nodes of protocol 1."""
+
     wanted_state: Callable[[], StateRequest | None]
     """Returns what to ask a node that connects, or None."""
 
@@ -104,7 +111,8 @@
         self._handlers: dict[type, Callable[..., None]] = {
             RelayCall: self._start,
             RelayCancel: self._cancel,
-            CrashNews: self._on_crash_news,
+            CrashNews: lambda _sender, news: exchange.on_uncounted_crash(news),
+            StrikeNews: lambda _sender, news: exchange.on_strikes(news),
             NodeNews: lambda _sender, news: exchange.on_nodes(news),
             RulesRequest: self._on_rules_request,
             StateRequest: lambda sender, asked: _send(sender, exchange.state_of(asked)),
@@ -219,9 +227,6 @@
         if job is not None and job.task is not None:
             job.task.cancel()
 
-    def _on_crash_news(self, _sender: RelaySender, frame: CrashNews) -> None:
-        self._guard.crashes.apply_update(frame.digests, frame.cleared)
-
     def _on_rules_request(self, sender: RelaySender, frame: RulesRequest) -> None:
         if frame.known_version > self._rules.version:
             self._exchange.on_version(sender.name, frame.known_version)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -217,7 +217,7 @@
             return 'draining'
         if not self._liveness.accepts_calls(self._clock.now_ms()):
             return 'down'
-        if self._crashes.refuses(call):
+        if self._crashes.refuses(call.caller_service, call.request):
             return CRASH_SUSPECT
         return RETRY_BUDGET if self._gate.refuses(call.cause, call.rank) else ''
 
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -77,6 +77,8 @@
                 lambda _: None,
                 lambda _: None,
                 lambda asked: KnownState(asked.node, []),
+                lambda _: None,
+                lambda _: None,
                 lambda: None,
             ),
         )
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -5,7 +5,12 @@
 
 import pytest
 from gentianmill.departures import Departure
-from gentianmill.relay_messages import DepartureEntry, KnownState, StateRequest
+from gentianmill.relay_messages import (
+    DepartureEntry,
+    KnownState,
+    StateRequest,
+    StrikeEntry,
+)
 from gentianmill_mesh.guard_recovery import GuardRecovery
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from mesh_upstream import NAMES
@@ -23,11 +28,24 @@
     def __init__(self) -> None:
         self.status = UpstreamStatus()
         self.refusing = ''
+        self.crashes = _Crashes()
 
     def refuse_calls(self, reason: str) -> None:
         self.refusing = reason
 
 
+class _Crashes:
+    def __init__(self) -> None:
+        self.merged: list[object] = []
+
+    def latest(self, _count: int) -> list[object]:
+        return []
+
+    def merge(self, entries: list[object]) -> list[object]:
+        self.merged += entries
+        return []
+
+
 class _Links:
     """Links to other nodes, of which some answer."""
 
@@ -261,6 +279,21 @@
     )
 
 
+def test_strikes_are_learned_before_calls_are_taken():
+    """Guards against a request that crashes endpoints again after a kill of their nodes."""
+    strike = StrikeEntry(b'digest', [1, 2, 3], [])
+
+    async def scenario() -> list[object]:
+        state = KnownState('own', [], [strike])
+        bench = _Bench({OTHERS[0]: state, OTHERS[3]: state})
+        bench.recovery._keepers = lambda: bench.table.records
+        bench.read()
+        await _settle()
+        return bench.guard.crashes.merged
+
+    assert strike in _run(scenario)
+
+
 def test_state_that_is_not_valid_is_ignored():
     """Guards against a malformed message that ends the learning."""
 
