--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -15,6 +15,7 @@
 from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import FIRST_SERVER_ERROR, HttpResponse, header
+from gentianmill_mesh.silence_check import SilenceCheck
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS, SlotQueue
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
 from gentianmill_mesh.upstream_pool import UpstreamPool
@@ -79,6 +80,7 @@
         self._share = AdmissionShare()
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
+        self._silence = SilenceCheck(pool)
         self._crashes = CrashWatch(pool, clock)
         self._refusing = ''
         self._gate = RetryBudgetGate(budget, clock)
@@ -166,13 +168,23 @@
         return _published_state(self._status) != before
 
     def check(self) -> None:
-        """Abandon repeatable requests on an upstream that is unresponsive."""
-        if not self._liveness.is_unresponsive(self._clock.now_ms()):
+        """Abandon repeatable requests on an upstream that is gone.
+
+        While it is only silent, new requests go elsewhere and running ones go on.
+        """
+        now_ms = self._clock.now_ms()
+        if not (self._liveness.is_silent(now_ms) and self._slots.busy):
+            self._silence.reset()
+            return
+        self._silence.ask()
+        if not self._liveness.is_unresponsive(now_ms):
             return
         self._slots.refuse_waiting()
+        if not self._silence.is_gone:
+            return
         abandoned = self._pool.abandon_repeatable()
         if abandoned:
-            log.warning('Upstream silent.', abandoned=abandoned)
+            log.warning('Upstream gone.', abandoned=abandoned)
 
     def refuse_calls(self, reason: str) -> None:
         """Refuse new calls; running calls are completed.
--- a/packages/gentianmill/src/gentianmill/upstream_liveness.py
+++ b/packages/gentianmill/src/gentianmill/upstream_liveness.py
@@ -2,6 +2,10 @@
 
 import math
 
+SILENT_AFTER_MS = 2000.0
+"""Time without a response or heartbeat after which the upstream is asked, so that the
+answer is there when it counts as unresponsive."""
+
 UNRESPONSIVE_AFTER_MS = 3000.0
 """Time without a response or heartbeat after which an upstream is unresponsive.
 
@@ -37,6 +41,10 @@
         self._paused_until_ms = now_ms + self._pause_ms
         self._pause_ms = min(self._pause_ms * 2, LONGEST_PAUSE_MS)
 
+    def is_silent(self, now_ms: float) -> bool:
+        """Return whether it is time to ask whether the upstream is still there."""
+        return now_ms - self._last_activity_ms > SILENT_AFTER_MS
+
     def is_unresponsive(self, now_ms: float) -> bool:
         """Return whether the last response or heartbeat was too long ago."""
         return now_ms - self._last_activity_ms > UNRESPONSIVE_AFTER_MS
