--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -146,7 +146,10 @@
             return None
         while node := self._choose(progress):
             reply = await self._call_hedged(progress, node)
-            response = reply.response or response
+            if reply.response is not None:
+                if response is not None:
+                    response.discard()
+                response = reply.response
             if reply.response is None:
                 progress.reason = reply.reason
             if not self._may_try_next(progress, reply):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -2,10 +2,15 @@
 
 import abc
 import asyncio
+import functools
 
 from aiohttp.base_protocol import BaseProtocol
 
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
+from gentianmill.route_rules import RequestLimits
+from gentianmill_mesh.call_intake import OUT_OF_MEMORY
+from gentianmill_mesh.connection_reset import reset_connection
 from gentianmill_mesh.entry_exchange import EntryExchange
 from gentianmill_mesh.exchange_queue import ExchangeQueue, RunAheadPolicy
 from gentianmill_mesh.forwarder import CallerRequest
@@ -13,6 +18,9 @@
 from gentianmill_mesh.lingering_close import LingeringClose, is_sending
 from gentianmill_mesh.mesh_settings import ReadAheadSettings
 from gentianmill_mesh.request_reader import RequestReader
+from gentianmill_mesh.request_room import RequestRoom
+from gentianmill_mesh.response_encoder import BodyEnd
+from gentianmill_mesh.response_sender import ResponseSender
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.logs import component
 
@@ -30,16 +38,21 @@
 
     @property
     @abc.abstractmethod
-    def max_body_bytes(self) -> int:
-        """Return the longest body that is read."""
+    def limits(self) -> RequestLimits:
+        """Return the bounds on requests."""
+
+    @property
+    @abc.abstractmethod
+    def budget(self) -> ByteBudget:
+        """Return the limit on what the node holds."""
 
     @abc.abstractmethod
     def start(self, exchange: EntryExchange, connection: 'EntryConnection') -> None:
         """Handle a request: set its response, or its task, which does so later."""
 
     @abc.abstractmethod
-    def refuse(self, caller: CallerRequest) -> HttpResponse:
-        """Return the refusal of a request that a stop leaves no time for."""
+    def refuse(self, caller: CallerRequest, reason: str) -> HttpResponse:
+        """Return the refusal of a request that was not received as a whole."""
 
     @abc.abstractmethod
     def opened(self, connection: 'EntryConnection') -> None:
@@ -73,8 +86,16 @@
         self._clock = clock
         self._exchanges = ExchangeQueue(handler, settings)
         self._reader = RequestReader(
-            self._exchanges, names, lambda: handler.max_body_bytes
+            self._exchanges,
+            names,
+            lambda: handler.limits,
+            lambda: RequestRoom(
+                handler.budget,
+                self.proceed,
+                functools.partial(self.refuse_incomplete, OUT_OF_MEMORY),
+            ),
         )
+        self._sender: ResponseSender | None = None
         self._received_ms = clock.now_ms()
         self._active_ms = self._received_ms
         self._has_unparsed = False
@@ -90,6 +111,13 @@
         """Start to read."""
         super().connection_made(transport)
         self._closing = LingeringClose(self.transport)
+        self._sender = ResponseSender(
+            self.transport,
+            self._handler.budget,
+            self._clock,
+            self._on_sent,
+            self.proceed,
+        )
         self._handler.opened(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -98,6 +126,7 @@
         self._reader.end()
         if self._closing is not None:
             self._closing.cancel()
+        self._sender = None
         self._exchanges.cancel()
         self._handler.closed(self)
 
@@ -113,11 +142,15 @@
     def pause_writing(self) -> None:
         """Read and start nothing more until the caller has read what was sent."""
         super().pause_writing()
+        if self._sender is not None:
+            self._sender.pause()
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Send the responses that waited for a caller that reads slowly."""
         super().resume_writing()
+        if self._sender is not None:
+            self._sender.resume()
         self.proceed()
 
     def proceed(self) -> None:
@@ -129,21 +162,36 @@
             self.transport.write(_CONTINUE)
         self._update_reading()
 
-    def refuse_incomplete(self) -> None:
-        """Refuse the request that is still being received."""
+    def refuse_incomplete(self, reason: str) -> None:
+        """Refuse the request that is still being received.
+
+        Args:
+            reason: Why the rest of it is not read.
+        """
         caller = self._reader.incomplete_request()
         if caller is not None:
-            self._reader.refuse(self._handler.refuse(caller))
+            self._reader.refuse(self._handler.refuse(caller, reason))
             self.proceed()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being received or handled."""
-        if not self._exchanges:
-            self._close_idle()
+        """Close the connection unless a request is being received or handled.
 
-    def abort(self) -> None:
-        """Close the connection immediately."""
+        A request that crosses the close stays unread, so that its caller, which sees the
+        connection end, knows that it has not run.
+        """
+        if self._exchanges:
+            return
+        self._reader.end()
         if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close the connection immediately; a response that is owed looks cut."""
+        if self.transport is None:
+            return
+        if self.running or is_sending(self.transport):
+            reset_connection(self.transport)
+        else:
             self.transport.abort()
 
     def check_timeouts(self, header_timeout_ms: float, idle_timeout_ms: float) -> None:
@@ -153,7 +201,10 @@
             header_timeout_ms: Longest pause in a head.
             idle_timeout_ms: Longest pause in a body, or between two requests.
         """
-        if self._reader.ended or self.running or is_sending(self.transport):
+        if self._sender is not None and is_sending(self.transport):
+            self._sender.check_reader(idle_timeout_ms)
+            return
+        if self._reader.ended or self.running or self._reader.is_waiting:
             return
         silent_ms = self._clock.now_ms() - self._active_ms
         is_in_head = self._reader.is_in_head
@@ -167,7 +218,7 @@
             )
             self.proceed()
         else:
-            self._close_idle()
+            self.close_if_idle()
 
     def _advance(self) -> bool:
         """Send, start and read what is possible; return whether more may be now."""
@@ -175,7 +226,7 @@
         if not self._paused:
             for exchange in self._exchanges.startable():
                 self._handler.start(exchange, self)
-        if self._is_response_due():
+        if self._is_response_due:
             return True
         if self._has_unparsed and self._may_read_on():
             self._read(b'')
@@ -194,25 +245,32 @@
     def _may_read_on(self) -> bool:
         return not self._paused and not self._reader.ended and self._exchanges.has_room
 
+    @property
     def _is_response_due(self) -> bool:
-        is_writable = self.transport is not None and not self._paused
-        return is_writable and self._exchanges.is_first_due
+        is_ready = self._sender is not None and self._sender.is_ready
+        return is_ready and self._exchanges.is_first_due
 
     def _send_due(self) -> None:
-        while self._is_response_due():
+        while self._is_response_due:
             self._active_ms = self._clock.now_ms()
-            exchange = self._exchanges.pop_first()
-            ends = not exchange.keeps_alive or not exchange.response.framed
-            closing = not self._exchanges.running and (self._handler.closing or ends)
-            self.transport.write(exchange.encode(exchange.response, closing=closing))
-            if closing:
-                self._close()
+            exchange = self._exchanges.first
+            ends = not exchange.keeps_alive or exchange.body_end is BodyEnd.close
+            is_alone = self._exchanges.running == 1
+            closing = is_alone and (self._handler.closing or ends)
+            self._sender.send(exchange, closing=closing)
+
+    def _on_sent(self, closing: bool) -> None:
+        self._active_ms = self._clock.now_ms()
+        self._exchanges.pop_first().release_request()
+        if closing:
+            self._close()
 
     def _update_reading(self) -> None:
         """Read while further requests are taken, or to drop what comes after the last."""
         if self.transport is None or self.transport.is_closing():
             return
-        must_pause = not self._reader.ended and (self._paused or self._has_unparsed)
+        is_held = self._paused or self._has_unparsed or self._reader.is_waiting
+        must_pause = is_held and not self._reader.ended
         if must_pause == self._is_transport_paused:
             return
         self._is_transport_paused = must_pause
@@ -221,16 +279,6 @@
         else:
             self.transport.resume_reading()
 
-    def _close_idle(self) -> None:
-        """Close a connection on which no response is owed.
-
-        A request that crosses the close stays unread, so that its caller, which sees the
-        connection end, knows that it has not run.
-        """
-        self._reader.end()
-        if self.transport is not None:
-            self.transport.close()
-
     def _close(self) -> None:
         """Close the sending side, and drop what the caller still sends for a while."""
         self._reader.end()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
@@ -8,6 +8,7 @@
 
 from gentianmill_mesh.forwarder import CallerRequest
 from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.request_room import RequestRoom
 from gentianmill_mesh.response_encoder import BodyEnd, encode_response
 
 __all__ = ('EntryExchange',)
@@ -28,6 +29,14 @@
     awaits_continue: bool = False
     """Whether the caller sends the body only after an interim response."""
 
+    arrived_ms: float = 0
+    """Time in ms at which the head was complete, from which the time left counts."""
+
+    room: RequestRoom | None = None
+    """Room for the body."""
+
+    is_dropped: bool = False
+
     response: HttpResponse | None = None
     task: 'asyncio.Task[None] | None' = None
 
@@ -58,20 +67,41 @@
         """Return whether the request was handled, so that its response is owed."""
         return self.task is not None or self.response is not None
 
-    def encode(self, response: HttpResponse, *, closing: bool) -> bytes:
-        """Return the bytes of the response.
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return how the caller finds the end of the body.
+
+        What is whole leaves with its length, whatever marked its end for the upstream. An
+        older caller can find the end of a body that still arrives only with that of the
+        connection.
+        """
+        stream = None if self.response is None else self.response.stream
+        if stream is None or stream.length is not None:
+            return BodyEnd.length
+        return BodyEnd.chunks if self.is_http11 else BodyEnd.close
+
+    def release_request(self) -> None:
+        """Give back the room of the body, which is not needed any more."""
+        if self.room is not None:
+            self.room.release()
+
+    def discard(self) -> None:
+        """Drop the exchange, as nobody waits for its response."""
+        self.is_dropped = True
+        if self.task is not None:
+            self.task.cancel()
+        if self.response is not None:
+            self.response.discard()
+        self.release_request()
 
-        A body without a length ends with the connection, as adding a length would hide
-        that it may be cut. Only where the connection must go on, since requests behind
-        this one were passed on, it is sent in chunks.
+    def encode(self, response: HttpResponse, *, closing: bool) -> bytes:
+        """Return the bytes of the response, without a body that still arrives.
 
         Args:
             response: The response.
             closing: Whether the connection closes after it.
         """
-        body_end = BodyEnd.length
-        if not response.framed:
-            body_end = BodyEnd.close if closing else BodyEnd.chunks
+        body_end = self.body_end
         connection = b''
         if closing:
             connection = b'close'
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -3,10 +3,17 @@
 import asyncio
 import socket
 
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
+from gentianmill.route_rules import RequestLimits
 from gentianmill_mesh.entry_connection import EntryConnection, EntryHandler
 from gentianmill_mesh.entry_exchange import EntryExchange
-from gentianmill_mesh.forwarder import AdmittedRequest, CallerRequest, Forwarder
+from gentianmill_mesh.forwarder import (
+    STOPPING,
+    AdmittedRequest,
+    CallerRequest,
+    Forwarder,
+)
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.mesh_settings import Address, ReadAheadSettings
 from gentianmill_mesh.wire_names import WireNames
@@ -16,8 +23,13 @@
 
 __all__ = ('EntryListener',)
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Longest body that is read before the first rules arrive."""
+FIRST_LIMITS = RequestLimits(
+    header_bytes=65_536,
+    body_bytes=64 * 1024 * 1024,
+    header_timeout_ms=10_000,
+    idle_timeout_ms=60_000,
+)
+"""Bounds on what is read before the first rules arrive; it is refused then."""
 
 IDLE_POLL_S = 0.02
 STATUS_BAD_GATEWAY = 502
@@ -34,6 +46,7 @@
         forwarder: Forwarder,
         names: WireNames,
         settings: ReadAheadSettings,
+        budget: ByteBudget,
         clock: Clock,
     ) -> None:
         """Create a listener; call ``start`` to serve.
@@ -42,11 +55,13 @@
             forwarder: Returns the response to a request.
             names: Header names of the deployment.
             settings: Bounds on what is read ahead on a connection.
+            budget: Limits what the node holds.
             clock: Clock of the node.
         """
         self._forwarder = forwarder
         self._names = names
         self._settings = settings
+        self._budget = budget
         self._clock = clock
         self._connections: set[EntryConnection] = set()
         self._closing = False
@@ -64,10 +79,14 @@
         return self._closing
 
     @property
-    def max_body_bytes(self) -> int:
-        """Return the longest body that is read."""
-        limits = self._forwarder.limits
-        return MAX_BODY_BYTES if limits is None else limits.body_bytes
+    def limits(self) -> RequestLimits:
+        """Return the bounds on requests."""
+        return self._forwarder.limits or FIRST_LIMITS
+
+    @property
+    def budget(self) -> ByteBudget:
+        """Return the limit on what the node holds."""
+        return self._budget
 
     async def listen(self, address: Address) -> None:
         """Accept connections.
@@ -94,7 +113,7 @@
         """Refuse requests that are not forwarded yet, also those still being received."""
         self._forwarder.refuse_new()
         for connection in tuple(self._connections):
-            connection.refuse_incomplete()
+            connection.refuse_incomplete(STOPPING)
 
     async def drain(self, timeout_s: float) -> None:
         """Accept nothing more, and wait until all connections are closed.
@@ -155,9 +174,9 @@
             self._run(exchange, connection, admitted)
         )
 
-    def refuse(self, caller: CallerRequest) -> HttpResponse:
-        """Return the refusal of a request that a stop leaves no time for."""
-        return self._forwarder.refuse_for_stop(caller)
+    def refuse(self, caller: CallerRequest, reason: str) -> HttpResponse:
+        """Return the refusal of a request that was not received as a whole."""
+        return self._forwarder.refuse(caller, reason)
 
     def opened(self, connection: EntryConnection) -> None:
         """Count a new connection."""
@@ -182,6 +201,9 @@
         except Exception:
             log.exception(FAULT_EVENT, request_id=admitted.caller.request_id)
             exchange.response = _fault()
+        exchange.release_request()
+        if exchange.is_dropped:
+            exchange.response.discard()
         connection.proceed()
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/exchange_queue.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/exchange_queue.py
@@ -66,6 +66,11 @@
         """Add a request behind all others."""
         self._exchanges.append(exchange)
 
+    @property
+    def first(self) -> EntryExchange:
+        """Return the request whose response is due next."""
+        return self._exchanges[0]
+
     def pop_first(self) -> EntryExchange:
         """Remove the first request and return it."""
         return self._exchanges.popleft()
@@ -89,20 +94,21 @@
         if not self._exchanges:
             return False
         first = self._exchanges[0]
-        is_awaited = first.awaits_continue
+        is_awaited = first.awaits_continue and _has_room(first)
+        if not is_awaited:
+            return False
         first.awaits_continue = False
         return is_awaited
 
     def cancel(self) -> None:
         """Cancel all requests, as nobody waits for their responses."""
         for exchange in self._exchanges:
-            if exchange.task is not None:
-                exchange.task.cancel()
+            exchange.discard()
         self._exchanges.clear()
 
     def clear(self) -> None:
         """Drop the requests that were not started."""
-        self._exchanges.clear()
+        self.cancel()
 
     def _may_start_behind(self) -> bool:
         return not self._policy.closing and self._holds_little()
@@ -123,3 +129,7 @@
             if exchange.response is not None:
                 held_bytes += len(exchange.response.body)
         return held_bytes < self._settings.bytes
+
+
+def _has_room(exchange: EntryExchange) -> bool:
+    return exchange.room is None or not exchange.room.is_waiting
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -21,6 +21,9 @@
 RESPONSE_MARGIN_MS = 20.0
 """Part of the time that is reserved to send the response to the caller."""
 
+STOPPING = 'stopping'
+"""Refusal of a request that a stop leaves no time for."""
+
 MS_PER_S = 1000
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
@@ -110,9 +113,14 @@
         rule = rules.find(caller.host, caller.path) if rules else None
         return rule is not None and rule.repeatable
 
-    def refuse_for_stop(self, caller: CallerRequest) -> HttpResponse:
-        """Return the refusal of a request that a stop leaves no time for."""
-        return self._refusal(caller, 'stopping')
+    def refuse(self, caller: CallerRequest, reason: str) -> HttpResponse:
+        """Return the refusal of a request that was not passed on.
+
+        Args:
+            caller: The request.
+            reason: Why, for the log and the metrics.
+        """
+        return self._refusal(caller, reason)
 
     def admit(self, caller: CallerRequest) -> HttpResponse | AdmittedRequest:
         """Return an admitted request, or the response that it is not run.
@@ -121,7 +129,7 @@
             caller: The request.
         """
         if self._refusing:
-            return self.refuse_for_stop(caller)
+            return self._refusal(caller, STOPPING)
         rules = self._rules.rules
         if rules is None:
             return self._refusal(caller, 'no_rules')
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/frame_socket.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/frame_socket.py
@@ -12,6 +12,10 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Longest message: the largest body that callers may send, plus headers."""
 
+WRITE_BUFFER_BYTES = 128 * 1024
+"""Bytes that wait for the network, above which parts of large bodies are not sent: other
+frames must not wait for long behind them."""
+
 CLOSE_CODE = b'\x03\xe8'
 """Code 1000 of RFC 6455: the connection is not needed any more."""
 
@@ -37,6 +41,10 @@
     def on_pong(self, key: bytes) -> None:
         """Handle the response to a ping."""
 
+    @abc.abstractmethod
+    def on_writable(self) -> None:
+        """Handle that the connection takes more bytes again."""
+
     @abc.abstractmethod
     def on_closed(self) -> None:
         """Handle the end of the connection."""
@@ -60,6 +68,8 @@
         self._masked = opened_it
         self._parser = FrameParser(MAX_FRAME_BYTES)
         self._closed = False
+        self._is_paused = False
+        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         transport.set_protocol(self)
 
     @property
@@ -67,6 +77,20 @@
         """Return whether nothing can be sent any more."""
         return self._closed or self._transport.is_closing()
 
+    @property
+    def writable(self) -> bool:
+        """Return whether large messages may be sent now."""
+        return not (self._is_paused or self.closed)
+
+    def pause_writing(self) -> None:
+        """Handle a peer that reads more slowly than this node sends."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Handle a peer that has read what was sent."""
+        self._is_paused = False
+        self._receiver.on_writable()
+
     def send(self, message: bytes) -> None:
         """Send a message, without waiting for a peer that reads slowly.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -33,6 +33,11 @@
     response: HttpResponse | None = None
     reason: str = ''
 
+    def discard(self) -> None:
+        """Stop a body that nobody takes."""
+        if self.response is not None:
+            self.response.discard()
+
     @classmethod
     def not_run(cls, reason: str) -> 'GuardReply':
         """Return the reply to a call that certainly did not run."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/hedge_race.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/hedge_race.py
@@ -32,6 +32,7 @@
         self._primary: asyncio.Task[object] | None = None
         self._hedge: asyncio.Task[GuardReply] | None = None
         self._hedge_won = False
+        self._chosen: GuardReply | None = None
 
     async def race(self, primary_call: Call) -> GuardReply:
         """Return the first successful reply, or else the most informative one.
@@ -46,8 +47,7 @@
             return await self._reply(primary_call)
         finally:
             timer.cancel()
-            if self._hedge is not None:
-                self._hedge.cancel()
+            self._drop_hedge()
 
     async def _reply(self, primary_call: Call) -> GuardReply:
         try:
@@ -57,7 +57,12 @@
         self._primary = None
         if self._hedge is None or _is_success(reply):
             return reply
-        return min(reply, await self._hedge, key=_reply_rank)
+        hedged = await self._hedge
+        chosen = min(reply, hedged, key=_reply_rank)
+        self._chosen = chosen
+        if chosen is not reply:
+            reply.discard()
+        return chosen
 
     def _hedge_reply(self) -> GuardReply:
         """Return the reply of a hedge that finished before the primary call.
@@ -70,7 +75,19 @@
         )
         if race_cancelled or self._hedge is None:
             raise asyncio.CancelledError
-        return self._hedge.result()
+        self._chosen = self._hedge.result()
+        return self._chosen
+
+    def _drop_hedge(self) -> None:
+        """Stop a hedge whose reply is not used."""
+        if self._hedge is None:
+            return
+        self._hedge.cancel()
+        if self._hedge.done() and not self._hedge.cancelled():
+            if self._hedge.exception() is None:
+                unused = self._hedge.result()
+                if unused is not self._chosen:
+                    unused.discard()
 
     def _start_hedge(self) -> None:
         call = self._hedge_call()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -3,6 +3,9 @@
 import dataclasses
 from collections.abc import Sequence
 
+from gentianmill_mesh.body_buffer import Body
+from gentianmill_mesh.body_stream import BodyStream
+
 FIRST_SERVER_ERROR = 500
 
 HeaderPairs = Sequence[Sequence[bytes]]
@@ -15,24 +18,28 @@
     method: str
     target: bytes
     headers: list[list[bytes]]
-    body: bytes
+    body: Body
 
 
 @dataclasses.dataclass(slots=True)
 class HttpResponse:
-    """A complete response of an upstream."""
+    """A response of an upstream, whole or with a body that arrives."""
 
     status: int
     headers: list[list[bytes]]
-    body: bytes
-    framed: bool = True
-    """Whether the length of the body is known. Otherwise the body ends when its
-    connection closes, and a truncated body can't be detected."""
+    body: Body
+    stream: BodyStream | None = None
+    """Carries the body while it arrives; ``body`` is empty then."""
 
     attributed: bool = True
     """Whether it certainly belongs to this request: it carries the request's id, or
     the connection was not used before."""
 
+    def discard(self) -> None:
+        """Stop a body that nobody takes."""
+        if self.stream is not None:
+            self.stream.cancel()
+
 
 def header(headers: HeaderPairs, name: bytes) -> bytes | None:
     """Return the first value of a header, or None.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/lingering_close.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/lingering_close.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from gentianmill_mesh.connection_reset import reset_on_close
+
 __all__ = ('LingeringClose', 'is_sending')
 
 LINGER_MS = 1000.0
@@ -42,6 +44,8 @@
         if is_sending(self._transport):
             self._wait()
         else:
+            # The kernel has the last response; it must still be delivered.
+            reset_on_close(self._transport, enabled=False)
             self._transport.abort()
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/link_liveness.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/link_liveness.py
@@ -13,6 +13,9 @@
 """Wait for the response to a ping: six round trips between regions, or a lost packet. A
 link that is dropped by mistake costs a handshake: its calls are joined on the next one."""
 
+SLOWEST_LINK_BYTES_PER_MS = 250
+"""Rate of a link, 2 Mbit/s, up to which a large body is not taken for silence."""
+
 MS_PER_S = 1000
 
 
@@ -29,6 +32,7 @@
         is_busy: Callable[[], bool],
         ping: Callable[[], None],
         on_unresponsive: Callable[[], None],
+        ahead_bytes: Callable[[], int] | None = None,
     ) -> None:
         """Create a watch for a connection that was just opened.
 
@@ -37,11 +41,13 @@
             is_busy: Returns whether responses are pending.
             ping: Sends a ping.
             on_unresponsive: Called once if the peer does not respond.
+            ahead_bytes: Returns how many bytes a ping may have to wait for.
         """
         self._clock = clock
         self._is_busy = is_busy
         self._ping = ping
         self._on_unresponsive = on_unresponsive
+        self._ahead_bytes = ahead_bytes
         self._last_received_ms = clock.now_ms()
         self._pinged_ms: float | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -81,10 +87,13 @@
             self._check_after(PING_AFTER_MS - idle_ms)
 
     def _check_pong(self, waited_ms: float) -> None:
-        if waited_ms >= PONG_WITHIN_MS:
+        limit_ms = PONG_WITHIN_MS
+        if self._ahead_bytes is not None:
+            limit_ms += self._ahead_bytes() / SLOWEST_LINK_BYTES_PER_MS
+        if waited_ms >= limit_ms:
             self._on_unresponsive()
         else:
-            self._check_after(PONG_WITHIN_MS - waited_ms)
+            self._check_after(limit_ms - waited_ms)
 
     def _send_ping(self) -> None:
         self._pinged_ms = self._clock.now_ms()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -20,6 +20,7 @@
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from gentianmill_mesh.node_gossip import NodeGossip
+from gentianmill_mesh.node_memory import NodeMemory
 from gentianmill_mesh.node_reaper import NodeReaper
 from gentianmill_mesh.own_state import OwnState, own_record
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
@@ -107,8 +108,14 @@
         own = own_record(settings, self._identity)
         shares = ShareTable()
         upstream = settings.upstream
+        self._memory = NodeMemory(settings.memory_bytes)
+        budget = self._memory.budget
         self._pool = UpstreamPool(
-            upstream.host, upstream.port, settings.names, self._clock
+            upstream.host,
+            upstream.port,
+            settings.names,
+            self._clock,
+            self._memory.responses,
         )
         self._guard = UpstreamGuard(
             settings.service,
@@ -125,6 +132,7 @@
             self._table,
             settings.names,
             self._clock,
+            budget,
         )
         self._following = StoreFollowing(
             own, self._table, self._links, rules, self._clock
@@ -155,6 +163,7 @@
             self._guard,
             rules,
             settings.names,
+            budget,
             self._clock,
             StateExchange(
                 self._gossip.apply,
@@ -186,7 +195,7 @@
             self._clock,
         )
         self._entry = EntryListener(
-            self._forwarder, settings.names, settings.read_ahead, self._clock
+            self._forwarder, settings.names, settings.read_ahead, budget, self._clock
         )
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -61,6 +61,9 @@
     stop_within_ms: float
     """Time from the stop signal until the process is killed."""
 
+    memory_bytes: int | None = None
+    """Memory that the process may take, or None if it is not limited."""
+
     first_start: bool = False
     """Whether the whole deployment starts for the first time, so that no other node knows
     what an earlier process of this one has acknowledged."""
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
@@ -0,0 +1,76 @@
+"""How much memory a node may hold for others."""
+
+from pathlib import Path
+
+from gentianmill.byte_budget import ByteBudget
+from gentianmill_mesh.response_memory import MAX_BUFFERED_BYTES, ResponseMemory
+from gentianmill_node.logs import component
+
+__all__ = ('NodeMemory',)
+
+MARGIN_SHARE = 0.15
+"""Part of the memory that is neither held for others nor taken by an idle node: parser
+buffers, tasks, and what the allocator can't return at once."""
+
+IDLE_BYTES = 45_000_000
+"""Memory of an idle node, where the system does not tell it."""
+
+SMALLEST_BUDGET_BYTES = 16_000_000
+
+UNLIMITED_BYTES = 1_073_741_824
+"""Budget of a node without a memory limit."""
+
+WHOLE_SHARE = 0.25
+MAX_WHOLE_BYTES = 32_000_000
+"""Responses are collected until they are whole while they take less than this part of the
+budget together, and less than this number of bytes."""
+
+STATUS_FILE = Path('/proc/self/status')
+
+log = component('memory')
+
+
+class NodeMemory:
+    """The budget of a node, and that of the responses being received."""
+
+    def __init__(self, limit_bytes: int | None) -> None:
+        """Create the memory of a node that is idle now.
+
+        Args:
+            limit_bytes: Memory that the process may take, or None if it is not limited.
+        """
+        if limit_bytes is None:
+            self._budget = ByteBudget(UNLIMITED_BYTES)
+            self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget)
+            return
+        idle_bytes = _resident_bytes()
+        free_bytes = int(limit_bytes * (1 - MARGIN_SHARE)) - idle_bytes
+        self._budget = ByteBudget(max(free_bytes, SMALLEST_BUDGET_BYTES))
+        whole_bytes = min(int(self._budget.limit * WHOLE_SHARE), MAX_WHOLE_BYTES)
+        self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget, whole_bytes)
+        log.info(
+            'Memory.', limit=limit_bytes, idle=idle_bytes, budget=self._budget.limit
+        )
+
+    @property
+    def budget(self) -> ByteBudget:
+        """Return the limit on all that is held."""
+        return self._budget
+
+    @property
+    def responses(self) -> ResponseMemory:
+        """Return the limit on incomplete responses of the upstream."""
+        return self._responses
+
+
+def _resident_bytes() -> int:
+    try:
+        lines = STATUS_FILE.read_text().splitlines()
+    except OSError as error:
+        log.info('Resident memory not known.', error=repr(error))
+        return IDLE_BYTES
+    for line in lines:
+        name, _, text = line.partition(':')
+        if name == 'VmRSS':
+            return int(text.split()[0]) * 1024
+    return IDLE_BYTES
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -11,6 +11,8 @@
     RelayAnswer,
     RelayCall,
     RelayCancel,
+    RelayCredit,
+    RelayPart,
     RulesReply,
     RulesRequest,
     StateRequest,
@@ -25,6 +27,8 @@
     | RelayAnswer
     | RelayCall
     | RelayCancel
+    | RelayCredit
+    | RelayPart
     | RulesReply
     | RulesRequest
     | StateRequest
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable, Iterator
 
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord
 from gentianmill.relay_messages import (
@@ -68,6 +69,7 @@
     on_rules: Callable[[bytes, str], object]
     on_status: Callable[[FreshnessStatus, float], None]
     on_nodes: Callable[[NodeNews], None]
+    budget: ByteBudget
     on_state: Callable[[KnownState], None]
     state_of: Callable[[StateRequest], KnownState]
 
@@ -80,6 +82,15 @@
     def busy(self) -> bool:
         """Return whether responses are pending."""
 
+    @property
+    @abc.abstractmethod
+    def ahead_bytes(self) -> int:
+        """Return an upper bound of the bytes that the network may still carry."""
+
+    @abc.abstractmethod
+    def on_writable(self) -> None:
+        """Handle that the connection takes more bytes again."""
+
     @abc.abstractmethod
     def on_message(self, message: bytes) -> None:
         """Handle a message.
@@ -127,6 +138,16 @@
         """Return whether frames can be sent."""
         return self._channel is not None and not self._channel.closed
 
+    @property
+    def writable(self) -> bool:
+        """Return whether large messages may be sent now."""
+        return self._channel is not None and self._channel.writable
+
+    @property
+    def takes_parts(self) -> bool:
+        """Return whether the other node takes bodies in parts."""
+        return self._protocol >= PROTOCOL
+
     @property
     def closed(self) -> bool:
         """Return whether ``close`` was called."""
@@ -272,6 +293,7 @@
             lambda: not self.closed and listener.busy,
             self._ping,
             lambda: on_silent(self),
+            lambda: listener.ahead_bytes,
         )
 
     @property
@@ -279,6 +301,11 @@
         """Return whether nothing can be sent."""
         return self._socket is None or self._socket.closed
 
+    @property
+    def writable(self) -> bool:
+        """Return whether large messages may be sent now."""
+        return self._socket is not None and self._socket.writable
+
     def open(self, socket: FrameSocket) -> None:
         """Use a connection after its handshake."""
         self._socket = socket
@@ -328,6 +355,10 @@
         if confirmed is not None and not confirmed.done():
             confirmed.set_result(None)
 
+    def on_writable(self) -> None:
+        """Report that more bytes may be sent."""
+        self._listener.on_writable()
+
     def on_closed(self) -> None:
         """Report the end of the connection."""
         self._watch.stop()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -5,48 +5,39 @@
 import itertools
 from collections.abc import Iterator
 
+import msgspec
+
+from gentianmill.byte_budget import SMALL_BYTES
 from gentianmill.node_table import NodeRecord
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import (
     FreshnessStatus,
     GuardLoad,
-    KnownState,
-    NodeNews,
     RelayAnswer,
     RelayCall,
     RelayCancel,
-    RulesReply,
-    RulesRequest,
-    StateRequest,
-    StrikeNews,
+    RelayCredit,
+    RelayPart,
 )
 from gentianmill.round_trip import RoundTrip
+from gentianmill_mesh.body_buffer import Body
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.incoming_bodies import IncomingBodies
+from gentianmill_mesh.part_sender import WINDOW_BYTES, PartSender, WholeBody
 from gentianmill_mesh.relay_codec import RelayFrame, decode
-from gentianmill_mesh.relay_connection import (
-    ConnectionListener,
-    RelayConnection,
-    RelayContext,
-)
+from gentianmill_mesh.relay_connection import RelayContext
+from gentianmill_mesh.relay_peer import RelayPeer
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.wire_names import restore_headers
 from gentianmill_node.background import spawn
-from gentianmill_node.logs import component
 
 RECONNECT_PAUSE_S = 0.25
 """Pause between attempts to reach the node that has a request which may run only
 once."""
 
-POST_ATTEMPTS = 2
-"""A connection may be silent; the next one was just opened."""
-
-PostedFrame = KnownState | NodeNews | RulesRequest | StateRequest | StrikeNews
-
 MS_PER_S = 1000
 
-log = component('relay')
-
 
 @dataclasses.dataclass(slots=True)
 class RelayReply:
@@ -64,6 +55,9 @@
     deadline_ms: float
     waiter: 'asyncio.Future[RelayReply]'
     started_ms: float
+    body: Body | None = None
+    """Body that does not fit into the frame."""
+
     sent: bool = False
 
     def complete(self, reply: GuardReply, load: GuardLoad | None = None) -> None:
@@ -81,7 +75,7 @@
     return itertools.count(1)
 
 
-class RelayLink(ConnectionListener):
+class RelayLink(RelayPeer):
     """Run calls on another node, over a connection that is opened on demand."""
 
     def __init__(self, record: NodeRecord, context: RelayContext) -> None:
@@ -91,32 +85,21 @@
             record: The other node.
             context: State that all links share.
         """
-        self._record = record
-        self._context = context
+        super().__init__(record, context)
         self._pending: dict[int, _Pending] = {}
-        self._connection = RelayConnection(record, context, self)
         self._round_trip = RoundTrip()
-        self._status_asked_ms: float | None = None
-
-    @property
-    def record(self) -> NodeRecord:
-        """Return the other node."""
-        return self._record
-
-    @property
-    def connected(self) -> bool:
-        """Return whether the connection is open."""
-        return self._connection.connected
+        self._parts = PartSender(self._send, lambda: self._connection.writable)
+        self._incoming = IncomingBodies(context.budget, self._send)
 
     @property
     def busy(self) -> bool:
-        """Return whether calls wait for responses."""
-        return bool(self._pending)
+        """Return whether calls wait for responses, or for their bodies."""
+        return bool(self._pending or self._incoming)
 
     @property
-    def unreachable(self) -> bool:
-        """Return whether the last attempts to connect failed; further ones are made."""
-        return self._connection.unreachable
+    def ahead_bytes(self) -> int:
+        """Return an upper bound of the bytes that the network may still carry."""
+        return self._parts.ahead_bytes
 
     async def call(self, call: GuardCall) -> RelayReply:
         """Run a call on the other node.
@@ -137,39 +120,15 @@
         try:
             return await pending.waiter
         except asyncio.CancelledError:
-            self._cancel_remote(pending)
+            if pending.waiter.done() and not pending.waiter.cancelled():
+                pending.waiter.result().reply.discard()
+            else:
+                self._cancel_remote(pending)
             raise
         finally:
             self._pending.pop(key, None)
             _stop(timer, connecting)
 
-    async def reach(self) -> bool:
-        """Return whether the other node is reachable; connect if needed."""
-        return self.connected or await self._connection.connect()
-
-    async def post(self, frame: PostedFrame) -> bool:
-        """Deliver a frame that is not a call; return whether the other node got it.
-
-        The frame is sent again on a new connection if the node does not answer a ping
-        after it, as the connection may have fallen silent unnoticed.
-        """
-        for _ in range(POST_ATTEMPTS):
-            if not await self.reach():
-                return False
-            if self._connection.send(frame) and await self._connection.confirm():
-                return True
-        log.info('Frame not delivered.', peer=self._record.name)
-        return False
-
-    async def ask_status(self, request: RulesRequest) -> None:
-        """Ask the other node how recent its rules and node records are.
-
-        Args:
-            request: What this node knows; what is newer is sent, too.
-        """
-        self._status_asked_ms = self._context.clock.now_ms()
-        await self.post(request)
-
     def end_overdue_calls(self) -> None:
         """Time out the calls whose deadlines have passed during a suspension."""
         now_ms = self._context.clock.now_ms()
@@ -181,61 +140,69 @@
         """Close the connection and fail the calls without a response."""
         for pending in tuple(self._pending.values()):
             pending.fail('link_closed')
+        self._incoming.fail('link_closed')
         await self._connection.close()
 
     def on_message(self, message: bytes) -> None:
         """Handle a message of the other node."""
         frame = decode(message, self._record.name)
-        if isinstance(frame, RulesReply):
-            self._context.on_rules(frame.document, self._record.name)
-            return
-        if not isinstance(frame, RelayAnswer):
-            self._on_news(frame)
-            return
-        self._context.on_version(self._record, frame.rules_version)
-        pending = self._pending.get(frame.key)
-        if pending is not None:
-            total_ms = self._context.clock.now_ms() - pending.started_ms
-            self._round_trip.observe(total_ms, frame.spent_ms)
-            self._context.on_status(_status(frame), pending.started_ms + frame.spent_ms)
-            pending.complete(
-                _reply(frame, pending.frame, self._context.names.request_id), frame.load
-            )
+        if isinstance(frame, RelayAnswer):
+            self._on_answer(frame)
+        elif isinstance(frame, RelayPart):
+            self._incoming.add(frame)
+        elif isinstance(frame, RelayCredit):
+            self._parts.grant(frame.key, frame.received, frame.limit)
+        else:
+            self.apply_news(frame)
+
+    def on_writable(self) -> None:
+        """Send on what waited for a slow connection."""
+        self._parts.pump()
 
     def on_peer_restarted(self) -> None:
         """Fail the calls that were sent to an earlier incarnation of the other node."""
         for pending in tuple(self._pending.values()):
             if pending.sent:
                 pending.fail('peer_restarted')
+        self._incoming.fail('peer_restarted')
 
     async def on_connection_lost(self) -> None:
-        """Resend the calls without a response on a new connection.
+        """Resend the calls without a response, and go on with bodies, on a new connection.
 
         The other node matches them with the calls that it has. Repeatable calls are
         abandoned at the first failure, as another node can run them.
         """
-        while self._pending and not self._connection.closed:
+        self._parts.close()
+        while self.busy and not self._connection.closed:
             if await self._connection.connect():
                 for pending in tuple(self._pending.values()):
                     self._transmit(pending)
+                self._incoming.resume()
                 return
+            self._incoming.fail('link_lost')
             for pending in tuple(self._pending.values()):
                 if pending.frame.repeatable or not pending.sent:
                     pending.fail('link_lost')
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
-    def _on_news(self, frame: RelayFrame) -> None:
-        if isinstance(frame, NodeNews):
-            self._context.on_nodes(frame)
-        elif isinstance(frame, FreshnessStatus):
-            # Without a request, its age is unknown.
-            if self._status_asked_ms is not None:
-                self._context.on_version(self._record, frame.rules_version)
-                self._context.on_status(frame, self._status_asked_ms)
-        elif isinstance(frame, KnownState):
-            self._context.on_state(frame)
-        elif isinstance(frame, StateRequest):
-            spawn(self.post(self._context.state_of(frame)), 'tell state')
+    def _on_answer(self, frame: RelayAnswer) -> None:
+        self._context.on_version(self._record, frame.rules_version)
+        self._parts.remove(frame.key)
+        pending = self._pending.get(frame.key)
+        if pending is None or pending.waiter.done():
+            if frame.body_bytes:
+                self._send(RelayCancel(frame.key))
+            return
+        total_ms = self._context.clock.now_ms() - pending.started_ms
+        self._round_trip.observe(total_ms, frame.spent_ms)
+        self._context.on_status(_status(frame), pending.started_ms + frame.spent_ms)
+        reply = _reply(frame, pending.frame, self._context.names.request_id)
+        if frame.body_bytes and reply.response is not None:
+            reply.response.stream = self._incoming.begin(frame.key, frame.body_bytes)
+        pending.complete(reply, frame.load)
+
+    def _send(self, frame: RelayFrame) -> bool:
+        return self._connection.send(frame)
 
     def _time_out(self, pending: _Pending) -> None:
         self._cancel_remote(pending)
@@ -272,12 +239,22 @@
             pending.fail('deadline')
             return
         pending.frame.time_left_ms = max(int(left_ms), 0)
-        if self._connection.send(pending.frame):
+        # A body in parts goes on where the other node says, if it may have a part of it.
+        limit = 0 if pending.sent else WINDOW_BYTES
+        frame = pending.frame
+        has_parts = pending.body is not None and self._connection.takes_parts
+        if pending.body is not None and not has_parts:
+            frame = msgspec.structs.replace(frame, body=pending.body, body_bytes=0)
+        if self._send(frame):
             pending.sent = True
+            if has_parts:
+                body = WholeBody(pending.body)
+                self._parts.add(frame.key, body, 0, limit)
 
     def _cancel_remote(self, pending: _Pending) -> None:
+        self._parts.remove(pending.frame.key)
         if pending.sent:
-            self._connection.send(RelayCancel(pending.frame.key))
+            self._send(RelayCancel(pending.frame.key))
 
 
 def _stop(
@@ -300,13 +277,14 @@
 def _new_pending(call: GuardCall, context: RelayContext) -> _Pending:
     request = call.request
     now_ms = context.clock.now_ms()
+    is_large = len(request.body) > SMALL_BYTES
     frame = RelayCall(
         key=next(context.keys),
         service=call.service,
         method=request.method,
         target=request.target,
         headers=request.headers,
-        body=request.body,
+        body=b'' if is_large else request.body,
         time_left_ms=int(call.deadline_ms - now_ms),
         rank=call.rank,
         patience_ms=int(call.max_wait_ms),
@@ -314,9 +292,11 @@
         caller_service=call.caller_service,
         route=call.route,
         cause=call.cause.value,
+        body_bytes=len(request.body) if is_large else 0,
     )
     waiter = asyncio.get_running_loop().create_future()
-    return _Pending(frame, call.deadline_ms, waiter, now_ms)
+    body = request.body if is_large else None
+    return _Pending(frame, call.deadline_ms, waiter, now_ms, body)
 
 
 def _reply(frame: RelayAnswer, call: RelayCall, request_id: bytes) -> GuardReply:
@@ -324,5 +304,5 @@
     if outcome is not Outcome.answered:
         return GuardReply(outcome, reason=frame.reason)
     headers = restore_headers(frame.headers, call.headers, request_id)
-    response = HttpResponse(frame.status, headers, frame.body, frame.framed)
+    response = HttpResponse(frame.status, headers, frame.body)
     return GuardReply(outcome, response, frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import (
@@ -37,6 +38,7 @@
         table: NodeTable,
         names: WireNames,
         clock: Clock,
+        budget: ByteBudget,
     ) -> None:
         """Create an empty set of links; call ``start`` before use.
 
@@ -47,6 +49,7 @@
             table: The other nodes.
             names: Header names of the deployment.
             clock: Clock of the node.
+            budget: Limits what the node holds.
         """
         self._identity = identity
         self._region = region
@@ -54,6 +57,7 @@
         self._table = table
         self._names = names
         self._clock = clock
+        self._budget = budget
         self._links: dict[str, RelayLink] = {}
         self._context: RelayContext | None = None
         self._requested_versions: set[int] = set()
@@ -83,6 +87,7 @@
             on_rules=self._rules.offer,
             on_status=on_status,
             on_nodes=on_nodes,
+            budget=self._budget,
             on_state=on_state,
             state_of=state_of,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
@@ -2,15 +2,23 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
+from gentianmill.byte_budget import ByteBudget, HeldKind
 from gentianmill.call_ledger import CallLedger
 from gentianmill.outcome import Outcome
-from gentianmill.relay_messages import RelayAnswer
+from gentianmill.relay_messages import RelayAnswer, RelayCall
+from gentianmill_mesh.body_buffer import Body
+from gentianmill_mesh.call_upload import CallUpload
 from gentianmill_mesh.frame_socket import FrameSocket
 from gentianmill_mesh.guard_call import GuardReply
+from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.part_sender import PartSender
+from gentianmill_mesh.relay_codec import RelayFrame, encode
 from gentianmill_mesh.relay_handshake import PROTOCOL
+from gentianmill_node.logs import component
 
 __all__ = ('RelayJob', 'RelaySender')
 
@@ -32,38 +40,87 @@
 
 MS_PER_S = 1000
 
+log = component('relay')
+
 
 class RelayJob:
     """A call of another node and, once it has ended, its answer."""
 
-    __slots__ = ('answer', 'deadline_ms', 'key', 'repeatable', 'reply', 'task')
-
-    def __init__(self, key: int, repeatable: bool, deadline_ms: float) -> None:
+    def __init__(self, frame: RelayCall, arrived_ms: float, budget: ByteBudget) -> None:
         """Create a job that has not begun.
 
         Args:
-            key: Number of the call.
-            repeatable: Whether it may run more than once.
-            deadline_ms: Time in ms until which its sender waits.
+            frame: The call.
+            arrived_ms: Time in ms at which it arrived.
+            budget: Limits what the node holds.
         """
-        self.key = key
-        self.repeatable = repeatable
-        self.deadline_ms = deadline_ms
+        self.frame = frame
+        self.arrived_ms = arrived_ms
+        self.upload: CallUpload | None = None
         self.task: asyncio.Task[None] | None = None
         self.reply: GuardReply | None = None
         self.answer: RelayAnswer | None = None
+        self.body: Body | None = None
+        """Body of the answer if it does not fit into the frame."""
+
+        self._budget = budget
+        self._room: CallUpload | None = None
+        self._kept_bytes = 0
+
+    @property
+    def key(self) -> int:
+        """Return the number of the call."""
+        return self.frame.key
+
+    @property
+    def deadline_ms(self) -> float:
+        """Return the time in ms until which its sender waits."""
+        return self.arrived_ms + self.frame.time_left_ms
+
+    def begin(self, body: Body) -> None:
+        """Set the body, which has arrived in parts."""
+        self.frame.body = body
+        self._room = self.upload
+        self.upload = None
+
+    def release_request(self) -> None:
+        """Drop the body of the request, as the call has ended."""
+        for room in (self._room, self.upload):
+            if room is not None:
+                room.release()
+        self._room = None
+        self.upload = None
+        self.frame.body = b''
+
+    def forget_request(self) -> None:
+        """Drop what is needed only until the call is answered."""
+        self.frame.headers = []
+        self.frame.target = b''
+
+    def keep(self, response: HttpResponse | None) -> None:
+        """Keep the body of the answer until ``drop_response``."""
+        if self.answer is None or response is None or response.stream is not None:
+            return
+        if self.answer.body_bytes:
+            self.body = response.body
+        self._kept_bytes = len(response.body)
+        self._budget.hold(HeldKind.kept, self._kept_bytes)
 
     def drop_response(self) -> None:
         """Keep only that the call was taken; a resend learns that it may have run."""
+        self._budget.release(HeldKind.kept, self._kept_bytes)
+        self._kept_bytes = 0
+        self.body = None
+        self.reply = None
         if self.answer is None or self.answer.outcome == Outcome.not_run.value:
             return
-        self.reply = None
         self.answer = msgspec.structs.replace(
             self.answer,
             outcome=Outcome.unknown.value,
             status=0,
             headers=[],
             body=b'',
+            body_bytes=0,
             reason='answer_dropped',
         )
 
@@ -76,13 +133,17 @@
     again.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, on_lost_upload: Callable[['RelaySender', RelayJob], None]
+    ) -> None:
         """Create a sender without a connection.
 
         Args:
             name: Name of the node.
+            on_lost_upload: Called with a call whose body does not arrive any more.
         """
         self.name = name
+        self._on_lost_upload = on_lost_upload
         self.calls: CallLedger[RelayJob] = CallLedger()
         self.protocol = PROTOCOL
         """Version of the frames that the node understands."""
@@ -92,12 +153,14 @@
 
         self.last_received_ms = float(0)
         self.socket: FrameSocket | None = None
+        self.parts = PartSender(self.send, self._may_send)
         self._answered: deque[tuple[float, RelayJob]] = deque()
         self._detached_ms = float(0)
         self._expiry: asyncio.TimerHandle | None = None
 
     def attach(self, socket: FrameSocket) -> None:
         """Use a connection."""
+        self.parts.close()
         self.socket = socket
         if self._expiry is not None:
             self._expiry.cancel()
@@ -108,11 +171,21 @@
         if self.socket is not socket:
             return
         self.socket = None
+        self.parts.close()
         self._detached_ms = now_ms
         self._expiry = asyncio.get_running_loop().call_later(
             REATTACH_TIMEOUT_MS / MS_PER_S, self._stop_repeatable
         )
 
+    def send(self, frame: RelayFrame) -> None:
+        """Send a frame, if there is a connection."""
+        if self.socket is None:
+            return
+        try:
+            self.socket.send(encode(frame))
+        except ConnectionError as error:
+            log.info('Reply not sent, the link is closed.', error=repr(error))
+
     def begin(self, job: RelayJob) -> None:
         """Remember a call that starts."""
         self.calls.add(job.key, job)
@@ -137,7 +210,20 @@
         is_gone = self.socket is None and not self.calls
         return is_gone and now_ms - self._detached_ms > SENDER_RETENTION_MS
 
+    def shed_answers(self) -> None:
+        """Drop the answers that the node has probably received, to free memory."""
+        if self.socket is None:
+            return
+        for _, job in self._answered:
+            if not self.parts.is_sending(job.key):
+                job.drop_response()
+
+    def _may_send(self) -> bool:
+        return self.socket is not None and self.socket.writable
+
     def _stop_repeatable(self) -> None:
         for job in self.calls.entries:
-            if job.repeatable and job.task is not None:
+            if job.upload is not None:
+                self._on_lost_upload(self, job)
+            elif job.frame.repeatable and job.task is not None:
                 job.task.cancel()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -5,38 +5,37 @@
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
-from gentianmill.arrivals import Cause
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
 from gentianmill.relay_messages import (
     CrashNews,
     FreshnessStatus,
     KnownState,
     NodeNews,
-    RelayAnswer,
     RelayCall,
     RelayCancel,
+    RelayCredit,
+    RelayPart,
     RulesReply,
     RulesRequest,
     StateRequest,
     StrikeNews,
 )
+from gentianmill_mesh.call_intake import CallIntake
 from gentianmill_mesh.frame_handshake import FrameAcceptor, accept_frames
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
-from gentianmill_mesh.http_message import HttpResponse, HttpRequest
 from gentianmill_mesh.mesh_settings import Address
-from gentianmill_mesh.relay_codec import RelayFrame, decode, encode
+from gentianmill_mesh.relay_codec import RelayFrame, decode
 from gentianmill_mesh.relay_handshake import (
     PEER_HEADER,
     PROTOCOL,
     NodeIdentity,
     protocol_of,
 )
-from gentianmill_mesh.relay_sender import RelayJob, RelaySender
+from gentianmill_mesh.relay_sender import RelaySender
 from gentianmill_mesh.rules_holder import RulesHolder
-from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.upstream_guard import UpstreamGuard
-from gentianmill_mesh.wire_names import WireNames, compact_headers
-from gentianmill_node.background import spawn
+from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import BACKLOG
 
@@ -94,6 +93,7 @@
         guard: UpstreamGuard,
         rules: RulesHolder,
         names: WireNames,
+        budget: ByteBudget,
         clock: Clock,
         exchange: 'StateExchange',
     ) -> None:
@@ -104,24 +104,28 @@
             guard: Runs the calls.
             rules: Routing rules that other nodes may request.
             names: Header names of the deployment.
+            budget: Limits what the node holds.
             clock: Clock of the node.
             exchange: What nodes tell each other beside calls.
         """
         self._exchange = exchange
+        calls = CallIntake(guard, names, exchange.status, budget, clock)
         self._handlers: dict[type, Callable[..., None]] = {
-            RelayCall: self._start,
-            RelayCancel: self._cancel,
+            RelayCall: calls.start,
+            RelayCancel: calls.cancel,
+            RelayPart: calls.add_part,
+            RelayCredit: calls.credit,
             CrashNews: lambda _sender, news: exchange.on_uncounted_crash(news),
             StrikeNews: lambda _sender, news: exchange.on_strikes(news),
             NodeNews: lambda _sender, news: exchange.on_nodes(news),
             RulesRequest: self._on_rules_request,
-            StateRequest: lambda sender, asked: _send(sender, exchange.state_of(asked)),
+            StateRequest: lambda sender, asked: sender.send(exchange.state_of(asked)),
             KnownState: lambda _sender, state: exchange.on_state(state),
         }
         self._identity = identity
-        self._guard = guard
+        self._calls = calls
+        self._budget = budget
         self._rules = rules
-        self._request_id = names.request_id
         self._clock = clock
         self._senders: dict[NodeIdentity, RelaySender] = {}
         self._sockets: set[FrameSocket] = set()
@@ -172,7 +176,10 @@
         identity = NodeIdentity.from_headers(headers)
         if identity is None:
             raise ValueError('the handshake names no node')
-        sender = self._senders.setdefault(identity, RelaySender(identity.name))
+        sender = self._senders.get(identity)
+        if sender is None:
+            sender = RelaySender(identity.name, self._calls.lose_upload)
+            self._senders[identity] = sender
         sender.protocol = protocol_of(headers)
         return _SenderLink(sender, self._clock, self._handle, self._on_closed)
 
@@ -183,7 +190,7 @@
             self._sockets.add(socket)
             wanted = self._exchange.wanted_state()
             if wanted is not None and receiver.sender.protocol >= PROTOCOL:
-                _send(receiver.sender, wanted)
+                receiver.sender.send(wanted)
 
     def forget_departed_senders(self) -> None:
         """Forget senders that are disconnected and whose calls are forgotten."""
@@ -197,6 +204,8 @@
         now_ms = self._clock.now_ms()
         for identity, sender in self._senders.items():
             sender.forget_expired(now_ms)
+            if self._budget.is_scarce:
+                sender.shed_answers()
             timeout_ms = SENDER_TIMEOUT_MS if sender.running else IDLE_SENDER_TIMEOUT_MS
             if sender.socket is None or now_ms - sender.last_received_ms < timeout_ms:
                 continue
@@ -222,103 +231,17 @@
         if handle is not None:
             handle(sender, frame)
 
-    def _cancel(self, sender: RelaySender, frame: RelayCancel) -> None:
-        job = sender.calls.find(frame.key)
-        if job is not None and job.task is not None:
-            job.task.cancel()
-
     def _on_rules_request(self, sender: RelaySender, frame: RulesRequest) -> None:
         if frame.known_version > self._rules.version:
             self._exchange.on_version(sender.name, frame.known_version)
         elif frame.known_version < self._rules.version:
             reply = RulesReply(self._rules.version, self._rules.document)
-            _send(sender, reply)
+            sender.send(reply)
         if frame.wants_status:
             news = self._exchange.news_for(frame.nodes_digest)
             if news is not None:
-                _send(sender, news)
-            _send(sender, self._exchange.status())
-
-    def _start(self, sender: RelaySender, frame: RelayCall) -> None:
-        known = sender.calls.find(frame.key)
-        if known is not None:
-            if known.answer is not None:
-                _send(sender, known.answer)
-            return
-        arrived_ms = self._clock.now_ms()
-        if sender.calls.may_be_forgotten(frame.key):
-            log.warning('Forgotten call not run.', peer=sender.name, key=frame.key)
-            reply = GuardReply.unknown('forgotten')
-            _send(sender, self._relay_answer(frame, reply, arrived_ms))
-            return
-        job = RelayJob(frame.key, frame.repeatable, arrived_ms + frame.time_left_ms)
-        sender.begin(job)
-        job.task = spawn(self._run(sender, job, frame, arrived_ms), 'run call')
-        # A task that is cancelled before its first step never runs.
-        job.task.add_done_callback(lambda _: self._end(sender, job, frame, arrived_ms))
-
-    async def _run(
-        self, sender: RelaySender, job: RelayJob, frame: RelayCall, arrived_ms: float
-    ) -> None:
-        try:
-            job.reply = await self._guard.run(_guard_call(frame, arrived_ms))
-        except asyncio.CancelledError:
-            log.debug('Call cancelled.', key=frame.key)
-        except Exception:
-            log.exception('Call failed with an internal error.', key=frame.key)
-        self._end(sender, job, frame, arrived_ms)
-
-    def _end(
-        self, sender: RelaySender, job: RelayJob, frame: RelayCall, arrived_ms: float
-    ) -> None:
-        if job.answer is not None:
-            return
-        reply = job.reply or GuardReply.unknown('cancelled')
-        job.answer = self._relay_answer(frame, reply, arrived_ms)
-        sender.end(job, self._clock.now_ms())
-        _send(sender, job.answer)
-
-    def _relay_answer(
-        self, frame: RelayCall, reply: GuardReply, arrived_ms: float
-    ) -> RelayAnswer:
-        response = reply.response
-        status = self._exchange.status()
-        return RelayAnswer(
-            key=frame.key,
-            outcome=reply.outcome.value,
-            status=response.status if response else 0,
-            headers=self._compact(response, frame),
-            body=response.body if response else b'',
-            reason=reply.reason,
-            framed=response.framed if response else True,
-            rules_version=status.rules_version,
-            load=self._guard.load(frame.route),
-            spent_ms=int(self._clock.now_ms() - arrived_ms),
-            rules_age_ms=status.rules_age_ms,
-            nodes_digest=status.nodes_digest,
-            nodes_age_ms=status.nodes_age_ms,
-        )
-
-    def _compact(
-        self, response: HttpResponse | None, frame: RelayCall
-    ) -> list[list[bytes]]:
-        if response is None:
-            return []
-        return compact_headers(response.headers, frame.headers, self._request_id)
-
-
-def _guard_call(frame: RelayCall, now_ms: float) -> GuardCall:
-    return GuardCall(
-        service=frame.service,
-        request=HttpRequest(frame.method, frame.target, frame.headers, frame.body),
-        deadline_ms=now_ms + frame.time_left_ms,
-        rank=frame.rank,
-        max_wait_ms=frame.patience_ms,
-        repeatable=frame.repeatable,
-        caller_service=frame.caller_service,
-        route=frame.route,
-        cause=Cause(frame.cause),
-    )
+                sender.send(news)
+            sender.send(self._exchange.status())
 
 
 class _SenderLink(FrameReceiver):
@@ -359,15 +282,10 @@
     def on_pong(self, key: bytes) -> None:
         """Do nothing, as this side does not ping."""
 
+    def on_writable(self) -> None:
+        """Send on what waited for a slow connection."""
+        self._sender.parts.pump()
+
     def on_closed(self) -> None:
         """Report the end of the connection."""
         self._on_closed(self._sender, self._socket)
-
-
-def _send(sender: RelaySender, frame: RelayFrame) -> None:
-    if sender.socket is None:
-        return
-    try:
-        sender.socket.send(encode(frame))
-    except ConnectionError as error:
-        log.info('Reply not sent, the link is closed.', error=repr(error))
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_encoder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_encoder.py
@@ -37,26 +37,21 @@
         lines.extend(_framing(response, body_end))
     if connection:
         lines.append(b'Connection: %b' % connection)
-    lines.extend((b'', _body(response, body_end) if with_body else b''))
+    has_body = with_body and status not in _BODILESS
+    lines.extend((b'', response.body if has_body else b''))
     return b'\r\n'.join(lines)
 
 
 def _framing(response: HttpResponse, body_end: BodyEnd) -> list[bytes]:
     if body_end is BodyEnd.length:
-        return [b'Content-Length: %d' % len(response.body)]
+        stream = response.stream
+        length = len(response.body) if stream is None else stream.length
+        return [b'Content-Length: %d' % length]
     if body_end is BodyEnd.chunks:
         return [b'Transfer-Encoding: chunked']
     return []
 
 
-def _body(response: HttpResponse, body_end: BodyEnd) -> bytes:
-    body = response.body
-    if response.status in _BODILESS or body_end is not BodyEnd.chunks:
-        return body
-    chunk = b'%x\r\n%b\r\n' % (len(body), body) if body else b''
-    return b'%b0\r\n\r\n' % chunk
-
-
 def _reason(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -216,9 +216,17 @@
         if not await self._slots.acquire(item):
             return GuardReply.not_run('overloaded')
         try:
-            return await self._run(call)
-        finally:
+            reply = await self._run(call)
+        except BaseException:
+            self._slots.release(item)
+            raise
+        stream = None if reply.response is None else reply.response.stream
+        if stream is None:
             self._slots.release(item)
+        else:
+            # The upstream is at work until it has sent the whole body.
+            stream.on_finished(lambda: self._slots.release(item))
+        return reply
 
     def _refusal(self, call: GuardCall) -> str:
         if call.service != self._service:
@@ -281,6 +289,8 @@
     ) -> GuardReply:
         self._liveness.record_activity(self._clock.now_ms())
         refusal = _upstream_refusal(response, self._names)
+        if refusal:
+            response.discard()
         if refusal and not response.attributed:
             return GuardReply.unknown('refusal_of_another')
         if refusal == UPSTREAM_FULL:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -56,7 +56,14 @@
 class UpstreamPool:
     """Run requests on an upstream, one at a time on each connection."""
 
-    def __init__(self, host: str, port: int, names: WireNames, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        names: WireNames,
+        clock: Clock,
+        memory: ResponseMemory | None = None,
+    ) -> None:
         """Create a pool without connections.
 
         Args:
@@ -64,6 +71,7 @@
             port: TCP port of the upstream.
             names: Header names of the deployment.
             clock: Clock of the node.
+            memory: Limits the bytes of incomplete responses.
         """
         self._host = host
         self._port = port
@@ -72,7 +80,7 @@
         self._idle: list[tuple[UpstreamConnection, float]] = []
         self._opened = 0
         self._repeatable: set[UpstreamConnection] = set()
-        self._memory = ResponseMemory()
+        self._memory = memory or ResponseMemory()
 
     @property
     def opened(self) -> int:
@@ -88,8 +96,9 @@
         timeout_s: float,
         may_resend: Callable[[], bool],
     ) -> HttpResponse:
-        """Send a request and return the complete response.
+        """Send a request and return the response.
 
+        It is complete, unless memory is scarce: then a large body follows in a stream.
         If this coroutine is cancelled, the connection is closed, which signals the
         upstream to stop.
 
@@ -161,13 +170,20 @@
                 exchange.request, exchange.head, exchange.request_id, timeout_s
             )
         except BaseException:
+            self._repeatable.discard(connection)
             connection.close()
             raise
-        finally:
-            self._repeatable.discard(connection)
-        self._return_to_pool(connection)
+        if response.stream is None:
+            self._release(connection)
+        else:
+            response.stream.on_finished(lambda: self._release(connection))
         return response
 
+    def _release(self, connection: UpstreamConnection) -> None:
+        """Take back a connection whose response has been received, or failed."""
+        self._repeatable.discard(connection)
+        self._return_to_pool(connection)
+
     async def _open_after(self, loss: UpstreamLostError) -> UpstreamConnection:
         """Open a connection, or raise the earlier loss, as the request may have run."""
         try:
@@ -199,7 +215,9 @@
         loop = asyncio.get_running_loop()
         self._opened += 1
         connecting = loop.create_connection(
-            lambda: UpstreamConnection(loop, self._names.request_id, self._memory),
+            lambda: UpstreamConnection(
+                loop, self._names.request_id, self._memory, self.is_reachable
+            ),
             self._host,
             self._port,
         )
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/byte_budget.py
@@ -0,0 +1,177 @@
+"""One limit on the bytes that a node holds for others.
+
+Everything that a node holds for callers, upstreams and other nodes counts: requests being
+read, responses being collected or waiting for a slow reader, and answers kept for a
+sender that lost its link. Small messages are only counted. Large requests reserve their
+size before they are read, and wait in order while there is no room.
+"""
+
+import enum
+from collections import Counter, deque
+from collections.abc import Callable
+
+__all__ = ('SMALL_BYTES', 'ByteBudget', 'HeldKind', 'Reservation')
+
+SMALL_BYTES = 64 * 1024
+"""Size up to which a message needs no reservation and is sent in one piece."""
+
+REQUEST_SHARE = 0.6
+"""Part of the limit that large requests may reserve together; the rest is for responses
+and for small messages, which thus pass while uploads wait."""
+
+SCARCE_SHARE = 0.5
+"""Part of the limit above which answers that are only kept are dropped."""
+
+
+class HeldKind(enum.StrEnum):
+    """What bytes are held for."""
+
+    request = 'request'
+    response = 'response'
+    kept = 'kept'
+    """Answers that were sent, and are kept for a sender that asks again."""
+
+
+class Reservation:
+    """Room for one large request; it is granted at once or later."""
+
+    def __init__(
+        self, budget: 'ByteBudget', count: int, on_granted: Callable[[], None]
+    ) -> None:
+        """Create a reservation that is not granted; call ``ByteBudget.reserve`` instead.
+
+        Args:
+            budget: Grants it.
+            count: Bytes.
+            on_granted: Called when it is granted later.
+        """
+        self._budget = budget
+        self._count = count
+        self._on_granted = on_granted
+        self._is_granted = False
+        self._is_released = False
+
+    @property
+    def count(self) -> int:
+        """Return the bytes."""
+        return self._count
+
+    @property
+    def is_granted(self) -> bool:
+        """Return whether the bytes may be held."""
+        return self._is_granted
+
+    @property
+    def is_released(self) -> bool:
+        """Return whether ``release`` was called."""
+        return self._is_released
+
+    def release(self) -> None:
+        """Give the room back, or stop waiting for it; later calls do nothing."""
+        if self._is_released:
+            return
+        self._is_released = True
+        if self._is_granted:
+            self._budget.release(HeldKind.request, self._count)
+        else:
+            self._budget.grant_waiting()
+
+    def grant(self) -> None:
+        """Hold the bytes; called by the budget."""
+        self._is_granted = True
+        self._budget.hold(HeldKind.request, self._count)
+
+    def notify(self) -> None:
+        """Tell the owner that the bytes may be held now; called by the budget."""
+        self._on_granted()
+
+
+class ByteBudget:
+    """Count held bytes, and grant large requests their room in order."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        """Create a budget of which nothing is held.
+
+        Args:
+            limit_bytes: Bytes that may be held.
+        """
+        self._limit = limit_bytes
+        self._held: Counter[HeldKind] = Counter()
+        self._waiting: deque[Reservation] = deque()
+        self._peak = 0
+
+    @property
+    def limit(self) -> int:
+        """Return the bytes that may be held."""
+        return self._limit
+
+    @property
+    def held(self) -> int:
+        """Return the bytes that are held."""
+        return self._held.total()
+
+    @property
+    def peak(self) -> int:
+        """Return the most bytes that were held."""
+        return self._peak
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of reservations that wait for room."""
+        return sum(not reservation.is_released for reservation in self._waiting)
+
+    @property
+    def is_scarce(self) -> bool:
+        """Return whether what is not needed should be dropped."""
+        return self.held > self._limit * SCARCE_SHARE
+
+    def held_of(self, kind: HeldKind) -> int:
+        """Return the bytes of a kind that are held."""
+        return self._held[kind]
+
+    def fits(self, count: int) -> bool:
+        """Return whether a request of a size can ever get its room."""
+        return count <= self._limit
+
+    def hold(self, kind: HeldKind, count: int) -> None:
+        """Count bytes that are held from now on."""
+        self._held[kind] += count
+        self._peak = max(self._peak, self.held)
+
+    def release(self, kind: HeldKind, count: int) -> None:
+        """Count bytes that are not held any more."""
+        self._held[kind] -= count
+        self.grant_waiting()
+
+    def reserve(self, count: int, on_granted: Callable[[], None]) -> Reservation:
+        """Return the reservation of a large request, granted if there is room now.
+
+        Args:
+            count: Bytes of the request.
+            on_granted: Called when it is granted later.
+        """
+        reservation = Reservation(self, count, on_granted)
+        if not self.waiting and self._has_room(count):
+            reservation.grant()
+        else:
+            self._waiting.append(reservation)
+        return reservation
+
+    def grant_waiting(self) -> None:
+        """Grant the reservations that have room now, in their order."""
+        while self._waiting:
+            first = self._waiting[0]
+            if first.is_released:
+                self._waiting.popleft()
+                continue
+            if not self._has_room(first.count):
+                return
+            self._waiting.popleft()
+            first.grant()
+            first.notify()
+
+    def _has_room(self, count: int) -> bool:
+        reserved = self._held[HeldKind.request]
+        if reserved and reserved + count > self._limit * REQUEST_SHARE:
+            return False
+        return self.held + count <= self._limit
--- a/tests/mesh_upstream.py
+++ b/tests/mesh_upstream.py
@@ -54,6 +54,10 @@
         """Stop listening."""
         self._server.close()
 
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        self._server.close()
+
     def pool(self) -> UpstreamPool:
         """Return a pool of connections to this upstream."""
         return UpstreamPool('127.0.0.1', self.port, NAMES, MonotonicClock())
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import ManualClock
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import FreshnessStatus, GuardLoad, KnownState, RelayCall
@@ -16,6 +17,9 @@
 from mesh_upstream import NAMES
 
 
+BUDGET_BYTES = 10_000_000
+
+
 class ScriptedGuard:
     """Run each call at once, or when the test says so."""
 
@@ -45,6 +49,7 @@
         """Start without frames."""
         self.frames: list[RelayFrame] = []
         self.closed = False
+        self.writable = True
 
     def send(self, message: bytes) -> None:
         """Keep a frame."""
@@ -64,11 +69,13 @@
         """Create a server; call it in a running loop."""
         self.clock = ManualClock()
         self.guard = ScriptedGuard()
+        self.budget = ByteBudget(BUDGET_BYTES)
         self.server = RelayServer(
             NodeIdentity('back', 1),
             self.guard,
             RulesHolder(JsonRules()),
             NAMES,
+            self.budget,
             self.clock,
             StateExchange(
                 lambda _: None,
--- a/tests/test_frame_socket.py
+++ b/tests/test_frame_socket.py
@@ -46,6 +46,9 @@
     def on_pong(self, key: bytes) -> None:
         self.pongs.put_nowait(key)
 
+    def on_writable(self) -> None:
+        """Do nothing."""
+
     def on_closed(self) -> None:
         self.closed.set()
 
--- a/tests/test_overdue_resends.py
+++ b/tests/test_overdue_resends.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from gentianmill.arrivals import Cause
+from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import ManualClock
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import KnownState
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self.connected = True
         self.closed = False
+        self.takes_parts = True
         self.sent: list[object] = []
 
     async def connect(self) -> bool:
@@ -44,6 +46,7 @@
         on_rules=lambda _document, _name: None,
         on_status=lambda _status, _time_ms: None,
         on_nodes=lambda _news: None,
+        budget=ByteBudget(1000),
         on_state=lambda _state: None,
         state_of=lambda asked: KnownState(asked.node, []),
     )
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -60,6 +60,23 @@
     assert asyncio.run(scenario()) == b'ok'
 
 
+def test_unframed_body_of_an_upstream_that_crashed_is_lost():
+    """Guards against a body that a crash cut, which ends as cleanly as a whole one."""
+
+    async def scenario() -> LossKind:
+        unframed = b'HTTP/1.1 200 OK\r\nX-Attempt: 1\r\n\r\nhalf of'
+        async with ScriptedUpstream(Script([unframed], close_after=0)) as upstream:
+            running = asyncio.ensure_future(run(upstream.pool()))
+            while not upstream.connections:
+                await asyncio.sleep(0)
+            upstream.stop_listening()
+            with pytest.raises(UpstreamLostError) as caught:
+                await running
+            return caught.value.kind
+
+    assert asyncio.run(scenario()) is LossKind.after_send
+
+
 def test_interim_responses_are_skipped():
     """Guards against a status below 200 that is passed on as the response."""
 
