--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -68,6 +68,9 @@
 TIMEOUT_TICKS = 4
 """Ticks between two checks of idle callers: 1 s, fine enough for limits of seconds."""
 
+MEMORY_TICKS = 20
+"""Ticks between two checks for free memory to return: 5 s."""
+
 FORGET_TICKS = 240
 """Ticks between two cleanups of removed nodes: 1 min; 230 are replaced a day."""
 
@@ -343,6 +346,8 @@
             self._guard.gate.share_slack(len(guards))
         if not self._ticks % TIMEOUT_TICKS:
             self._entry.check_timeouts()
+        if not self._ticks % MEMORY_TICKS:
+            self._memory.check()
         if not self._ticks % FORGET_TICKS:
             self._forget_removed_nodes()
 
@@ -394,6 +399,7 @@
                 'Repeats that the retry budget permits now.',
                 self._guard.gate.credit,
             ),
+            *self._memory.gauges,
             ('rules_version', 'Version of the rules in force.', self._rules.version),
             (
                 'rules_source_silent_ms',
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
@@ -2,8 +2,9 @@
 
 from pathlib import Path
 
-from gentianmill.byte_budget import ByteBudget
+from gentianmill.byte_budget import ByteBudget, HeldKind
 from gentianmill_mesh.response_memory import MAX_BUFFERED_BYTES, ResponseMemory
+from gentianmill_node.heap import return_free_memory
 from gentianmill_node.logs import component
 
 __all__ = ('NodeMemory',)
@@ -25,6 +26,9 @@
 """Responses are collected until they are whole while they take less than this part of the
 budget together, and less than this number of bytes."""
 
+LARGE_PEAK_BYTES = 8_000_000
+"""Held bytes beyond which the allocator may keep much of what was freed."""
+
 STATUS_FILE = Path('/proc/self/status')
 
 log = component('memory')
@@ -52,11 +56,30 @@
             'Memory.', limit=limit_bytes, idle=idle_bytes, budget=self._budget.limit
         )
 
+    def check(self) -> None:
+        """Return free memory to the system after a time in which much was held."""
+        peak = self._budget.take_peak()
+        if peak > LARGE_PEAK_BYTES and self._budget.held < peak / 2:
+            return_free_memory()
+
     @property
     def budget(self) -> ByteBudget:
         """Return the limit on all that is held."""
         return self._budget
 
+    @property
+    def gauges(self) -> list[tuple[str, str, int]]:
+        """Return name, description and value of each gauge."""
+        budget = self._budget
+        return [
+            *(
+                (f'held_bytes_{kind}', f'Bytes held: {kind}.', budget.held_of(kind))
+                for kind in HeldKind
+            ),
+            ('held_bytes_limit', 'Bytes that may be held.', budget.limit),
+            ('waiting_requests', 'Large requests that wait for room.', budget.waiting),
+        ]
+
     @property
     def responses(self) -> ResponseMemory:
         """Return the limit on incomplete responses of the upstream."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
@@ -45,13 +45,14 @@
         self._writer: ResponseWriter | None = None
         self._is_paused = False
         self._is_starting = False
+        self._is_cut = False
         self._progress = (0, 0)
         self._progress_ms = clock.now_ms()
 
     @property
     def is_ready(self) -> bool:
         """Return whether a response may be sent now."""
-        return self._writer is None and not self._is_paused
+        return self._writer is None and not (self._is_paused or self._is_cut)
 
     def send(self, exchange: EntryExchange, *, closing: bool) -> None:
         """Send the response of an exchange.
@@ -113,6 +114,7 @@
     def _end(self, end: StreamEnd, reason: str, *, closing: bool) -> None:
         self._writer = None
         if end is StreamEnd.cut:
+            self._is_cut = True
             log.info('Response cut.', reason=reason)
             reset_connection(self._transport)
             return
--- a/packages/gentianmill/src/gentianmill/byte_budget.py
+++ b/packages/gentianmill/src/gentianmill/byte_budget.py
@@ -110,10 +110,11 @@
         """Return the bytes that are held."""
         return self._held.total()
 
-    @property
-    def peak(self) -> int:
-        """Return the most bytes that were held."""
-        return self._peak
+    def take_peak(self) -> int:
+        """Return the most bytes that were held since the last call."""
+        peak = self._peak
+        self._peak = self.held
+        return peak
 
     @property
     def waiting(self) -> int:
