--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -1,12 +1,16 @@
 """Running requests of an upstream, and the calls that it makes for them."""
 
 import dataclasses
+import re
 from collections import OrderedDict
+from collections.abc import Iterator
 
 from gentianmill.arrivals import Cause
 
+_SEPARATOR = re.compile('[^0-9A-Za-z]+')
+
 ID_SEPARATOR = '.'
-"""Follows the id of the calling request in the id of a call made for it."""
+"""Usually follows the id of the calling request in the id of a call made for it."""
 
 RANKS_PER_PRIORITY = 2
 """The first rank is for calls made for running requests, the second for new ones."""
@@ -97,9 +101,10 @@
         Args:
             call_id: Id of the call, not of the request that made it.
         """
-        parent_id = _parent_id(call_id)
-        if parent_id in self._running:
-            self._failed_downstream.add(parent_id)
+        for parent_id in _parent_ids(call_id):
+            if parent_id in self._running:
+                self._failed_downstream.add(parent_id)
+                return
 
     def has_failed_downstream(self, request_id: str) -> bool:
         """Return whether a call made for a running request has failed."""
@@ -112,15 +117,25 @@
             request_id: Id of the call.
             priority: Priority of its route, for a call not made for a known request.
         """
-        parent_id = _parent_id(request_id)
-        parent = self._running.get(parent_id)
-        if parent is None and parent_id in self._abandoned:
-            parent = self._abandoned[parent_id][0]
-        if parent is None:
-            self._orphans += bool(parent_id)
-            return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
-        return parent
-
-
-def _parent_id(call_id: str) -> str:
-    return call_id.rpartition(ID_SEPARATOR)[0]
+        for parent_id in _parent_ids(request_id):
+            parent = self._running.get(parent_id)
+            if parent is None and parent_id in self._abandoned:
+                parent = self._abandoned[parent_id][0]
+            if parent is not None:
+                return parent
+        self._orphans += ID_SEPARATOR in request_id
+        return CallOrigin(priority * RANKS_PER_PRIORITY + 1, None)
+
+
+def _parent_ids(call_id: str) -> Iterator[str]:
+    """Yield the ids that the calling request may have, the usual form first.
+
+    The call's id contains that of the request, at its begin or its end, and a separator. An
+    id without any relation to it can't be recognised.
+    """
+    parent_id, separator, _ = call_id.rpartition(ID_SEPARATOR)
+    if separator:
+        yield parent_id
+    for found in _SEPARATOR.finditer(call_id):
+        yield call_id[: found.start()]
+        yield call_id[found.end() :]
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -1,5 +1,6 @@
 """Tests of the recognition of inner calls."""
 
+import pytest
 from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallTree
 
@@ -53,3 +54,21 @@
         tree.abandon(f'{number}', until_ms=number + 5, now_ms=number)
     are_inner = [tree.origin(f'{number}.1', 2).is_inner for number in range(100)]
     assert sum(are_inner) == 5
+
+
+@pytest.mark.parametrize(
+    'call_id', ['a1.b2.1', 'a1.b2-1', 'a1.b2/1', '7:a1.b2', 'x-7-a1.b2', 'a1.b2#c#2']
+)
+def test_calls_are_recognised_whatever_the_form_of_their_ids(call_id: str):
+    """Guards against calls of duplicate attempts that are counted as new requests."""
+    tree = CallTree()
+    tree.start('a1.b2', 4, 'read', Cause.retry)
+    assert tree.origin(call_id, 1).cause is Cause.inherited
+
+
+@pytest.mark.parametrize('call_id', ['b2', 'a1', 'a1b2', '', 'c3-a1', 'b2.a1'])
+def test_other_requests_are_new(call_id: str):
+    """Guards against a new request that is taken for the call of another one."""
+    tree = CallTree()
+    tree.start('a1.b2', 4, 'read', Cause.retry)
+    assert not tree.origin(call_id, 1).is_inner
