--- /dev/null
+++ b/tests/test_request_limits.py
@@ -0,0 +1,237 @@
+"""Tests of the bounds on what a caller sends, on an open connection."""
+
+import asyncio
+
+import pytest
+from gentianmill.byte_budget import SMALL_BYTES, ByteBudget
+from gentianmill.clock import ManualClock
+from gentianmill.route_rules import RequestLimits
+from gentianmill_mesh.call_upload import RESERVE_WITHIN_S
+from gentianmill_mesh.entry_connection import EntryConnection, EntryHandler
+from gentianmill_mesh.http_message import HttpResponse
+from gentianmill_mesh.mesh_settings import ReadAheadSettings
+from mesh_upstream import NAMES
+
+HEADER_BYTES = 8000
+LIMITS = RequestLimits(HEADER_BYTES, 1_000_000, 3000, 15_000)
+LARGE = SMALL_BYTES * 2
+
+
+class _Transport(asyncio.Transport):
+    """Record what is written, and whether it is read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.reading = True
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write_eof(self) -> None:
+        """Do nothing."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    close = abort
+
+
+class _Handler(EntryHandler):
+    """Answer each request at once, with the time at which its time began to count."""
+
+    def __init__(self, budget_bytes: int = 10_000_000) -> None:
+        self.callers = []
+        self.refused: list[str] = []
+        self._budget = ByteBudget(budget_bytes)
+
+    @property
+    def closing(self) -> bool:
+        return False
+
+    @property
+    def limits(self) -> RequestLimits:
+        return LIMITS
+
+    @property
+    def budget(self) -> ByteBudget:
+        return self._budget
+
+    def may_run_ahead(self, caller) -> bool:
+        return True
+
+    def start(self, exchange, connection) -> None:
+        self.callers.append(exchange.caller)
+        exchange.response = HttpResponse(200, [], b'')
+
+    def refuse(self, caller, reason: str) -> HttpResponse:
+        self.refused.append(reason)
+        return HttpResponse(503, [], b'')
+
+    def opened(self, connection) -> None:
+        """Do nothing."""
+
+    def closed(self, connection) -> None:
+        """Do nothing."""
+
+
+class _Bench:
+    def __init__(self, budget_bytes: int = 10_000_000) -> None:
+        self.clock = ManualClock()
+        self.handler = _Handler(budget_bytes)
+        self.transport = _Transport()
+        self.connection = EntryConnection(
+            self.handler, NAMES, ReadAheadSettings(), self.clock
+        )
+        self.connection.connection_made(self.transport)
+
+    @property
+    def statuses(self) -> list[bytes]:
+        lines = self.transport.written.split(b'\r\n')
+        return [line[9:12] for line in lines if line.startswith(b'HTTP/1.1')]
+
+
+def _head(*fields: str, method: str = 'GET') -> bytes:
+    return '\r\n'.join((f'{method} / HTTP/1.1', 'Host: h', *fields, '', '')).encode()
+
+
+def _run(scenario) -> object:
+    return asyncio.run(asyncio.wait_for(scenario(), 5))
+
+
+@pytest.mark.parametrize(
+    ('count', 'status'), [(1, b'200'), (130, b'200'), (900, b'200'), (1300, b'431')]
+)
+@pytest.mark.parametrize('step', [64, 100_000])
+def test_heads_are_limited_by_their_bytes(count: int, status: bytes, step: int):
+    """Guards against a 400 for a request with more fields than a parser likes."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench()
+        head = _head(*(f'A{number}: ' for number in range(count)))
+        for begin in range(0, len(head), step):
+            bench.connection.data_received(head[begin : begin + step])
+        return bench.statuses
+
+    assert _run(scenario) == [status]
+
+
+def test_many_small_requests_are_no_long_head():
+    """Guards against counting the heads of several requests together."""
+
+    async def scenario() -> int:
+        bench = _Bench()
+        bench.connection.data_received(_head() * 1000)
+        return bench.statuses.count(b'200')
+
+    assert _run(scenario) == 1000
+
+
+def test_time_counts_from_the_head():
+    """Guards against an upstream that is handed the time of the upload on top."""
+
+    async def scenario() -> float:
+        bench = _Bench()
+        bench.connection.data_received(_head('Content-Length: 2', method='POST') + b'1')
+        bench.clock.advance(4000)
+        bench.connection.data_received(b'2')
+        return bench.handler.callers[0].arrived_ms
+
+    assert _run(scenario) == 0
+
+
+@pytest.mark.parametrize(
+    ('sent', 'silent_ms', 'status'),
+    [
+        (_head('Content-Length: 9', method='POST') + b'12', 4000, []),
+        (_head('Content-Length: 9', method='POST') + b'12', 16_000, [b'408']),
+        (b'GET / HTTP/1.1\r\nHost', 4000, [b'408']),
+    ],
+)
+def test_pauses_are_judged_by_what_is_received(
+    sent: bytes, silent_ms: float, status: list[bytes]
+):
+    """Guards against a body that pauses and is ended as if it were a head."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench()
+        for begin in range(0, len(sent), 10):
+            bench.connection.data_received(sent[begin : begin + 10])
+        bench.clock.advance(silent_ms)
+        bench.connection.check_timeouts(3000, 15_000)
+        return bench.statuses
+
+    assert _run(scenario) == status
+
+
+def test_body_that_is_told_too_long_is_refused_at_its_head():
+    """Guards against reading a megabyte that is thrown away."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench()
+        head = _head(f'Content-Length: {LIMITS.body_bytes + 1}', method='POST')
+        bench.connection.data_received(head)
+        return bench.statuses
+
+    assert _run(scenario) == [b'413']
+
+
+@pytest.mark.parametrize('chunked', [False, True])
+def test_large_body_waits_for_room_and_is_refused_as_not_run(chunked: bool):
+    """Guards against a caller that fills the memory, or that waits for ever."""
+
+    async def scenario() -> tuple[bool, bool, list[str], list[bytes]]:
+        bench = _Bench(LARGE)
+        taken = bench.handler.budget.reserve(LARGE, lambda: None)
+        field = 'Transfer-Encoding: chunked' if chunked else f'Content-Length: {LARGE}'
+        bench.connection.data_received(_head(field, method='POST'))
+        if chunked:
+            bench.connection.data_received(b'%x\r\n' % LARGE + bytes(LARGE - 1))
+        before = bench.transport.reading
+        await asyncio.sleep(RESERVE_WITHIN_S + 0.1)
+        taken.release()
+        return before, not bench.handler.callers, bench.handler.refused, bench.statuses
+
+    assert _run(scenario) == (False, True, ['memory'], [b'503'])
+
+
+def test_large_body_goes_on_when_there_is_room():
+    """Guards against a connection that is not read any more after a wait."""
+
+    async def scenario() -> tuple[bool, bool, list[bytes], int]:
+        bench = _Bench(LARGE)
+        taken = bench.handler.budget.reserve(LARGE, lambda: None)
+        head = _head(f'Content-Length: {LARGE}', method='POST')
+        bench.connection.data_received(head)
+        before = bench.transport.reading
+        taken.release()
+        after = bench.transport.reading
+        bench.connection.data_received(bytes(LARGE))
+        return before, after, bench.statuses, bench.handler.budget.held
+
+    assert _run(scenario) == (False, True, [b'200'], 0)
+
+
+def test_caller_that_leaves_gives_its_room_back():
+    """Guards against room that is lost with each broken upload."""
+
+    async def scenario() -> int:
+        bench = _Bench(LARGE)
+        head = _head(f'Content-Length: {LARGE}', method='POST')
+        bench.connection.data_received(head + bytes(10))
+        bench.connection.connection_lost(None)
+        return bench.handler.budget.held
+
+    assert _run(scenario) == 0
