--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -173,6 +173,7 @@
         While it is only silent, new requests go elsewhere and running ones go on.
         """
         now_ms = self._clock.now_ms()
+        self._pool.close_expired()
         if not (self._liveness.is_silent(now_ms) and self._slots.busy):
             self._silence.reset()
             return
@@ -321,6 +322,7 @@
             return
         limit = max(int(report.slots * MAX_SLOT_SHARE), 1)
         self._slots.resize(limit, report.slots * QUEUE_FACTOR)
+        self._pool.limit_idle(limit)
         if not self._status.accepts_calls:
             self._slots.refuse_waiting()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections import deque
 from collections.abc import Callable
 
 from gentianmill.clock import Clock
@@ -18,6 +19,9 @@
 from gentianmill_node.keep_alive import KeepAlive
 from gentianmill_node.logs import component
 
+FIRST_MAX_IDLE = 64
+"""Idle connections that are kept before the upstream has told its slots."""
+
 CONNECT_TIMEOUT_S = 0.5
 """The upstream is on the same VM; if a connection takes longer, it is down."""
 
@@ -77,7 +81,8 @@
         self._port = port
         self._names = names
         self._clock = clock
-        self._idle: list[tuple[UpstreamConnection, float]] = []
+        self._idle: deque[tuple[UpstreamConnection, float]] = deque()
+        self._max_idle = FIRST_MAX_IDLE
         self._opened = 0
         self._repeatable: set[UpstreamConnection] = set()
         self._memory = memory or ResponseMemory()
@@ -142,6 +147,34 @@
         self._return_to_pool(connection)
         return True
 
+    def move(self, host: str, port: int) -> None:
+        """Open new connections to another address; running requests go on."""
+        if (host, port) != (self._host, self._port):
+            self._host = host
+            self._port = port
+            self.close()
+
+    def limit_idle(self, count: int) -> None:
+        """Keep at most a number of idle connections.
+
+        Args:
+            count: Requests that the upstream runs at once; more connections are never
+                in use, and it resets those beyond a limit of its own.
+        """
+        self._max_idle = max(count, 1)
+
+    def close_expired(self) -> None:
+        """Close the connections that are idle for too long, or too many; oldest first."""
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            connection, idle_since_ms = self._idle[0]
+            is_current = now_ms - idle_since_ms <= _max_idle_ms(connection)
+            is_needed = connection.reusable and is_current
+            if is_needed and len(self._idle) <= self._max_idle:
+                return
+            self._idle.popleft()
+            connection.close()
+
     def abandon_repeatable(self) -> int:
         """Close the connections of requests that can run on another upstream.
 
@@ -233,6 +266,7 @@
     def _return_to_pool(self, connection: UpstreamConnection) -> None:
         if connection.reusable:
             self._idle.append((connection, self._clock.now_ms()))
+            self.close_expired()
         else:
             connection.close()
 
--- a/tests/test_silent_upstream.py
+++ b/tests/test_silent_upstream.py
@@ -40,6 +40,12 @@
             running.set_exception(UpstreamLostError(LossKind.after_send, 'abandoned'))
         return len(self._running)
 
+    def close_expired(self) -> None:
+        """Do nothing."""
+
+    def limit_idle(self, _count: int) -> None:
+        """Do nothing."""
+
     def respond(self) -> None:
         for running in self._running:
             running.set_result(HttpResponse(200, [], b'whole'))
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -6,7 +6,11 @@
 import pytest
 from gentianmill.clock import ManualClock, MonotonicClock
 from gentianmill_mesh.upstream_connection import LossKind, UpstreamLostError
-from gentianmill_mesh.upstream_pool import UNREPEATABLE_IDLE_MS, UpstreamPool
+from gentianmill_mesh.upstream_pool import (
+    IDLE_LIMIT_MS,
+    UNREPEATABLE_IDLE_MS,
+    UpstreamPool,
+)
 from mesh_upstream import NAMES, Script, ScriptedUpstream, request, run
 from silent_socket import silence
 
@@ -71,6 +75,31 @@
     assert _run_scenario(scenario) == (2, 2)
 
 
+def test_connections_that_payments_leave_behind_are_closed():
+    """Guards against a connection for each payment, beyond the limit of the upstream."""
+
+    async def scenario() -> tuple[int, int]:
+        responses = [OK_RESPONSE for _ in range(200)]
+        async with ScriptedUpstream(Script(responses)) as upstream:
+            clock = ManualClock()
+            pool = UpstreamPool('127.0.0.1', upstream.port, NAMES, clock)
+            for _ in range(60):
+                await run(pool, repeatable=False)
+                clock.advance(UNREPEATABLE_IDLE_MS + 1)
+            await asyncio.sleep(0.05)
+            old = upstream.open_connections
+            pool.limit_idle(3)
+            for _ in range(10):
+                await run(pool, repeatable=False)
+                clock.advance(UNREPEATABLE_IDLE_MS + 1)
+            await asyncio.sleep(0.05)
+            return old, upstream.open_connections
+
+    old, limited = _run_scenario(scenario)
+    assert old <= IDLE_LIMIT_MS / UNREPEATABLE_IDLE_MS + 1
+    assert limited <= 3
+
+
 def test_a_read_that_breaks_late_is_not_resent_to_the_same_upstream():
     """Guards against a request that crashes its upstream again after the restart."""
 
