--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -257,6 +257,16 @@
             zone=settings.zone,
         )
 
+    def apply_settings(self, settings: MeshSettings) -> None:
+        """Apply the settings that may change while the node runs.
+
+        Args:
+            settings: All settings; the address of the upstream and the time for a stop
+                take effect now, others at the next start.
+        """
+        self._settings = self._settings.with_live(settings)
+        self._pool.move(settings.upstream.host, settings.upstream.port)
+
     def apply_report(self, report: UpstreamReport) -> None:
         """Apply a status report of the upstream on the VM."""
         if report.service != self._settings.service:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -70,3 +70,9 @@
 
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     read_ahead: ReadAheadSettings = ReadAheadSettings()
+
+    def with_live(self, changed: 'MeshSettings') -> 'MeshSettings':
+        """Return these settings with the changes that take effect while a node runs."""
+        return dataclasses.replace(
+            self, upstream=changed.upstream, stop_within_ms=changed.stop_within_ms
+        )
