--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
@@ -46,6 +46,9 @@
     def admits(self, rule: RouteRule, time_left_ms: float | None) -> bool:
         """Return whether to admit a new request.
 
+        What may run only once is refused later than reads of its priority, half way to the
+        most important ones: payments and orders are what the others are there for.
+
         Args:
             rule: Its route.
             time_left_ms: Time for which its caller still waits, or None if unknown.
@@ -53,6 +56,8 @@
         share = self.share(rule)
         returning = self._is_returning(rule, time_left_ms)
         importance = self._importance.get(rule.priority, 0)
+        if not rule.repeatable:
+            importance = (importance + 1) / 2
         return admits(share, importance, returning, self._rng)
 
     def _is_returning(self, rule: RouteRule, time_left_ms: float | None) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -174,6 +174,8 @@
         """
         now_ms = self._clock.now_ms()
         self._pool.close_expired()
+        # The share must follow the load also while nothing is answered.
+        self.load('')
         if not (self._liveness.is_silent(now_ms) and self._slots.busy):
             self._silence.reset()
             return
@@ -288,17 +290,18 @@
     def _reply_to_response(
         self, response: HttpResponse, downstream_reason: str
     ) -> GuardReply:
-        self._liveness.record_activity(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._liveness.record_activity(now_ms)
         refusal = _upstream_refusal(response, self._names)
         if refusal:
             response.discard()
         if refusal and not response.attributed:
             return GuardReply.unknown('refusal_of_another')
         if refusal == UPSTREAM_FULL:
-            self._share.on_response(accepted=False)
+            self._share.on_response(accepted=False, now_ms=now_ms)
         if refusal:
             return GuardReply.not_run(refusal)
-        self._share.on_response(accepted=True)
+        self._share.on_response(accepted=True, now_ms=now_ms)
         response.headers = self._names.forwarded_response(response.headers)
         failed = response.status >= FIRST_SERVER_ERROR
         return GuardReply(
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -15,6 +15,9 @@
 STEP_MS = 200.0
 """Time between two corrections; reports take about as long per call tree level."""
 
+MAX_STEPS = 10
+"""Corrections that are made up for after a time without observations."""
+
 TARGET_LOAD = 1.0
 """Running and waiting calls, relative to the limit, that keep an upstream busy."""
 
@@ -27,8 +30,18 @@
 
 MIN_SHARE = 0.05
 
-RESPONSE_WEIGHT = 0.05
-"""Weight of a new response in the smoothed share of accepted calls."""
+IDLE_LOAD = 0.75
+"""Load below which an upstream has free slots for whatever comes."""
+
+IDLE_MS = 300.0
+"""Time with free slots after which the share is raised at once. Within it, the reports
+to entries and their effect cross the network, so that a dip lasts shorter."""
+
+MIN_LOAD = 0.05
+"""Load that is assumed at least, as a request that comes alone is no measure."""
+
+RESPONSE_DECAY_MS = 400.0
+"""Time constant with which accepted and rejected calls are forgotten."""
 
 ACCEPTED_EXPONENT = 2
 """Exponent of the share of accepted calls.
@@ -40,49 +53,86 @@
 SHARE_SCALE = 1000
 """Shares are sent as integers, in thousandths."""
 
-REPORT_LIFETIME_MS = 2500.0
+REPORT_LIFETIME_MS = 1000.0
 """Age at which a report has no effect, so that no request is refused for an old one."""
 
-REPORT_WEIGHT = 0.2
-"""Weight of a new report in the smoothed share over all guards of a service."""
+REPORT_DECAY_MS = 250.0
+"""Time constant with which reports of all guards of a service are averaged. After a pause,
+the next report counts almost alone."""
+
+MIN_REPORT_AGE_MS = 5.0
+"""Least weight of a report, as several come in one read."""
 
 MAX_IMPORTANCE_FACTOR = 4.0
 """Admission chance of the most important requests relative to the least."""
 
 
 class AdmissionShare:
-    """The share of new requests that one upstream can accept."""
+    """The share of new requests that one upstream can accept.
+
+    It follows the load by time, not by the count of answers: after a surge few calls are
+    answered, as most are refused. It is a share per service as in Breakwater (Cho and
+    others, 2020), where credits follow the queueing delay, fed back up the call tree so
+    that a request is refused before work is done for it as in DAGOR (Zhou and others,
+    "Overload control for scaling WeChat microservices", 2018).
+    """
 
     def __init__(self) -> None:
         """Start with a share of 1, at which all requests are accepted."""
         self._share = 1.0
         self._corrected_ms = -math.inf
-        self._accepted_share = float(1)
+        self._idle_since_ms: float | None = None
+        self._accepted = float(0)
+        self._rejected = float(0)
+        self._counted_ms = -math.inf
 
     @property
     def share(self) -> float:
         """Return the share, above 0 and up to 1."""
         return max(self._share * self._accepted_share**ACCEPTED_EXPONENT, MIN_SHARE)
 
-    def on_response(self, accepted: bool) -> None:
+    def on_response(self, accepted: bool, now_ms: float) -> None:
         """Record whether the upstream accepted a call or rejected it."""
-        self._accepted_share += RESPONSE_WEIGHT * (accepted - self._accepted_share)
+        kept = math.exp((self._counted_ms - now_ms) / RESPONSE_DECAY_MS)
+        self._counted_ms = now_ms
+        self._accepted = self._accepted * kept + accepted
+        self._rejected = self._rejected * kept + (not accepted)
 
     def observe(self, calls: int, limit: int, now_ms: float) -> None:
-        """Correct the share by the current load.
+        """Correct the share by the current load; call it regularly.
 
         Args:
             calls: Running and waiting calls.
             limit: Calls that may run at once.
             now_ms: Current time.
         """
-        if now_ms - self._corrected_ms < STEP_MS:
+        load = calls / max(limit, 1)
+        if self._has_been_idle(load, now_ms):
+            # The load grows with the share, so that this share would fill the slots.
+            self._share = min(self._share * TARGET_LOAD / max(load, MIN_LOAD), 1)
+            self._idle_since_ms = now_ms - IDLE_MS + STEP_MS
+            self._rejected = 0
+        steps = (now_ms - self._corrected_ms) / STEP_MS
+        if steps < 1:
             return
         self._corrected_ms = now_ms
-        load = max(calls / max(limit, 1), 0.1)
-        factor = (TARGET_LOAD / load) ** CORRECTION_EXPONENT
+        factor = (TARGET_LOAD / max(load, 2 * MIN_LOAD)) ** CORRECTION_EXPONENT
         factor = min(max(factor, 1 - MAX_CORRECTION), 1 + MAX_CORRECTION)
-        self._share = min(max(self._share * factor, MIN_SHARE), 1)
+        self._share *= factor ** min(steps, MAX_STEPS)
+        self._share = min(max(self._share, MIN_SHARE), 1)
+
+    @property
+    def _accepted_share(self) -> float:
+        # One accepted call is assumed, so that a single rejection says little.
+        return (self._accepted + 1) / (self._accepted + self._rejected + 1)
+
+    def _has_been_idle(self, load: float, now_ms: float) -> bool:
+        if load > IDLE_LOAD:
+            self._idle_since_ms = None
+            return False
+        if self._idle_since_ms is None:
+            self._idle_since_ms = now_ms
+        return now_ms - self._idle_since_ms >= IDLE_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +165,9 @@
             if previous is None:
                 self._reports[service] = _Report(share, now_ms)
                 continue
-            previous.share += REPORT_WEIGHT * (share - previous.share)
+            age_ms = max(now_ms - previous.received_ms, MIN_REPORT_AGE_MS)
+            weight = 1 - math.exp(-age_ms / REPORT_DECAY_MS)
+            previous.share += weight * (share - previous.share)
             previous.received_ms = now_ms
 
     def add_downstream(self, route: str, services: Iterable[str]) -> None:
--- a/tests/test_admission_share.py
+++ b/tests/test_admission_share.py
@@ -60,7 +60,7 @@
     while gauge.share < 1:
         now_ms += STEP_MS
         gauge.observe(LIMIT // 3, LIMIT, now_ms)
-    assert now_ms - begin_ms <= 5000
+    assert now_ms - begin_ms <= 1000
 
 
 def test_shares_of_downstream_services_reach_the_route():
@@ -106,8 +106,8 @@
     """Guards against admitting requests that fail: with 5 such calls, 97 in 100 do."""
     gauge = AdmissionShare()
     for number in range(200):
-        gauge.on_response(accepted=number % 2 == 0)
+        gauge.on_response(accepted=number % 2 == 0, now_ms=number * 10)
     assert gauge.share < 0.35
-    for _ in range(100):
-        gauge.on_response(accepted=True)
+    for number in range(200, 400):
+        gauge.on_response(accepted=True, now_ms=number * 10)
     assert gauge.share > 0.95
