--- a/tests/fault_soak/broken_responses.py
+++ b/tests/fault_soak/broken_responses.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 from endless_upstream import BLOCK, OK
+from gentianmill_mesh.connection_reset import reset_connection
 
 HEADER_LINES = b'X-More: 1\r\n' * 100
 MAX_UNSENT_BYTES = 4 * len(BLOCK)
@@ -101,6 +102,31 @@
         return RawResponse(complete_response(request_id, body) + b'\x00 no answer')
 
 
+class WithoutLength(BrokenResponse):
+    """Write a response whose body ends with its connection, whole or reset half way."""
+
+    def __init__(self, *, whole: bool) -> None:
+        """Set whether the body is whole."""
+        self._whole = whole
+
+    async def respond(
+        self, request: web.BaseRequest, request_id: str, body: bytes
+    ) -> web.StreamResponse:
+        """Write the body, and close or reset the connection.
+
+        Raises:
+            ConnectionResetError: Always.
+        """
+        head = OK + f'Attempt-Id: {request_id}\r\n\r\n'.encode()
+        written = body if self._whole else body[: len(body) // 2]
+        request.transport.write(head + written)
+        if self._whole:
+            request.transport.close()
+        else:
+            reset_connection(request.transport)
+        raise ConnectionResetError
+
+
 class StaleRefusal(BrokenResponse):
     """Write the last refusal again before the response."""
 
@@ -126,6 +152,12 @@
             TruncatedHead(rng),
             UnboundedResponse(OK, HEADER_LINES),
             UnboundedResponse(OK + b'\r\n', BLOCK),
+            UnboundedResponse(
+                OK + b'Transfer-Encoding: chunked\r\n\r\n',
+                b'10000\r\n' + BLOCK + b'\r\n',
+            ),
+            WithoutLength(whole=True),
+            WithoutLength(whole=False),
             ExtraBytes(),
             self._stale_refusal,
         )
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -7,12 +7,18 @@
 
 import aiohttp
 
-from fault_soak.vm import UNSAFE_PREFIX, Vm
+from fault_soak.vm import LARGE_MARK, LARGE_REPEATS, UNSAFE_PREFIX, Vm
 
 HOST_HEADER = 'till.example'
 READ_PREFIX = '/read/'
 TIME_LEFT_MS = 4000
 MEAN_PAUSE_S = 0.02
+OK = 200
+LARGE_SHARE = 0.03
+"""Share of the reads whose response is large and read slowly."""
+
+SLOW_PAUSE_S = 0.02
+BLOCK_BYTES = 65_536
 RESPONSE_LIMIT_S = 8
 
 
@@ -67,12 +73,14 @@
         unsafe = self._rng.random() < 0.4
         prefix = UNSAFE_PREFIX if unsafe else READ_PREFIX
         request_id = f'r{number}'
+        is_large = not unsafe and self._rng.random() < LARGE_SHARE
+        mark = f'/{LARGE_MARK}' if is_large else ''
         status, body = 0, b''
         self.sent.append(asyncio.get_running_loop().time())
         try:
             async with session.request(
                 'POST' if unsafe else 'GET',
-                f'{vm.entry}{prefix}{number}',
+                f'{vm.entry}{prefix}{number}{mark}',
                 headers={
                     'Host': HOST_HEADER,
                     'Attempt-Id': request_id,
@@ -81,7 +89,7 @@
                 data=b'x' * 200 if unsafe else None,
                 timeout=aiohttp.ClientTimeout(total=RESPONSE_LIMIT_S),
             ) as response:
-                body = await response.read()
+                body = await _read(response, slowly=is_large)
                 status = response.status
         except aiohttp.ClientConnectorError:
             # The node does not listen; the request was not sent.
@@ -92,3 +100,16 @@
             pass
         now_s = asyncio.get_running_loop().time()
         self.outcomes.append(RequestOutcome(request_id, unsafe, status, body, now_s))
+
+
+async def _read(response: aiohttp.ClientResponse, *, slowly: bool) -> bytes:
+    """Return the body; that of a large response in the form of a small one."""
+    if not slowly or response.status != OK:
+        return await response.read()
+    body = bytearray()
+    async for block in response.content.iter_chunked(BLOCK_BYTES):
+        body += block
+        await asyncio.sleep(SLOW_PAUSE_S)
+    unit, rest = divmod(len(body), LARGE_REPEATS)
+    is_repeated = not rest and body == body[:unit] * LARGE_REPEATS
+    return bytes(body[:unit]) * 20 if is_repeated else bytes(body)
--- a/tests/fault_soak/deployment.py
+++ b/tests/fault_soak/deployment.py
@@ -94,6 +94,8 @@
     late = await versions.until_in_force(store.rules_version)
     await callers.stop()
     await versions.stop()
+    for vm in vms:
+        vm.measure_memory()
     violations = violated_invariants(
         callers.outcomes, vms, faults, (faults_ended_s + RECOVERY_S / 2, silenced_s)
     )
--- a/tests/fault_soak/faults.py
+++ b/tests/fault_soak/faults.py
@@ -76,6 +76,9 @@
             self._mute_store,
             self._write_odd_row,
             self._overwrite_own_row,
+            self._pause_beyond_deadlines,
+            self._kill_after_leave,
+            self._delay_heartbeats,
         ]
 
     async def _run(self, fault: Fault, vm: Vm) -> None:
@@ -111,6 +114,27 @@
         await asyncio.sleep(self._rng.uniform(0.3, 3))
         vm.send_signal(signal.SIGCONT)
 
+    async def _pause_beyond_deadlines(self, vm: Vm) -> None:
+        """Stop a process until the requests that others sent to it have timed out."""
+        vm.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(4.2, 7))
+        vm.send_signal(signal.SIGCONT)
+
+    async def _kill_after_leave(self, vm: Vm) -> None:
+        """Kill a node that has acknowledged a leave; reports from before it still come."""
+        if await vm.leave():
+            vm.send_signal(signal.SIGKILL)
+            await vm.wait_for_exit(1)
+            vm.start_node()
+            await asyncio.sleep(self._rng.uniform(3, 6))
+        vm.restart_upstream()
+        await vm.until_ready()
+
+    async def _delay_heartbeats(self, vm: Vm) -> None:
+        vm.heartbeat_delay_s = self._rng.uniform(1, 4)
+        await asyncio.sleep(self._rng.uniform(2, 5))
+        vm.heartbeat_delay_s = 0
+
     async def _silence_connections(self, vm: Vm) -> None:
         vm.send_signal(signal.SIGUSR1)
 
--- a/tests/fault_soak/invariants.py
+++ b/tests/fault_soak/invariants.py
@@ -5,7 +5,7 @@
 
 from fault_soak.callers import RequestOutcome
 from fault_soak.faults import Faults
-from fault_soak.vm import RETRY_SLACK, Vm
+from fault_soak.vm import MEMORY_MB, RETRY_SLACK, Vm
 
 REFUSALS = frozenset((408, 421, 429, 503))
 """Statuses which guarantee that a request has not run and never will."""
@@ -14,6 +14,7 @@
 """Minimum share of requests that must be served after recovery."""
 
 MIN_JUDGED_REQUESTS = 20
+BYTES_PER_MB = 1_000_000
 
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
@@ -49,6 +50,11 @@
         for vm in vms
         for code in vm.unexpected_exits
     )
+    violations.extend(
+        f'{vm.name} took {vm.peak_memory_bytes // BYTES_PER_MB} MB'
+        for vm in vms
+        if vm.peak_memory_bytes > MEMORY_MB * BYTES_PER_MB
+    )
     violations.extend(_recovery_violations(outcomes, recovered_s))
     return violations
 
--- a/tests/fault_soak/vm.py
+++ b/tests/fault_soak/vm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import re
@@ -33,6 +34,14 @@
 REFUSED_SHARE = 0.2
 BROKEN_SHARE = 0.3
 RETRY_SLACK = 5
+MEMORY_MB = 200
+DRAIN_S = 2.5
+"""Time after an acknowledged leave in which requests may still arrive."""
+
+LARGE_MARK = 'large'
+LARGE_REPEATS = 100_000
+"""Repetitions of the body of a large response, some 1 MB."""
+_PEAK_MEMORY = re.compile(r'^VmHWM:\s+(\d+) kB', re.MULTILINE)
 _RULES_VERSION = re.compile(r'^gentianmill_rules_version\S* (\S+)$', re.MULTILINE)
 
 
@@ -47,6 +56,9 @@
         self.arrivals: list[tuple[float, str]] = []
         """Time and id of each request that arrived, including the refused ones."""
 
+        self.left_s = math.inf
+        """Time at which the upstream's leave was acknowledged."""
+
         self.dropping_responses = False
         self.breaking_responses = False
         self._broken_responses = BrokenResponses(rng)
@@ -70,7 +82,10 @@
             self.violations.append(f'{request_id}: sent to the wrong upstream')
         if request.headers.get('Caller-Service') is None:
             self.violations.append(f'{request_id}: no name of the calling service')
-        self.arrivals.append((asyncio.get_running_loop().time(), request_id))
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals.append((now_s, request_id))
+        if now_s - self.left_s > DRAIN_S:
+            self.violations.append(f'{request_id}: sent to an upstream that has left')
         if self.breaking_responses and self._rng.random() < REFUSED_SHARE:
             return self._broken_responses.refuse(request_id)
         self.ran[request_id] = self.ran.get(request_id, 0) + 1
@@ -78,7 +93,8 @@
         if self.dropping_responses and self._rng.random() < DROPPED_SHARE:
             request.transport.abort()
             raise ConnectionResetError
-        body = f'{request_id} {self._service}'.encode() * 20
+        repeats = LARGE_REPEATS if LARGE_MARK in request.path else 20
+        body = f'{request_id} {self._service}'.encode() * repeats
         if self.breaking_responses and self._rng.random() < BROKEN_SHARE:
             return await self._broken_responses.choose().respond(
                 request, request_id, body
@@ -102,8 +118,14 @@
         self.unexpected_exits: list[int] = []
         """Exit codes of node processes that ended without being stopped."""
 
+        self.heartbeat_delay_s = 0.0
+        self.peak_memory_bytes = 0
+        """Most memory that a node process has taken, as last seen."""
+
         self._folder = folder
         self._sequence = 0
+        self._born = 1
+        self._late_heartbeats: set[asyncio.Task[None]] = set()
         self._process: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
@@ -142,9 +164,51 @@
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the node process if it is running."""
+        self.measure_memory()
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(signal_number)
 
+    def measure_memory(self) -> None:
+        """Note the peak memory of the node process if it is running."""
+        if self._process is None:
+            return
+        try:
+            status = Path(f'/proc/{self._process.pid}/status').read_text()
+        except OSError:
+            # The process has ended.
+            return
+        found = _PEAK_MEMORY.search(status)
+        if found:
+            peak = int(found.group(1)) * 1024
+            self.peak_memory_bytes = max(self.peak_memory_bytes, peak)
+
+    async def leave(self) -> bool:
+        """Let the upstream leave, and return whether the node acknowledged it."""
+        url = self._instance_url('leave')
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with aiohttp.ClientSession() as session:
+                async with session.post(
+                    url, json={'born': self._born}, timeout=timeout
+                ) as response:
+                    acknowledged = response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            # The node is down.
+            return False
+        if acknowledged:
+            self.upstream.left_s = asyncio.get_running_loop().time()
+        return acknowledged
+
+    def restart_upstream(self) -> None:
+        """Start the upstream again, under its id."""
+        self._born += 1
+        self._sequence = 0
+        self.upstream.left_s = math.inf
+
+    def _instance_url(self, verb: str) -> str:
+        control = f'http://{self.ip}:{PORTS["controlPlane"]}'
+        return f'{control}/-/instances/{self.upstream.upstream_id}/{verb}'
+
     async def wait_for_exit(self, limit_s: float) -> bool:
         """Wait for the node process to exit; kill it and return False after the limit."""
         process = self._process
@@ -204,6 +268,7 @@
         """Stop everything on the VM."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+        self.measure_memory()
         if self._process is not None:
             self._process.send_signal(signal.SIGCONT)
             self._process.kill()
@@ -215,32 +280,34 @@
         await self.upstream.close()
 
     async def _send_heartbeats(self) -> None:
-        url = (
-            f'http://{self.ip}:{PORTS["controlPlane"]}'
-            f'/-/instances/{self.upstream.upstream_id}/heartbeat'
-        )
+        url = self._instance_url('heartbeat')
         async with aiohttp.ClientSession() as session:
             while True:
                 self._sequence += 1
-                try:
-                    await self._post_heartbeat(session, url)
-                except (aiohttp.ClientError, TimeoutError):
-                    # The node is down; the next heartbeat tries again.
-                    pass
+                sending = asyncio.ensure_future(
+                    self._post_heartbeat(session, url, self._heartbeat())
+                )
+                self._late_heartbeats.add(sending)
+                sending.add_done_callback(self._late_heartbeats.discard)
                 await asyncio.sleep(HEARTBEAT_S)
 
-    async def _post_heartbeat(self, session: aiohttp.ClientSession, url: str) -> None:
+    async def _post_heartbeat(
+        self, session: aiohttp.ClientSession, url: str, heartbeat: dict[str, object]
+    ) -> None:
+        await asyncio.sleep(self.heartbeat_delay_s)
         timeout = aiohttp.ClientTimeout(total=1)
-        async with session.post(
-            url, json=self._heartbeat(), timeout=timeout
-        ) as response:
-            await response.read()
+        try:
+            async with session.post(url, json=heartbeat, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, RuntimeError):
+            # The node is down, or the run has ended; the next heartbeat tries again.
+            return
 
     def _heartbeat(self) -> dict[str, object]:
         info = {'service': self.service, 'version': 'v1', 'zone': 'a', 'slots': SLOTS}
         status = {'state': 'ready', 'sequence': self._sequence}
         address = f'{self.ip}:{UPSTREAM_PORT}'
-        return {'address': address, 'born': 1, 'info': info, 'status': status}
+        return {'address': address, 'born': self._born, 'info': info, 'status': status}
 
     def _settings(self) -> dict[str, object]:
         return {
@@ -249,6 +316,7 @@
             'zone': 'a',
             'region': 'r',
             'listenAddrs': {kind: f'{self.ip}:{port}' for kind, port in PORTS.items()},
+            'limits': {'memoryMb': MEMORY_MB},
             'internalPortRange': [RELAY_PORT, RELAY_PORT + 15],
             'appAddr': f'127.0.0.1:{self.upstream_proxy.port}',
             'service': self.service,
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -29,6 +29,7 @@
     def __init__(self, **ran: int) -> None:
         self.upstream = _Upstream(ran)
         self.unexpected_exits: list[int] = []
+        self.peak_memory_bytes = 0
 
 
 class _Faults(Faults):
