--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -229,7 +229,7 @@
             headers=self._compact(response, frame),
             body=response.body if response else b'',
             reason=reply.reason,
-            framed=True,
+            framed=response.framed if response else True,
             rules_version=status.rules_version,
             load=self._guard.load(frame.route),
             spent_ms=int(self._clock.now_ms() - arrived_ms),
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -19,7 +19,6 @@
 from gentianmill_mesh.mesh_settings import ReadAheadSettings
 from gentianmill_mesh.request_reader import RequestReader
 from gentianmill_mesh.request_room import RequestRoom
-from gentianmill_mesh.response_encoder import BodyEnd
 from gentianmill_mesh.response_sender import ResponseSender
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.logs import component
@@ -254,7 +253,7 @@
         while self._is_response_due:
             self._active_ms = self._clock.now_ms()
             exchange = self._exchanges.first
-            ends = not exchange.keeps_alive or exchange.body_end is BodyEnd.close
+            ends = not exchange.keeps_alive or exchange.ends_connection
             is_alone = self._exchanges.running == 1
             closing = is_alone and (self._handler.closing or ends)
             self._sender.send(exchange, closing=closing)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
@@ -68,17 +68,34 @@
         return self.task is not None or self.response is not None
 
     @property
-    def body_end(self) -> BodyEnd:
+    def ends_connection(self) -> bool:
+        """Return whether the connection must close to mark the end of the response.
+
+        A body whose upstream marked its end in this way may have been cut by it, so that
+        the node must not mark it as whole. An older caller can find the end of a body
+        that still arrives in no other way.
+        """
+        response = self.response
+        if response is None or not response.framed:
+            return True
+        stream = response.stream
+        is_open = stream is not None and stream.length is None
+        return is_open and not self.is_http11
+
+    def body_end(self, *, closing: bool) -> BodyEnd:
         """Return how the caller finds the end of the body.
 
-        What is whole leaves with its length, whatever marked its end for the upstream. An
-        older caller can find the end of a body that still arrives only with that of the
-        connection.
+        Args:
+            closing: Whether the connection closes after the response. If it must go on
+                all the same, since requests behind this one were passed on, the body is
+                sent in chunks.
         """
+        if self.ends_connection:
+            return BodyEnd.close if closing else BodyEnd.chunks
         stream = None if self.response is None else self.response.stream
         if stream is None or stream.length is not None:
             return BodyEnd.length
-        return BodyEnd.chunks if self.is_http11 else BodyEnd.close
+        return BodyEnd.chunks
 
     def release_request(self) -> None:
         """Give back the room of the body, which is not needed any more."""
@@ -101,7 +118,7 @@
             response: The response.
             closing: Whether the connection closes after it.
         """
-        body_end = self.body_end
+        body_end = self.body_end(closing=closing)
         connection = b''
         if closing:
             connection = b'close'
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -31,6 +31,10 @@
     stream: BodyStream | None = None
     """Carries the body while it arrives; ``body`` is empty then."""
 
+    framed: bool = True
+    """Whether the end of the body is marked. Otherwise it is the end of the connection,
+    and a body that its upstream has cut can't be told from a whole one."""
+
     attributed: bool = True
     """Whether it certainly belongs to this request: it carries the request's id, or
     the connection was not used before."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -304,5 +304,5 @@
     if outcome is not Outcome.answered:
         return GuardReply(outcome, reason=frame.reason)
     headers = restore_headers(frame.headers, call.headers, request_id)
-    response = HttpResponse(frame.status, headers, frame.body)
+    response = HttpResponse(frame.status, headers, frame.body, framed=frame.framed)
     return GuardReply(outcome, response, frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_identity.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_identity.py
@@ -42,7 +42,12 @@
         return response_id != self._expected_id
 
     def response(
-        self, message: RawResponseMessage, body: Body, stream: BodyStream | None = None
+        self,
+        message: RawResponseMessage,
+        body: Body,
+        stream: BodyStream | None = None,
+        *,
+        framed: bool,
     ) -> HttpResponse:
         """Return the response to the current request."""
         has_id = header(message.raw_headers, self._id_header) is not None
@@ -52,5 +57,6 @@
             [list(pair) for pair in message.raw_headers],
             body,
             stream,
+            framed,
             attributed=self._requests == 1 or has_id,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
@@ -7,8 +7,9 @@
 from gentianmill.byte_budget import SMALL_BYTES, ByteBudget
 from gentianmill.clock import Clock
 from gentianmill_mesh.body_stream import StreamEnd, stream_of
-from gentianmill_mesh.connection_reset import reset_connection
+from gentianmill_mesh.connection_reset import reset_connection, reset_on_close
 from gentianmill_mesh.entry_exchange import EntryExchange
+from gentianmill_mesh.response_encoder import BodyEnd
 from gentianmill_mesh.response_writer import ResponseWriter
 from gentianmill_node.logs import component
 
@@ -64,7 +65,12 @@
         response = exchange.response
         if response is None:
             raise ValueError('there is no response yet')
-        if response.stream is None and len(response.body) > SMALL_BYTES:
+        body_end = exchange.body_end(closing=closing)
+        if body_end is BodyEnd.close:
+            # An end of this process must not look like the end of the body.
+            reset_on_close(self._transport, enabled=True)
+        is_small = len(response.body) <= SMALL_BYTES and body_end is not BodyEnd.chunks
+        if response.stream is None and not is_small:
             stream = stream_of(response.body, self._budget)
             response = dataclasses.replace(response, body=b'', stream=stream)
             exchange.response = response
@@ -76,7 +82,7 @@
         self._writer = ResponseWriter(
             self._transport,
             response.stream,
-            exchange.body_end,
+            body_end,
             lambda end, reason: self._end(end, reason, closing=closing),
         )
         self._is_starting = True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_writer.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_writer.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from gentianmill_mesh.body_stream import BodyStream, StreamEnd
-from gentianmill_mesh.connection_reset import reset_on_close
 from gentianmill_mesh.response_encoder import BodyEnd
 
 __all__ = ('ResponseWriter',)
@@ -46,9 +45,6 @@
 
     def begin(self) -> None:
         """Write what has arrived, and what arrives from now on."""
-        if self._body_end is BodyEnd.close:
-            # An end of this process must not look like the end of the body.
-            reset_on_close(self._transport, enabled=True)
         self._stream.on_ready(self._write)
         self._write()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -107,6 +107,7 @@
         self._reusable = True
         self._idle_limit_ms: float | None = None
         self._aborted = False
+        self._ended_with_connection = False
         self._is_receiving = False
         self._timer: asyncio.TimerHandle | None = None
         self._memory = memory
@@ -270,6 +271,7 @@
         message, payload = self._messages[0]
         if payload.exception() is not None or not payload.is_eof():
             return False
+        self._ended_with_connection = True
         spawn(self._confirm_end(), 'confirm end of response')
         return True
 
@@ -324,7 +326,9 @@
             self._memory.release(self)
             length = _content_length(message)
             stream = self._body.begin_stream(length, self.transport)
-            self._waiter.set_result(self._identity.response(message, b'', stream))
+            is_framed = message.chunked or length is not None
+            response = self._identity.response(message, b'', stream, framed=is_framed)
+            self._waiter.set_result(response)
         return False
 
     def _skip(self) -> None:
@@ -348,9 +352,10 @@
         if self._body.stream is not None:
             self._body.stream.complete()
         elif self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(
-                self._identity.response(message, self._body.whole())
+            response = self._identity.response(
+                message, self._body.whole(), framed=not self._ended_with_connection
             )
+            self._waiter.set_result(response)
 
     def _fail(self, kind: LossKind, message: str) -> None:
         self._reusable = False
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -101,7 +101,9 @@
             description='Why the call has no answer, or that it failed at a service below.'
         ),
     ]
-    framed: Annotated[bool, Meta(description='True; nodes of protocol 1 read it.')]
+    framed: Annotated[
+        bool, Meta(description='Whether the upstream marked the end of the body.')
+    ]
     rules_version: Annotated[
         int, Meta(description='Version of the routing rules that the sender knows.')
     ]
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -180,6 +181,49 @@
     assert len(handler.started) == 5
 
 
+@pytest.mark.parametrize('size', [10, 4_000_000])
+@pytest.mark.parametrize('request_line', [b'HTTP/1.1', b'HTTP/1.0'])
+def test_body_without_a_length_is_reset_if_the_node_ends(
+    size: int, request_line: bytes
+):
+    """Guards against half a body that looks complete as the node was killed or stopped.
+
+    The kernel closes the connections of a killed process, by their linger times.
+    """
+    handler = _Responder(HttpResponse(200, [], bytes(size), framed=False))
+    lingers = []
+
+    async def talk(reader, writer) -> bytes | None:
+        writer.write(GET.replace(b'HTTP/1.1', request_line))
+        await reader.readuntil(b'\r\n\r\n')
+        sock = handler.connections[0].transport.get_extra_info('socket')
+        lingers.append(sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8))
+        if size == 10:
+            return await reader.read()
+        handler.connections[0].abort()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        return None
+
+    received = _converse(handler, talk)
+    assert lingers == [struct.pack('ii', 1, 0)]
+    assert received in {None, bytes(10)}
+
+
+def test_whole_response_that_is_cut_is_reset():
+    """Guards against an ordinary close in the midst of a response."""
+    handler = _Responder(HttpResponse(200, [], LONG_BODY))
+
+    async def talk(reader, writer) -> None:
+        writer.write(GET)
+        await reader.readuntil(b'\r\n\r\n')
+        handler.connections[0].abort()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+    _converse(handler, talk)
+
+
 def test_slow_reader_gets_all_of_the_last_response():
     """Guards against cutting a response whose reader is slower than the close."""
     response = HttpResponse(200, [], LONG_BODY)
