--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -96,7 +96,7 @@
         if job is None or job.upload is None:
             return
         if job.upload.add(frame.offset, frame.content):
-            self._go_on(sender, job, job.upload)
+            self._go_on(sender, job)
         else:
             log.warning('Part of a body is missing.', peer=sender.name, key=frame.key)
             self.refuse(sender, job, 'bad_part')
@@ -142,15 +142,16 @@
         job.upload = CallUpload(
             self._budget,
             count,
-            lambda: self._grant(sender, job),
+            lambda: self._go_on(sender, job),
             lambda: self.refuse(sender, job, OUT_OF_MEMORY),
         )
-        if job.upload.is_granted:
-            self._grant(sender, job)
+        # A sender that has lost its link waits to hear how much has arrived.
+        self._grant(sender, job, is_first=True)
 
-    def _go_on(self, sender: RelaySender, job: RelayJob, upload: CallUpload) -> None:
-        if upload.is_whole:
-            job.begin(upload.body())
+    def _go_on(self, sender: RelaySender, job: RelayJob) -> None:
+        """Run a call whose body is there, or tell its sender how much more may come."""
+        if job.upload is not None and job.upload.is_whole:
+            job.begin(job.upload.body())
             self._run_soon(sender, job)
         else:
             self._grant(sender, job)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
@@ -47,7 +47,8 @@
         self._is_paused = False
         self._is_starting = False
         self._is_cut = False
-        self._progress = (0, 0)
+        self._responses = 0
+        self._progress = (0, 0, 0)
         self._progress_ms = clock.now_ms()
 
     @property
@@ -62,6 +63,7 @@
             exchange: The exchange.
             closing: Whether the connection closes after it.
         """
+        self._responses += 1
         response = exchange.response
         if response is None:
             raise ValueError('there is no response yet')
@@ -109,12 +111,13 @@
         """
         now_ms = self._clock.now_ms()
         taken = 0 if self._writer is None else self._writer.taken
-        progress = (self._transport.get_write_buffer_size(), taken)
+        waiting = self._transport.get_write_buffer_size()
+        progress = (self._responses, taken, waiting)
         if progress != self._progress:
             self._progress = progress
             self._progress_ms = now_ms
         elif now_ms - self._progress_ms > timeout_ms:
-            log.info('Response not read in time.', waiting=progress[0])
+            log.info('Response not read in time.', waiting=waiting)
             reset_connection(self._transport)
 
     def _end(self, end: StreamEnd, reason: str, *, closing: bool) -> None:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -235,3 +235,38 @@
         return bench.handler.budget.held
 
     assert _run(scenario) == 0
+
+
+class _SlowTransport(_Transport):
+    """A connection whose caller reads what the test says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting = 0
+        self.is_reset = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.waiting
+
+    def abort(self) -> None:
+        self.is_reset = True
+
+
+@pytest.mark.parametrize('second', [False, True])
+def test_only_a_caller_that_reads_nothing_is_reset(second: bool):
+    """Guards against a reset as two responses wait with the same number of bytes."""
+
+    async def scenario() -> bool:
+        bench = _Bench()
+        bench.transport = _SlowTransport()
+        bench.connection.connection_made(bench.transport)
+        bench.connection.data_received(_head())
+        bench.transport.waiting = 1000
+        bench.connection.check_timeouts(3000, 15_000)
+        bench.clock.advance(16_000)
+        if second:
+            bench.connection.data_received(_head())
+        bench.connection.check_timeouts(3000, 15_000)
+        return bench.transport.is_reset
+
+    assert _run(scenario) is not second
