--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
@@ -10,9 +10,14 @@
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.request_room import RequestRoom
 from gentianmill_mesh.response_encoder import BodyEnd, encode_response
+from gentianmill_node.logs import component
 
 __all__ = ('EntryExchange',)
 
+STATUS_BAD_GATEWAY = 502
+
+log = component('entry')
+
 
 @dataclasses.dataclass(slots=True)
 class EntryExchange:
@@ -86,17 +91,27 @@
         """Return how the caller finds the end of the body.
 
         Args:
-            closing: Whether the connection closes after the response. If it must go on
-                all the same, since requests behind this one were passed on, the body is
-                sent in chunks.
+            closing: Whether the connection closes after the response.
         """
-        if self.ends_connection:
-            return BodyEnd.close if closing else BodyEnd.chunks
+        if self.ends_connection and closing:
+            return BodyEnd.close
         stream = None if self.response is None else self.response.stream
         if stream is None or stream.length is not None:
             return BodyEnd.length
         return BodyEnd.chunks
 
+    def replace_unmarked(self) -> None:
+        """Replace a response whose end can't be marked, as the connection must go on.
+
+        Requests behind this one were passed on, and their responses are owed.
+        """
+        log.info('Response without a length not delivered.')
+        if self.response is not None:
+            self.response.discard()
+        self.response = HttpResponse(
+            STATUS_BAD_GATEWAY, [], b'the end of the response is not known\n'
+        )
+
     def release_request(self) -> None:
         """Give back the room of the body, which is not needed any more."""
         if self.room is not None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/response_sender.py
@@ -64,6 +64,8 @@
             closing: Whether the connection closes after it.
         """
         self._responses += 1
+        if exchange.ends_connection and not closing:
+            exchange.replace_unmarked()
         response = exchange.response
         if response is None:
             raise ValueError('there is no response yet')
@@ -71,8 +73,7 @@
         if body_end is BodyEnd.close:
             # An end of this process must not look like the end of the body.
             reset_on_close(self._transport, enabled=True)
-        is_small = len(response.body) <= SMALL_BYTES and body_end is not BodyEnd.chunks
-        if response.stream is None and not is_small:
+        if response.stream is None and len(response.body) > SMALL_BYTES:
             stream = stream_of(response.body, self._budget)
             response = dataclasses.replace(response, body=b'', stream=stream)
             exchange.response = response
