--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from gentianmill_mesh.connection_reset import reset_connection
 from silent_socket import silence
 from standins.processes import HOST
 
@@ -45,9 +46,9 @@
         self.reset()
 
     def reset(self) -> None:
-        """Abort all connections."""
+        """Reset all connections; an ordinary close would look like a clean end."""
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     def mute(self) -> None:
         """Forward nothing more on the open connections; new ones work.
@@ -98,7 +99,8 @@
                 if not self._drops(writer, is_response=is_response):
                     loop.call_later(self.delay_s, writer.write, data)
         except ConnectionError:
-            pass
+            reset_connection(writer.transport)
+            return
         writer.close()
 
     def _drops(self, writer: asyncio.StreamWriter, *, is_response: bool) -> bool:
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import random
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from fault_soak.vm import LARGE_MARK, LARGE_REPEATS, UNSAFE_PREFIX, Vm
 
@@ -63,7 +65,11 @@
         await asyncio.gather(*self._tasks)
 
     async def _call(self, vm: Vm) -> None:
-        async with aiohttp.ClientSession() as session:
+        connector = aiohttp.TCPConnector()
+        connector._factory = functools.partial(
+            _ResetAware, loop=asyncio.get_running_loop()
+        )
+        async with aiohttp.ClientSession(connector=connector) as session:
             while not self._stopping:
                 await self._send(session, vm)
                 await asyncio.sleep(self._rng.uniform(0, 2 * MEAN_PAUSE_S))
@@ -102,6 +108,20 @@
         self.outcomes.append(RequestOutcome(request_id, unsafe, status, body, now_s))
 
 
+class _ResetAware(ResponseHandler):
+    """Take a body without a length that ends with a reset for cut, as its caller must.
+
+    aiohttp takes it for complete, however the connection ended.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body that is being received if the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().connection_lost(exc)
+
+
 async def _read(response: aiohttp.ClientResponse, *, slowly: bool) -> bytes:
     """Return the body; that of a large response in the form of a small one."""
     if not slowly or response.status != OK:
