--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -101,7 +101,8 @@
         except ConnectionError:
             reset_connection(writer.transport)
             return
-        writer.close()
+        # Not before what was read last, which is written with the same delay.
+        loop.call_later(self.delay_s, writer.close)
 
     def _drops(self, writer: asyncio.StreamWriter, *, is_response: bool) -> bool:
         if self.dropping or writer in self._muted:
