--- a/tests/call_fleet.py
+++ b/tests/call_fleet.py
@@ -187,6 +187,12 @@
         """Return True, as the upstream never crashes."""
         return True
 
+    def limit_idle(self, _count: int) -> None:
+        """Do nothing, as there are no connections."""
+
+    def close_expired(self) -> None:
+        """Do nothing."""
+
     async def run(
         self, request: HttpRequest, request_id: bytes, *_: object
     ) -> HttpResponse:
