--- a/packages/gentianmill-mesh/src/gentianmill_mesh/connection_reset.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/connection_reset.py
@@ -6,7 +6,7 @@
 
 from gentianmill_node.logs import component
 
-__all__ = ('reset_connection', 'reset_on_close')
+__all__ = ('reset_connection', 'reset_on_close', 'was_reset')
 
 _LINGER = struct.Struct('ii')
 
@@ -28,3 +28,19 @@
     """Reset a connection, as an ordinary close would make a cut response look whole."""
     reset_on_close(transport, enabled=True)
     transport.abort()
+
+
+def was_reset(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the peer has reset a connection that ends without an error.
+
+    If bytes and a reset arrive together, libuv reports the end of the stream instead of
+    the error, which stays at the socket.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return False
+    try:
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+    except OSError as error:
+        log.warning('Error of a socket not known.', error=repr(error))
+        return True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -9,6 +9,7 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from gentianmill_mesh.connection_reset import was_reset
 from gentianmill_mesh.head_splitter import END, HeadSplitter
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse, header
 from gentianmill_mesh.response_body import ResponseBody
@@ -206,6 +207,7 @@
         """End the exchange; a clean close completes a response without a length."""
         self._reusable = False
         is_clean = exc is None and self._parser is not None and not self._aborted
+        is_clean = is_clean and not was_reset(self.transport)
         if not (is_clean and self._ends_with_connection()):
             self._fail(LossKind.after_send, f'the upstream closed: {exc!r}')
         self._parser = None
