--- a/packages/gentianmill/src/gentianmill/call_ledger.py
+++ b/packages/gentianmill/src/gentianmill/call_ledger.py
@@ -52,10 +52,6 @@
         """
         heapq.heappush(self._expiries, (time_ms, key))
 
-    def remove(self, key: int) -> None:
-        """Forget a call that has certainly not run and may be taken again."""
-        self._entries.pop(key, None)
-
     def forget_expired(self, now_ms: float) -> None:
         """Forget the calls whose time has passed."""
         while self._expiries and self._expiries[0][0] <= now_ms:
