--- /dev/null
+++ b/tests/test_process_start.py
@@ -0,0 +1,47 @@
+"""Tests of the start and end of node processes, as the platform starts them."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from deployed_node import (
+    DeployedNode,
+    build_tree,
+    closing_nodes,
+    free_network,
+    rules_document,
+)
+from platform_store import FakeStore
+
+CLOSED_OUTPUT = ('/bin/sh', '-c', 'exec "$@" <&- >&- 2>&-', 'sh')
+INTERPRETER_START_S = 0.15
+"""Time after which the interpreter runs the program also on a busy machine."""
+
+
+@pytest.fixture(scope='module')
+def tree(tmp_path_factory) -> Path:
+    """Return a tree built by the command of the deploy file."""
+    folder = tmp_path_factory.mktemp('tree')
+    build_tree(folder)
+    return folder
+
+
+def _play(tree: Path, folder: Path, scenario) -> None:
+    async def run() -> None:
+        async with FakeStore() as store:
+            store.put('op', 'config', rules_document())
+            node = DeployedNode(tree, folder, 'n1', f'{free_network()}.1', store.port)
+            with closing_nodes(node):
+                await asyncio.wait_for(scenario(node), 60)
+
+    asyncio.run(run())
+
+
+def test_node_starts_in_an_empty_environment(tree, tmp_path):
+    """Guards against a start that needs a variable of the environment for its modules."""
+
+    async def scenario(node: DeployedNode) -> None:
+        node.start(environment={})
+        await node.until_ready()
+
+    _play(tree, tmp_path, scenario)
