--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -1,6 +1,7 @@
 """Tests of the start and end of node processes, as the platform starts them."""
 
 import asyncio
+import subprocess
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
     closing_nodes,
     free_network,
     rules_document,
+    run_command,
 )
 from platform_store import FakeStore
 
@@ -45,3 +47,37 @@
         await node.until_ready()
 
     _play(tree, tmp_path, scenario)
+
+
+def test_start_compiles_no_module(tree):
+    """Guards against starts that compile: the tree is read-only, so each would."""
+    program, *arguments = run_command()
+    started = subprocess.run(
+        [program, *arguments[:-1], '-v', arguments[-1]],
+        cwd=tree,
+        env={'GENTIANMILL_NODE_FILE': '/nonexistent'},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert 'gentianmill_mesh.mesh_node' in started.stderr
+    compiled = [
+        line
+        for line in started.stderr.splitlines()
+        if line.startswith('# code object from') and line.endswith(".py'")
+    ]
+    assert not compiled
+
+
+def test_build_replaces_what_another_machine_has_built(tree, tmp_path):
+    """Guards against a carried build folder whose libraries can't be loaded here."""
+    folder = tmp_path / 'carried'
+    (folder / 'target' / 'deps').mkdir(parents=True)
+    for stamp in ('installed', 'installed-cpython-311-other'):
+        (folder / 'target' / 'deps' / stamp).touch()
+    build_tree(folder)
+    assert (folder / 'target' / 'deps' / 'uvloop').is_dir()
+    assert list((folder / 'target' / 'deps').glob('installed*')) == [
+        folder / 'target' / 'deps' / stamp.name
+        for stamp in (tree / 'target' / 'deps').glob('installed*')
+    ]
