--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -18,8 +18,9 @@
 from gentianmill_mesh.mesh_settings import Address, ReadAheadSettings
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.listen_queue import refuse_new_connections
+from gentianmill_node.listen_socket import BACKLOG, open_listen_socket
 from gentianmill_node.logs import component
-from gentianmill_node.web_server import BACKLOG, HANDSHAKE_WAIT_S
+from gentianmill_node.web_server import HANDSHAKE_WAIT_S
 
 __all__ = ('EntryListener',)
 
@@ -89,16 +90,13 @@
         return self._budget
 
     async def listen(self, address: Address) -> None:
-        """Accept connections.
+        """Accept connections, once the address is free.
 
         Raises:
-            OSError: If the address can't be used.
+            OSError: If the address can't be used, and that will not change.
         """
         loop = asyncio.get_running_loop()
-        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-        self._socket = socket.create_server(
-            (address.host, address.port), family=family, backlog=BACKLOG
-        )
+        self._socket = await open_listen_socket('entry', address.host, address.port)
         self._server = await loop.create_server(
             lambda: EntryConnection(self, self._names, self._settings, self._clock),
             sock=self._socket,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -18,7 +18,7 @@
 from gentianmill_mesh.forwarder import Forwarder
 from gentianmill_mesh.guard_recovery import GuardRecovery
 from gentianmill_mesh.mesh_metrics import MeshMetrics
-from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.mesh_settings import MeshSettings
 from gentianmill_mesh.node_gossip import NodeGossip
 from gentianmill_mesh.node_memory import NodeMemory
 from gentianmill_mesh.node_reaper import NodeReaper
@@ -35,7 +35,7 @@
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import STOPPING, UpstreamGuard
 from gentianmill_mesh.upstream_pool import UpstreamPool
-from gentianmill_node.background import repeat
+from gentianmill_node.background import repeat, spawn
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import WebServer
 
@@ -218,7 +218,11 @@
         return self._guard.crashes
 
     async def start(self) -> None:
-        """Open the listeners and start to receive routing rules and node records."""
+        """Open the listeners and start to receive routing rules and node records.
+
+        It waits while the former process of the VM uses an address. If it is cancelled,
+        call ``close``.
+        """
         settings = self._settings
         self._links.start(
             self._following.on_status,
@@ -228,13 +232,21 @@
         )
         self._recovery.begin(self._own.publish)
         await self._relay.listen(settings.relay)
-        await self._entry.listen(settings.entry)
         readiness = web.Application()
         readiness.router.add_get(settings.readiness_path, self._serve_readiness)
-        await self._listen('readiness', readiness, settings.readiness)
+        address = settings.readiness
+        await self._web.start_when_free(
+            'readiness', readiness, address.host, address.port
+        )
         metrics = web.Application()
         metrics.router.add_get(METRICS_PATH, self._serve_metrics)
-        await self._listen('metrics', metrics, settings.metrics)
+        # Calls do not depend on it.
+        address = settings.metrics
+        opening = self._web.start_when_free(
+            'metrics', metrics, address.host, address.port
+        )
+        self._tasks.append(spawn(opening, 'metrics'))
+        await self._entry.listen(settings.entry)
         following = self._following
         await self._source.start(
             self._rules, following.rules_turns, following.rules_confirmed
@@ -245,7 +257,7 @@
             following.nodes_turns,
             self._on_nodes_confirmed,
         )
-        self._tasks = [
+        self._tasks += [
             repeat(self._tick, TICK_S, 'tick'),
             repeat(self._reap, REAP_INTERVAL_S, 'reap'),
         ]
@@ -382,11 +394,6 @@
             self._recovery.table_read()
             self._own.publish()
 
-    async def _listen(
-        self, name: str, served: web.Application | web.Server, address: Address
-    ) -> None:
-        await self._web.start(name, served, address.host, address.port, None)
-
     async def _serve_metrics(self, _request: web.Request) -> web.Response:
         load = self._guard.load('')
         gauges = (
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -36,8 +36,8 @@
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.listen_socket import BACKLOG, open_listen_socket
 from gentianmill_node.logs import component
-from gentianmill_node.web_server import BACKLOG
 
 SENDER_TIMEOUT_MS = 3000.0
 """Time without frames after which a sender that awaits responses counts as lost: it
@@ -142,16 +142,14 @@
         return self._identity.headers()
 
     async def listen(self, address: Address) -> None:
-        """Accept connections.
+        """Accept connections, once the address is free.
 
         Raises:
-            OSError: If the address can't be used.
+            OSError: If the address can't be used, and that will not change.
         """
+        listening = await open_listen_socket('relay', address.host, address.port)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: accept_frames(RELAY_PATH, self),
-            address.host,
-            address.port,
-            backlog=BACKLOG,
+            lambda: accept_frames(RELAY_PATH, self), sock=listening, backlog=BACKLOG
         )
 
     def refusal(self, headers: Mapping[str, str]) -> HTTPStatus | None:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -1,11 +1,16 @@
 """Tests of the start and end of node processes, as the platform starts them."""
 
 import asyncio
+import signal
+import socket
 import subprocess
 from pathlib import Path
 
 import pytest
 from deployed_node import (
+    METRICS_PORT,
+    PORTS,
+    RELAY_PORT,
     DeployedNode,
     build_tree,
     closing_nodes,
@@ -49,6 +54,85 @@
     _play(tree, tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    'port',
+    (PORTS['outbound'], PORTS['ready'], PORTS['controlPlane'], RELAY_PORT),
+)
+def test_start_waits_for_a_port_in_use(tree, tmp_path, port):
+    """Guards against a process that ends by itself as another still has its port."""
+
+    async def scenario(node: DeployedNode) -> None:
+        with socket.create_server((node.ip, port)):
+            process = node.start()
+            while 'Address not free yet.' not in node.logged:
+                assert process.poll() is None, node.logged
+                await asyncio.sleep(0.02)
+        await node.until_ready()
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_metrics_port_in_use_does_not_delay_the_start(tree, tmp_path):
+    """Guards against calls that are refused as the port of the metrics is taken."""
+
+    async def scenario(node: DeployedNode) -> None:
+        with socket.create_server((node.ip, METRICS_PORT)):
+            node.start()
+            await node.until_ready()
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_start_while_the_former_process_still_stops(tree, tmp_path):
+    """Guards against an end of the new process where starts and stops overlap."""
+
+    async def scenario(node: DeployedNode) -> None:
+        former = node.start()
+        await node.until_ready()
+        former.send_signal(signal.SIGTERM)
+        latter = node.start()
+        assert await node.exit_status(former) == 0
+        await node.until_ready()
+        assert latter.poll() is None
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_start_beside_connections_in_time_wait(tree, tmp_path):
+    """Guards against a start that has to wait until closed connections are forgotten."""
+
+    async def scenario(node: DeployedNode) -> None:
+        node.start()
+        await node.until_ready()
+        # The side that closes first keeps the connection in this state.
+        opened = [
+            await asyncio.open_connection(node.ip, PORTS['outbound']) for _ in range(5)
+        ]
+        node.process.send_signal(signal.SIGTERM)
+        assert await node.exit_status(node.process) == 0
+        node.start()
+        await node.until_ready()
+        for _, writer in opened:
+            writer.close()
+        assert 'Address not free yet.' not in node.logged
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_stop_while_a_port_is_in_use(tree, tmp_path):
+    """Guards against a start that can't be stopped while it waits."""
+
+    async def scenario(node: DeployedNode) -> None:
+        with socket.create_server((node.ip, RELAY_PORT)):
+            process = node.start()
+            while 'Address not free yet.' not in node.logged:
+                await asyncio.sleep(0.02)
+            process.send_signal(signal.SIGTERM)
+            assert await node.exit_status(process) == 0
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_start_compiles_no_module(tree):
     """Guards against starts that compile: the tree is read-only, so each would."""
     program, *arguments = run_command()
