--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -119,6 +119,18 @@
     _play(tree, tmp_path, scenario)
 
 
+def test_stop_during_the_start(tree, tmp_path):
+    """Guards against an end by the signal itself while modules are imported."""
+
+    async def scenario(node: DeployedNode) -> None:
+        process = node.start()
+        await asyncio.sleep(INTERPRETER_START_S)
+        process.send_signal(signal.SIGTERM)
+        assert await node.exit_status(process) == 0
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_stop_while_a_port_is_in_use(tree, tmp_path):
     """Guards against a start that can't be stopped while it waits."""
 
@@ -133,6 +145,37 @@
     _play(tree, tmp_path, scenario)
 
 
+@pytest.mark.parametrize('number', (signal.SIGHUP, signal.SIGTERM))
+def test_signals_until_the_end_of_a_stop(tree, tmp_path, number):
+    """Guards against an end by a signal after the event loop has closed."""
+
+    async def scenario(node: DeployedNode) -> None:
+        process = node.start()
+        await node.until_ready()
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            process.send_signal(number)
+            await asyncio.sleep(0.002)
+        assert process.returncode == 0
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_signal_to_reload_during_the_start(tree, tmp_path):
+    """Guards against an end by a reload signal once the interpreter runs the program."""
+
+    async def scenario(node: DeployedNode) -> None:
+        process = node.start()
+        await asyncio.sleep(INTERPRETER_START_S)
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        await node.until_ready()
+        assert process.poll() is None
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_start_compiles_no_module(tree):
     """Guards against starts that compile: the tree is read-only, so each would."""
     program, *arguments = run_command()
