--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -1,6 +1,7 @@
 """Tests of the start and end of node processes, as the platform starts them."""
 
 import asyncio
+import os
 import signal
 import socket
 import subprocess
@@ -54,6 +55,19 @@
     _play(tree, tmp_path, scenario)
 
 
+def test_node_starts_with_closed_standard_descriptors(tree, tmp_path):
+    """Guards against an end where the parent process has closed the output."""
+
+    async def scenario(node: DeployedNode) -> None:
+        node.start(prefix=CLOSED_OUTPUT)
+        await node.until_ready()
+        opened = Path(f'/proc/{node.process.pid}/fd')
+        for descriptor in ('0', '1', '2'):
+            assert os.readlink(opened / descriptor) == os.devnull
+
+    _play(tree, tmp_path, scenario)
+
+
 @pytest.mark.parametrize(
     'port',
     (PORTS['outbound'], PORTS['ready'], PORTS['controlPlane'], RELAY_PORT),
