--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -172,17 +172,26 @@
             self._reader.refuse(self._handler.refuse(caller, reason))
             self.proceed()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self, min_idle_ms: float = 0) -> bool:
         """Close the connection unless a request is being received or handled.
 
         A request that crosses the close stays unread, so that its caller, which sees the
         connection end, knows that it has not run.
+
+        Args:
+            min_idle_ms: Time without bytes from the caller or for it, in ms.
+
+        Returns:
+            Whether it is closed.
         """
-        if self._exchanges:
-            return
+        if self._exchanges or self._clock.now_ms() - self._active_ms < min_idle_ms:
+            return False
+        if min_idle_ms and is_sending(self.transport):
+            return False
         self._reader.end()
         if self.transport is not None:
             self.transport.close()
+        return True
 
     def abort(self) -> None:
         """Close the connection immediately; a response that is owed looks cut."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_listener.py
@@ -1,11 +1,11 @@
 """Accepts the requests of callers and of the upstream on the same VM."""
 
 import asyncio
-import socket
 
 from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
 from gentianmill.route_rules import RequestLimits
+from gentianmill_mesh.caller_connections import CallerConnections
 from gentianmill_mesh.entry_connection import EntryConnection, EntryHandler
 from gentianmill_mesh.entry_exchange import EntryExchange
 from gentianmill_mesh.forwarder import (
@@ -15,10 +15,10 @@
     Forwarder,
 )
 from gentianmill_mesh.http_message import HttpResponse
-from gentianmill_mesh.mesh_settings import Address, ReadAheadSettings
-from gentianmill_mesh.wire_names import WireNames
+from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_node.connection_acceptor import ConnectionAcceptor
 from gentianmill_node.listen_queue import refuse_new_connections
-from gentianmill_node.listen_socket import BACKLOG, open_listen_socket
+from gentianmill_node.listen_socket import open_listen_socket
 from gentianmill_node.logs import component
 from gentianmill_node.web_server import HANDSHAKE_WAIT_S
 
@@ -32,6 +32,9 @@
 )
 """Bounds on what is read before the first rules arrive; it is refused then."""
 
+CONNECTIONS = 'connections'
+"""Reason of the refusals on connections beyond the limit."""
+
 IDLE_POLL_S = 0.02
 STATUS_BAD_GATEWAY = 502
 FAULT_EVENT = 'Request failed with an internal error.'
@@ -45,8 +48,7 @@
     def __init__(
         self,
         forwarder: Forwarder,
-        names: WireNames,
-        settings: ReadAheadSettings,
+        settings: MeshSettings,
         budget: ByteBudget,
         clock: Clock,
     ) -> None:
@@ -54,25 +56,27 @@
 
         Args:
             forwarder: Returns the response to a request.
-            names: Header names of the deployment.
-            settings: Bounds on what is read ahead on a connection.
+            settings: Settings of the node.
             budget: Limits what the node holds.
             clock: Clock of the node.
         """
         self._forwarder = forwarder
-        self._names = names
         self._settings = settings
         self._budget = budget
         self._clock = clock
-        self._connections: set[EntryConnection] = set()
+        self._connections = CallerConnections.within_descriptors(settings.descriptors)
         self._closing = False
-        self._socket: socket.socket | None = None
-        self._server: asyncio.Server | None = None
+        self._acceptor: ConnectionAcceptor | None = None
 
     @property
     def running(self) -> int:
         """Return the number of requests whose responses are owed."""
-        return sum(connection.running for connection in self._connections)
+        return sum(connection.running for connection in self._connections.all)
+
+    @property
+    def connections(self) -> CallerConnections:
+        """Return the open connections."""
+        return self._connections
 
     @property
     def closing(self) -> bool:
@@ -95,13 +99,12 @@
         Raises:
             OSError: If the address can't be used, and that will not change.
         """
-        loop = asyncio.get_running_loop()
-        self._socket = await open_listen_socket('entry', address.host, address.port)
-        self._server = await loop.create_server(
-            lambda: EntryConnection(self, self._names, self._settings, self._clock),
-            sock=self._socket,
-            backlog=BACKLOG,
+        self._acceptor = ConnectionAcceptor(
+            await open_listen_socket('entry', address.host, address.port),
+            self._new_connection,
+            self._has_room,
         )
+        self._acceptor.resume()
 
     def close_connections(self) -> None:
         """Close each connection after the responses that are owed on it."""
@@ -110,7 +113,7 @@
     def refuse_new(self) -> None:
         """Refuse requests that are not forwarded yet, also those still being received."""
         self._forwarder.refuse_new()
-        for connection in tuple(self._connections):
+        for connection in self._connections.all:
             connection.refuse_incomplete(STOPPING)
 
     async def drain(self, timeout_s: float) -> None:
@@ -121,15 +124,15 @@
         Args:
             timeout_s: Time in s after which the remaining connections are aborted.
         """
-        if self._server is None or self._socket is None:
+        if self._acceptor is None:
             return
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_s
-        refuse_new_connections(self._socket)
+        refuse_new_connections(self._acceptor.listening_socket)
         await asyncio.sleep(HANDSHAKE_WAIT_S)
-        self._server.close()
+        self._acceptor.close()
         while self._connections and loop.time() < end_s:
-            for connection in tuple(self._connections):
+            for connection in self._connections.all:
                 connection.close_if_idle()
             await asyncio.sleep(IDLE_POLL_S)
         if self.running:
@@ -138,9 +141,9 @@
 
     def abort(self) -> None:
         """Close everything immediately."""
-        if self._server is not None:
-            self._server.close()
-        for connection in tuple(self._connections):
+        if self._acceptor is not None:
+            self._acceptor.close()
+        for connection in self._connections.all:
             connection.abort()
 
     def check_timeouts(self) -> None:
@@ -148,7 +151,7 @@
         limits = self._forwarder.limits
         if limits is None:
             return
-        for connection in tuple(self._connections):
+        for connection in self._connections.all:
             connection.check_timeouts(limits.header_timeout_ms, limits.idle_timeout_ms)
 
     def may_run_ahead(self, caller: CallerRequest) -> bool:
@@ -159,6 +162,11 @@
         """Handle a request: set its response, or its task, which does so later."""
         if exchange.caller is None:
             raise ValueError('the request has not been received')
+        self._connections.on_request(connection)
+        if self._connections.is_surplus(connection):
+            exchange.response = self._forwarder.refuse(exchange.caller, CONNECTIONS)
+            exchange.keeps_alive = False
+            return
         try:
             admitted = self._forwarder.admit(exchange.caller)
         except Exception:
@@ -183,6 +191,16 @@
     def closed(self, connection: EntryConnection) -> None:
         """Forget a connection that was closed."""
         self._connections.discard(connection)
+        if self._acceptor is not None:
+            self._acceptor.resume()
+
+    def _new_connection(self) -> EntryConnection:
+        settings = self._settings
+        return EntryConnection(self, settings.names, settings.read_ahead, self._clock)
+
+    def _has_room(self) -> bool:
+        opening = 0 if self._acceptor is None else self._acceptor.opening
+        return self._connections.has_room(opening)
 
     async def _run(
         self,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -197,9 +197,7 @@
             self._metrics,
             self._clock,
         )
-        self._entry = EntryListener(
-            self._forwarder, settings.names, settings.read_ahead, budget, self._clock
-        )
+        self._entry = EntryListener(self._forwarder, settings, budget, self._clock)
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
         self._web = WebServer()
@@ -286,7 +284,9 @@
                 'Report ignored, it is for another service.', service=report.service
             )
             return
-        if self._guard.apply_report(report):
+        # Beyond this number it would fail to connect, as if the upstream were gone.
+        limit = self._entry.connections.settings.upstream
+        if self._guard.apply_report(report.with_slots(limit)):
             self._own.publish()
         else:
             self._own.publish_departures()
@@ -438,6 +438,16 @@
                 'Whether this node asks the store on behalf of others.',
                 int(self._following.is_follower),
             ),
+            (
+                'entry_connections',
+                'Connections of callers.',
+                len(self._entry.connections),
+            ),
+            (
+                'entry_connections_limit',
+                'Connections of callers that are served.',
+                self._entry.connections.settings.callers,
+            ),
             ('entry_running', 'Requests of callers under way.', self._entry.running),
             ('upstream_connections', 'Connections opened.', self._pool.opened),
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -64,6 +64,9 @@
     memory_bytes: int | None = None
     """Memory that the process may take, or None if it is not limited."""
 
+    descriptors: int | None = None
+    """Descriptors that the process may have open, or None if the system decides."""
+
     first_start: bool = False
     """Whether the whole deployment starts for the first time, so that no other node knows
     what an earlier process of this one has acknowledged."""
--- a/packages/gentianmill/src/gentianmill/upstream_status.py
+++ b/packages/gentianmill/src/gentianmill/upstream_status.py
@@ -31,6 +31,10 @@
         """Return the sort key of the report, also across restarts."""
         return (self.start_unix_ms, self.sequence)
 
+    def with_slots(self, limit: int) -> 'UpstreamReport':
+        """Return this report with at most a number of slots."""
+        return dataclasses.replace(self, slots=min(self.slots, limit))
+
 
 class UpstreamStatus:
     """The newest state of the upstream on the same VM.
--- a/tests/deployed_node.py
+++ b/tests/deployed_node.py
@@ -89,7 +89,7 @@
         self._settings = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
         self._store_port = store_port
-        self._service = service
+        self.service = service
         self._processes: list[subprocess.Popen[bytes]] = []
 
     @property
@@ -190,7 +190,7 @@
             'listenAddrs': {kind: f'{self.ip}:{port}' for kind, port in PORTS.items()},
             'internalPortRange': [RELAY_PORT, RELAY_PORT + 15],
             'appAddr': f'{self.ip}:{UPSTREAM_PORT}',
-            'service': self._service,
+            'service': self.service,
             'platform': {'address': f'127.0.0.1:{self._store_port}'},
             'bounds': ['grace=6s'],
         }
