--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
@@ -1,5 +1,6 @@
 """How much memory a node may hold for others."""
 
+import os
 from pathlib import Path
 
 from gentianmill.byte_budget import ByteBudget, HeldKind
@@ -26,10 +27,12 @@
 """Responses are collected until they are whole while they take less than this part of the
 budget together, and less than this number of bytes."""
 
-LARGE_PEAK_BYTES = 8_000_000
-"""Held bytes beyond which the allocator may keep much of what was freed."""
+RETAINED_BYTES = 8_000_000
+"""Memory that is neither held nor taken when idle, beyond which the allocator may keep
+much of what was freed."""
 
-STATUS_FILE = Path('/proc/self/status')
+SIZES_FILE = Path('/proc/self/statm')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 log = component('memory')
 
@@ -43,24 +46,35 @@
         Args:
             limit_bytes: Memory that the process may take, or None if it is not limited.
         """
+        self._limit = limit_bytes
+        self._idle = _resident_bytes()
+        self._returned = self._idle
         if limit_bytes is None:
             self._budget = ByteBudget(UNLIMITED_BYTES)
             self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget)
             return
-        idle_bytes = _resident_bytes()
-        free_bytes = int(limit_bytes * (1 - MARGIN_SHARE)) - idle_bytes
-        self._budget = ByteBudget(max(free_bytes, SMALLEST_BUDGET_BYTES))
+        self._budget = ByteBudget(_budget_bytes(limit_bytes, self._idle))
         whole_bytes = min(int(self._budget.limit * WHOLE_SHARE), MAX_WHOLE_BYTES)
         self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget, whole_bytes)
         log.info(
-            'Memory.', limit=limit_bytes, idle=idle_bytes, budget=self._budget.limit
+            'Memory.', limit=limit_bytes, idle=self._idle, budget=self._budget.limit
         )
 
     def check(self) -> None:
-        """Return free memory to the system after a time in which much was held."""
-        peak = self._budget.take_peak()
-        if peak > LARGE_PEAK_BYTES and self._budget.held < peak / 2:
+        """Return free memory to the system, and let the budget follow what is not free.
+
+        What the budget does not count, such as heads, parser buffers and connections of
+        strangers, takes from it.
+        """
+        uncounted = _resident_bytes() - self._budget.held
+        if uncounted > self._returned + RETAINED_BYTES:
             return_free_memory()
+            uncounted = _resident_bytes() - self._budget.held
+            self._returned = max(uncounted, self._idle)
+        self._returned = max(min(self._returned, uncounted), self._idle)
+        if self._limit is not None:
+            taken = max(uncounted, self._idle)
+            self._budget.resize(_budget_bytes(self._limit, taken))
 
     @property
     def budget(self) -> ByteBudget:
@@ -86,14 +100,15 @@
         return self._responses
 
 
+def _budget_bytes(limit_bytes: int, taken: int) -> int:
+    """Return what may be held beside what is taken otherwise."""
+    return max(int(limit_bytes * (1 - MARGIN_SHARE)) - taken, SMALLEST_BUDGET_BYTES)
+
+
 def _resident_bytes() -> int:
     try:
-        lines = STATUS_FILE.read_text().splitlines()
-    except OSError as error:
+        _, resident, *_ = SIZES_FILE.read_text().split()
+    except (OSError, ValueError) as error:
         log.info('Resident memory not known.', error=repr(error))
         return IDLE_BYTES
-    for line in lines:
-        name, _, text = line.partition(':')
-        if name == 'VmRSS':
-            return int(text.split()[0]) * 1024
-    return IDLE_BYTES
+    return int(resident) * PAGE_BYTES
--- a/packages/gentianmill-node/src/gentianmill_node/heap.py
+++ b/packages/gentianmill-node/src/gentianmill_node/heap.py
@@ -39,7 +39,12 @@
 
 
 def return_free_memory() -> None:
-    """Return free memory between blocks that are in use; it takes some ms."""
+    """Return what only reference cycles hold, and free memory between blocks in use.
+
+    It takes some ms. Failed connections leave cycles with all that they have received,
+    which regular collections find late, as few objects are involved.
+    """
+    gc.collect()
     try:
         ctypes.CDLL(None).malloc_trim(0)
     except (OSError, AttributeError) as error:
--- a/packages/gentianmill/src/gentianmill/byte_budget.py
+++ b/packages/gentianmill/src/gentianmill/byte_budget.py
@@ -98,7 +98,6 @@
         self._limit = limit_bytes
         self._held: Counter[HeldKind] = Counter()
         self._waiting: deque[Reservation] = deque()
-        self._peak = 0
 
     @property
     def limit(self) -> int:
@@ -110,11 +109,14 @@
         """Return the bytes that are held."""
         return self._held.total()
 
-    def take_peak(self) -> int:
-        """Return the most bytes that were held since the last call."""
-        peak = self._peak
-        self._peak = self.held
-        return peak
+    def resize(self, limit_bytes: int) -> None:
+        """Change the bytes that may be held; what is held already stays.
+
+        Args:
+            limit_bytes: Bytes that may be held.
+        """
+        self._limit = limit_bytes
+        self.grant_waiting()
 
     @property
     def waiting(self) -> int:
@@ -137,7 +139,6 @@
     def hold(self, kind: HeldKind, count: int) -> None:
         """Count bytes that are held from now on."""
         self._held[kind] += count
-        self._peak = max(self._peak, self.held)
 
     def release(self, kind: HeldKind, count: int) -> None:
         """Count bytes that are not held any more."""
