--- a/tests/deployed_upstream.py
+++ b/tests/deployed_upstream.py
@@ -278,6 +278,19 @@
         return response is not None and response.headers.get('connection') != 'close'
 
 
+async def send_read(node: DeployedNode, path: str) -> int:
+    """Send a read on a new connection; return its status, or 0 without an answer."""
+    reader, writer = await asyncio.open_connection(node.ip, PORTS['outbound'])
+    request_id = f'{random.getrandbits(64):016x}'
+    writer.write(
+        f'GET {path} HTTP/1.1\r\nHost: {HOST_HEADER}\r\n'
+        f'Attempt-Id: {request_id}\r\nDeadline-Ms: 5000\r\n\r\n'.encode()
+    )
+    response = await read_message(reader)
+    writer.close()
+    return response.status if response else 0
+
+
 def _fault(outcome: Outcome, runs: int) -> str:
     if outcome.unsafe and runs > 1:
         return f'ran {runs} times'
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -4,10 +4,8 @@
 import dataclasses
 import resource
 
-import pytest
 from deployed_node import (
     DeployedNode,
-    build_tree,
     closing_nodes,
     free_network,
     rules_document,
@@ -83,14 +81,6 @@
     assert not connections.has_room(opening=1)
 
 
-@pytest.fixture(scope='module')
-def tree(tmp_path_factory):
-    """Return a tree built by the command of the deploy file."""
-    folder = tmp_path_factory.mktemp('tree')
-    build_tree(folder)
-    return folder
-
-
 def test_no_request_ends_without_an_answer_at_the_limit_of_descriptors(tree, tmp_path):
     """Guards against connections that are accepted and closed for want of descriptors."""
 
--- /dev/null
+++ b/tests/test_process_restarts.py
@@ -0,0 +1,130 @@
+"""Tests of what nodes must not forget when their processes are killed."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from deployed_node import DeployedNode, closing_nodes, free_network, rules_document
+from deployed_upstream import CRASH_PREFIX, DeployedUpstream, KeptCallers, send_read
+from platform_store import FakeStore
+
+SERVICES = ('front', 'back', 'back')
+STABLE_S = 4.0
+"""Time after which nodes count as in touch."""
+
+DRAIN_S = 2.5
+MAX_CRASHES = 3
+MAX_RETRIES = 3
+"""Further retries that may reach upstreams after the third crash."""
+
+LIMIT_S = 100
+
+
+class _Bed:
+    """An entry and two nodes with upstreams of one service."""
+
+    def __init__(self, tree: Path, folder: Path, store_port: int) -> None:
+        network = free_network()
+        self.nodes = [
+            DeployedNode(
+                tree, folder, f'n{number}', f'{network}.{number}', store_port, service
+            )
+            for number, service in enumerate(SERVICES, start=1)
+        ]
+        self.upstreams = [DeployedUpstream(node) for node in self.nodes]
+
+    @property
+    def entry(self) -> DeployedNode:
+        """Return the node that has callers."""
+        return self.nodes[0]
+
+    async def start(self) -> None:
+        """Start everything; return when the nodes count as in touch."""
+        for upstream in self.upstreams:
+            await upstream.start()
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            await node.until_ready()
+        await asyncio.sleep(STABLE_S)
+
+    async def kill_and_start(self, node: DeployedNode) -> None:
+        """Kill the process of a node and start the next one."""
+        node.process.send_signal(signal.SIGKILL)
+        await node.exit_status(node.process)
+        node.start()
+        await node.until_ready()
+
+    async def close(self) -> None:
+        """Stop the upstreams."""
+        for upstream in self.upstreams:
+            await upstream.stop()
+
+
+def _play(
+    tree: Path, folder: Path, scenario: Callable[[_Bed], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        async with FakeStore() as store:
+            store.put('op', 'config', rules_document())
+            bed = _Bed(tree, folder, store.port)
+            with closing_nodes(*bed.nodes):
+                await bed.start()
+                await scenario(bed)
+                await bed.close()
+
+    asyncio.run(asyncio.wait_for(run(), LIMIT_S))
+
+
+def test_killed_node_sends_nothing_to_an_upstream_that_has_left(tree, tmp_path):
+    """Guards against an acknowledged leave that is forgotten by a restart (review/4)."""
+
+    async def scenario(bed: _Bed) -> None:
+        node, leaving = bed.nodes[1], bed.upstreams[1]
+        callers = KeptCallers(seed=1)
+        callers.add(bed.entry, 4, work_ms=5)
+        late = leaving.heartbeat()
+        leaving.stop_reports()
+        assert await leaving.report('leave', b'')
+        left_s = asyncio.get_running_loop().time()
+        await bed.kill_and_start(node)
+        # It was sent before the leave.
+        await leaving.report('heartbeat', late)
+        await asyncio.sleep(DRAIN_S + STABLE_S)
+        await callers.stop()
+        late_runs = [at_s for at_s in leaving.run_times if at_s > left_s + DRAIN_S]
+        assert not late_runs
+        assert callers.count(200)
+
+    _play(tree, tmp_path, scenario)
+
+
+def test_killed_nodes_know_which_request_crashes_upstreams(tree, tmp_path):
+    """Guards against a restart after which a request crashes upstreams anew (review/5)."""
+
+    async def scenario(bed: _Bed) -> None:
+        await _send_until_refused(bed)
+        crashes = sum(upstream.crashes for upstream in bed.upstreams)
+        assert crashes <= MAX_CRASHES
+        for node in bed.nodes[1:]:
+            await bed.kill_and_start(node)
+        await asyncio.sleep(STABLE_S)
+        await _send_until_refused(bed)
+        further = sum(upstream.crashes for upstream in bed.upstreams) - crashes
+        assert further <= MAX_RETRIES - 1
+
+    _play(tree, tmp_path, scenario)
+
+
+async def _send_until_refused(bed: _Bed) -> None:
+    """Send the same request until it crashes nothing, with upstreams that come back."""
+    for _ in range(8):
+        crashes = [upstream.crashes for upstream in bed.upstreams]
+        await send_read(bed.entry, CRASH_PREFIX)
+        for upstream, before in zip(bed.upstreams, crashes, strict=True):
+            if upstream.crashes > before:
+                await upstream.start()
+        if crashes == [upstream.crashes for upstream in bed.upstreams]:
+            return
+        await asyncio.sleep(1)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -26,14 +26,6 @@
 """Time after which the interpreter runs the program also on a busy machine."""
 
 
-@pytest.fixture(scope='module')
-def tree(tmp_path_factory) -> Path:
-    """Return a tree built by the command of the deploy file."""
-    folder = tmp_path_factory.mktemp('tree')
-    build_tree(folder)
-    return folder
-
-
 def _play(tree: Path, folder: Path, scenario) -> None:
     async def run() -> None:
         async with FakeStore() as store:
