--- a/packages/gentianmill-node/src/gentianmill_node/connection_acceptor.py
+++ b/packages/gentianmill-node/src/gentianmill_node/connection_acceptor.py
@@ -83,6 +83,7 @@
             try:
                 accepted, _address = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                # The queue is empty, or its first caller has left; the loop calls again.
                 return
             except OSError as error:
                 log.warning('Connection not accepted.', error=repr(error))
