--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_memory.py
@@ -46,14 +46,14 @@
         Args:
             limit_bytes: Memory that the process may take, or None if it is not limited.
         """
-        self._limit = limit_bytes
         self._idle = _resident_bytes()
         self._returned = self._idle
         if limit_bytes is None:
             self._budget = ByteBudget(UNLIMITED_BYTES)
             self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget)
             return
-        self._budget = ByteBudget(_budget_bytes(limit_bytes, self._idle))
+        free_bytes = int(limit_bytes * (1 - MARGIN_SHARE)) - self._idle
+        self._budget = ByteBudget(max(free_bytes, SMALLEST_BUDGET_BYTES))
         whole_bytes = min(int(self._budget.limit * WHOLE_SHARE), MAX_WHOLE_BYTES)
         self._responses = ResponseMemory(MAX_BUFFERED_BYTES, self._budget, whole_bytes)
         log.info(
@@ -61,20 +61,13 @@
         )
 
     def check(self) -> None:
-        """Return free memory to the system, and let the budget follow what is not free.
-
-        What the budget does not count, such as heads, parser buffers and connections of
-        strangers, takes from it.
-        """
+        """Return free memory to the system after a time in which much was taken."""
         uncounted = _resident_bytes() - self._budget.held
         if uncounted > self._returned + RETAINED_BYTES:
             return_free_memory()
             uncounted = _resident_bytes() - self._budget.held
             self._returned = max(uncounted, self._idle)
         self._returned = max(min(self._returned, uncounted), self._idle)
-        if self._limit is not None:
-            taken = max(uncounted, self._idle)
-            self._budget.resize(_budget_bytes(self._limit, taken))
 
     @property
     def budget(self) -> ByteBudget:
@@ -100,11 +93,6 @@
         return self._responses
 
 
-def _budget_bytes(limit_bytes: int, taken: int) -> int:
-    """Return what may be held beside what is taken otherwise."""
-    return max(int(limit_bytes * (1 - MARGIN_SHARE)) - taken, SMALLEST_BUDGET_BYTES)
-
-
 def _resident_bytes() -> int:
     try:
         _, resident, *_ = SIZES_FILE.read_text().split()
--- a/packages/gentianmill/src/gentianmill/byte_budget.py
+++ b/packages/gentianmill/src/gentianmill/byte_budget.py
@@ -109,15 +109,6 @@
         """Return the bytes that are held."""
         return self._held.total()
 
-    def resize(self, limit_bytes: int) -> None:
-        """Change the bytes that may be held; what is held already stays.
-
-        Args:
-            limit_bytes: Bytes that may be held.
-        """
-        self._limit = limit_bytes
-        self.grant_waiting()
-
     @property
     def waiting(self) -> int:
         """Return the number of reservations that wait for room."""
--- a/tests/start_soak.py
+++ b/tests/start_soak.py
@@ -205,7 +205,11 @@
             self._start(node)
             await asyncio.sleep(self._rng.uniform(0, 0.5))
             former.send_signal(signal.SIGHUP)
-        status = await node.exit_status(former)
+        try:
+            status = await node.exit_status(former)
+        except TimeoutError:
+            status = 'no status in time'
+            former.kill()
         if status:
             self._violations.append(f'{node.name} ended with {status}')
         if not overlaps:
