--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_codec.py
@@ -2,37 +2,25 @@
 
 import msgspec
 
+from gentianmill import relay_messages
 from gentianmill.errors import ErrorCode, GentianmillError
-from gentianmill.relay_messages import (
-    CrashNews,
-    FreshnessStatus,
-    KnownState,
-    NodeNews,
-    RelayAnswer,
-    RelayCall,
-    RelayCancel,
-    RelayCredit,
-    RelayPart,
-    RulesReply,
-    RulesRequest,
-    StateRequest,
-    StrikeNews,
-)
 
 RelayFrame = (
-    CrashNews
-    | FreshnessStatus
-    | KnownState
-    | NodeNews
-    | RelayAnswer
-    | RelayCall
-    | RelayCancel
-    | RelayCredit
-    | RelayPart
-    | RulesReply
-    | RulesRequest
-    | StateRequest
-    | StrikeNews
+    relay_messages.CrashNews
+    | relay_messages.FreshnessStatus
+    | relay_messages.KnownState
+    | relay_messages.NodeNews
+    | relay_messages.QuotaGrant
+    | relay_messages.QuotaRequest
+    | relay_messages.RelayAnswer
+    | relay_messages.RelayCall
+    | relay_messages.RelayCancel
+    | relay_messages.RelayCredit
+    | relay_messages.RelayPart
+    | relay_messages.RulesReply
+    | relay_messages.RulesRequest
+    | relay_messages.StateRequest
+    | relay_messages.StrikeNews
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -36,6 +36,24 @@
         ]
         | UnsetType
     ) = field(default_factory=dict)
+    tree_shares: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Per service of these whose upstreams reject calls: the share of its usual calls that its retry budget can complete, in thousandths.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    service_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Mean time for which the upstream works on a request, in ms, or 0 if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
 
 
 class RelayCall(Frame):
@@ -83,6 +101,24 @@
         ]
         | UnsetType
     ) = 0
+    team: (
+        Annotated[
+            str,
+            Meta(
+                description='Name of the team that the request belongs to, or empty if none.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    is_key_holder: (
+        Annotated[
+            bool,
+            Meta(
+                description='Whether the request itself carried a key of the team, so that the upstream is told the team.'
+            ),
+        ]
+        | UnsetType
+    ) = False
 
 
 class RelayAnswer(Frame):
@@ -147,6 +183,15 @@
         ]
         | UnsetType
     ) = 0
+    calls: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Per service, the calls that were made for the request, at all levels below it.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
 
 
 class RelayPart(Frame):
@@ -185,6 +230,49 @@
     key: int
 
 
+class QuotaRequest(Frame):
+    """
+    Asks the receiver, an owner of a team's quota, for tokens to send requests.
+    """
+
+    key: Annotated[
+        int,
+        Meta(
+            description='Number of the request; unique for the incarnation of its sender.'
+        ),
+    ]
+    team: str
+    wanted: Annotated[
+        int,
+        Meta(description='Tokens that the sender needs now and expects to need soon.'),
+    ]
+    returned: Annotated[
+        int, Meta(description='Tokens of earlier grants that it did not use.')
+    ]
+
+
+class QuotaGrant(Frame):
+    """
+    Answers a request for tokens.
+    """
+
+    key: int
+    team: str
+    granted: Annotated[
+        int,
+        Meta(
+            description='Tokens; -1 if the sender does not own the quota of the team.'
+        ),
+    ]
+    lifetime_ms: Annotated[
+        int, Meta(description='Time after which unused tokens expire.')
+    ]
+    retry_after_ms: Annotated[
+        int,
+        Meta(description='Time after which a token is expected, if none was granted.'),
+    ]
+
+
 class RulesRequest(Frame):
     """
     Tells the version of the routing rules that the sender knows, and asks for newer ones.
