--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -278,4 +278,6 @@
         caller_service=frame.caller_service,
         route=frame.route,
         cause=Cause(frame.cause),
+        team=frame.team,
+        is_key_holder=frame.is_key_holder,
     )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -86,6 +86,12 @@
     reason: str = 'no_node'
     """Why there is no response yet."""
 
+    team: str = ''
+    """Name of the team that the request belongs to, or empty if none."""
+
+    is_key_holder: bool = False
+    """Whether the request itself carried a key of the team."""
+
     @property
     def failed_at_service(self) -> bool:
         """Return whether the service failed the request, not the path to the service."""
@@ -281,6 +287,8 @@
             caller_service=self._own.service,
             route=progress.rule.name,
             cause=cause,
+            team=progress.team,
+            is_key_holder=progress.is_key_holder,
         )
 
     def _max_wait_ms(self, progress: RequestProgress) -> float:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
@@ -33,7 +33,11 @@
         Args:
             rules: The rules in force.
         """
-        priorities = sorted({rule.priority for rule in rules.rules}, reverse=True)
+        known = {rule.priority for rule in rules.rules}
+        known.update(
+            team.priority for team in rules.teams.teams if team.priority is not None
+        )
+        priorities = sorted(known, reverse=True)
         steps = max(len(priorities) - 1, 1)
         self._importance = {
             priority: position / steps for position, priority in enumerate(priorities)
@@ -43,7 +47,9 @@
         """Return the share of new requests of a route that can be admitted."""
         return self._shares.share(rule.name, self._clock.now_ms())
 
-    def admits(self, rule: RouteRule, time_left_ms: float | None) -> bool:
+    def admits(
+        self, rule: RouteRule, priority: int, time_left_ms: float | None
+    ) -> bool:
         """Return whether to admit a new request.
 
         What may run only once is refused later than reads of its priority, half way to the
@@ -51,11 +57,12 @@
 
         Args:
             rule: Its route.
+            priority: Its importance; 0 is the highest.
             time_left_ms: Time for which its caller still waits, or None if unknown.
         """
         share = self.share(rule)
         returning = self._is_returning(rule, time_left_ms)
-        importance = self._importance.get(rule.priority, 0)
+        importance = self._importance.get(priority, 0)
         if not rule.repeatable:
             importance = (importance + 1) / 2
         return admits(share, importance, returning, self._rng)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -6,13 +6,15 @@
 
 from gentianmill.clock import Clock
 from gentianmill.return_time import MIN_PAUSE_MS, return_after_ms
-from gentianmill.route_rules import RequestLimits, RouteRule, SplitCounter
+from gentianmill.route_rules import RequestLimits, RouteRule, RuleSet, SplitCounter
 from gentianmill_mesh.dispatcher import RequestProgress, Dispatcher
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
+from gentianmill_mesh.key_check import Identity, KeyCheck
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import UpstreamGuard
+from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.logs import component
 
 DEFAULT_TIMEOUT_MS = 15_000.0
@@ -25,6 +27,7 @@
 """Refusal of a request that a stop leaves no time for."""
 
 MS_PER_S = 1000
+STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 STATUS_BAD_GATEWAY = 502
@@ -44,6 +47,8 @@
     path: str
     arrived_ms: float
     time_left_ms: float | None
+    keys: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    """Keys that it carries; they appear in no log line."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +70,7 @@
         admission: EntryAdmission,
         metrics: MeshMetrics,
         clock: Clock,
+        names: WireNames,
     ) -> None:
         """Create a forwarder.
 
@@ -75,7 +81,9 @@
             admission: Decides which new requests to admit.
             metrics: Counts refusals and failures.
             clock: Clock of the node.
+            names: Header names of the deployment.
         """
+        self._keys = KeyCheck(names, guard.tree)
         self._rules = rules
         self._clock = clock
         self._guard = guard
@@ -137,23 +145,10 @@
         if rule is None:
             log.info('No route.', request_id=caller.request_id, rules=rules.version)
             return HttpResponse(STATUS_NOT_FOUND, [], b'no route\n')
-        if len(caller.request.body) > rules.limits.body_bytes:
-            return HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n')
-        origin = self._guard.tree.origin(caller.request_id, rule.priority)
-        if not origin.is_inner and not self._admission.admits(
-            rule, caller.time_left_ms
-        ):
-            share = self._admission.share(rule)
-            return self._refusal(caller, 'overloaded_below', share)
-        progress = RequestProgress(
-            request=caller.request,
-            request_id=caller.request_id,
-            rule=rule,
-            service=self._split.pick(rule),
-            origin=origin,
-            deadline_ms=min(_deadline_ms(caller, rule), self._end_ms),
-        )
-        return AdmittedRequest(caller, progress)
+        identity = self._keys.identify(caller.keys, caller.request_id, rules, rule)
+        if identity.refusal:
+            return self._unauthorized(caller, rule, identity.refusal)
+        return self._admit_identified(caller, rules, rule, identity)
 
     async def run(self, admitted: AdmittedRequest) -> HttpResponse:
         """Return the response of an upstream, or that of a failure.
@@ -169,6 +164,50 @@
         self._metrics.on_request(progress.rule.name, str(response.status), spent_ms)
         return response
 
+    def _admit_identified(
+        self,
+        caller: CallerRequest,
+        rules: RuleSet,
+        rule: RouteRule,
+        identity: Identity,
+    ) -> HttpResponse | AdmittedRequest:
+        if len(caller.request.body) > rules.limits.body_bytes:
+            return HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n')
+        is_inner = identity.origin.is_inner
+        if not is_inner and not self._admission.admits(
+            rule, identity.priority, caller.time_left_ms
+        ):
+            share = self._admission.share(rule)
+            return self._refusal(caller, 'overloaded_below', share)
+        progress = RequestProgress(
+            request=self._keys.forwarded(caller.request, rules),
+            request_id=caller.request_id,
+            rule=rule,
+            service=self._split.pick(rule),
+            origin=identity.origin,
+            deadline_ms=min(_deadline_ms(caller, rule), self._end_ms),
+            team=identity.team,
+            is_key_holder=identity.is_key_holder,
+        )
+        return AdmittedRequest(caller, progress)
+
+    def _unauthorized(
+        self, caller: CallerRequest, rule: RouteRule, reason: str
+    ) -> HttpResponse:
+        log.info(
+            'Request not authorized.',
+            request_id=caller.request_id,
+            route=rule.name,
+            reason=reason,
+            rules=self._rules.version,
+        )
+        self._metrics.on_decision('unauthorized', reason)
+        return HttpResponse(
+            STATUS_UNAUTHORIZED,
+            [[b'WWW-Authenticate', self._keys.scheme]],
+            b'not authorized\n',
+        )
+
     def _refusal(
         self, caller: CallerRequest, reason: str, share: float = 1
     ) -> HttpResponse:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -24,6 +24,12 @@
     cause: Cause
     """Why the request is sent to the upstream."""
 
+    team: str = ''
+    """Name of the team that the request belongs to, or empty if none."""
+
+    is_key_holder: bool = False
+    """Whether the request itself carried a key of the team."""
+
 
 @dataclasses.dataclass(slots=True)
 class GuardReply:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/http_message.py
@@ -17,7 +17,8 @@
 
     method: str
     target: bytes
-    headers: list[list[bytes]]
+    # Not in the representation, as they hold the credentials of callers.
+    headers: list[list[bytes]] = dataclasses.field(repr=False)
     body: Body
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -200,6 +200,7 @@
             EntryAdmission(shares, self._clock),
             self._metrics,
             self._clock,
+            settings.names,
         )
         self._entry = EntryListener(self._forwarder, settings, budget, self._clock)
         self._arrival_log = ArrivalLog(self._guard)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -293,6 +293,8 @@
         route=call.route,
         cause=call.cause.value,
         body_bytes=len(request.body) if is_large else 0,
+        team=call.team,
+        is_key_holder=call.is_key_holder,
     )
     waiter = asyncio.get_running_loop().create_future()
     body = request.body if is_large else None
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
@@ -236,10 +236,12 @@
             path=message.path.partition('?')[0],
             arrived_ms=exchange.arrived_ms,
             time_left_ms=_milliseconds(headers.get(self._names.time_left_text)),
+            keys=self._names.keys(message.raw_headers),
         )
 
     def _reject(self, error: BaseException) -> None:
-        log.info('Request not readable.', error=repr(error))
+        # The message of the error may quote a header, and with it a key.
+        log.info('Request not readable.', error=type(error).__name__)
         self.refuse(HttpResponse(STATUS_BAD_REQUEST, [], b'the request is malformed\n'))
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -256,9 +256,11 @@
             (self._names.caller_service, call.caller_service.encode()),
             (self._names.expected_upstream, report.upstream_id.encode()),
         ]
+        if call.is_key_holder:
+            extra_headers.append((self._names.team, call.team.encode()))
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
-        self._tree.start(tree_id, call.rank, call.route, call.cause)
+        self._tree.start(tree_id, call.rank, call.route, call.cause, call.team)
         try:
             response = await self._pool.run(
                 call.request,
@@ -284,7 +286,7 @@
         """Return whether to resend a call on a new connection; count the resend if so."""
         if not self._gate.admit(Cause.resend, call.rank):
             return False
-        self._tree.start(tree_id, call.rank, call.route, Cause.resend)
+        self._tree.start(tree_id, call.rank, call.route, Cause.resend, call.team)
         return True
 
     def _reply_to_response(
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/wire_names.py
@@ -41,6 +41,15 @@
     not_run: bytes
     """Marks the response of an upstream that did not run the request."""
 
+    key: bytes
+    """Scheme and key of the caller's team."""
+
+    key_scheme: bytes
+    """Scheme in front of a key, compared without regard to case."""
+
+    team: bytes
+    """Name of the team whose key the request carried."""
+
     @property
     def request_id_text(self) -> str:
         """Return the name of the header with the id of an attempt."""
@@ -51,6 +60,23 @@
         """Return the name of the header with the time for which the sender waits."""
         return self.time_left.decode()
 
+    def keys(self, headers: HeaderPairs) -> tuple[bytes, ...]:
+        """Return the keys in a request; one of another scheme is empty.
+
+        Args:
+            headers: Pairs of name and value as received.
+        """
+        return tuple(
+            _key(value, self.key_scheme)
+            for name, value in headers
+            if name.lower() == self.key
+        )
+
+    def without_team(self, headers: HeaderPairs) -> list[list[bytes]]:
+        """Return the headers of a request without keys and names of teams."""
+        dropped = (self.key, self.team)
+        return [[name, value] for name, value in headers if name.lower() not in dropped]
+
     def forwarded_request(self, headers: HeaderPairs) -> list[list[bytes]]:
         """Return the headers of a request that are forwarded unchanged.
 
@@ -106,6 +132,11 @@
     return [*response_headers, [request_id, sent]]
 
 
+def _key(value: bytes, expected_scheme: bytes) -> bytes:
+    scheme, _, key = value.strip().partition(b' ')
+    return key.strip() if scheme.lower() == expected_scheme.lower() else b''
+
+
 def _connection_options(headers: HeaderPairs) -> set[bytes]:
     options: set[bytes] = set()
     for name, value in headers:
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -29,6 +29,9 @@
     cause: Cause = Cause.first
     """Inherited if that request is a duplicate attempt, since its calls are too."""
 
+    team: str = ''
+    """Team of that request, or empty if none."""
+
     @property
     def is_inner(self) -> bool:
         """Return whether an upstream makes the call for a running request."""
@@ -56,7 +59,12 @@
         return self._orphans
 
     def start(
-        self, request_id: str, rank: int, route: str, cause: Cause = Cause.first
+        self,
+        request_id: str,
+        rank: int,
+        route: str,
+        cause: Cause = Cause.first,
+        team: str = '',
     ) -> None:
         """Record a request that starts on the upstream.
 
@@ -65,11 +73,13 @@
             rank: Its order in the queue.
             route: Name of its route.
             cause: Why it was sent to the upstream.
+            team: Name of its team, or empty if none.
         """
         self._running[request_id] = CallOrigin(
             rank - rank % RANKS_PER_PRIORITY,
             route,
             Cause.inherited if cause.is_duplicate else Cause.first,
+            team,
         )
 
     def end(self, request_id: str) -> None:
--- a/packages/gentianmill/src/gentianmill/route_rules.py
+++ b/packages/gentianmill/src/gentianmill/route_rules.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 
+from gentianmill.teams import TeamDirectory
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Destination:
@@ -28,6 +30,9 @@
     priority: int
     """Importance; 0 is the highest."""
 
+    allows_anonymous: bool = False
+    """Whether its requests need no key where the rules have teams."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceRule:
@@ -57,6 +62,7 @@
         rules: Sequence[RouteRule],
         services: Mapping[str, ServiceRule],
         limits: RequestLimits,
+        teams: TeamDirectory | None = None,
     ) -> None:
         """Index the rules.
 
@@ -65,8 +71,10 @@
             rules: All routes.
             services: Services by name.
             limits: Bounds on requests.
+            teams: Teams whose keys requests need; without any, no request needs one.
         """
         self._version = version
+        self._teams = teams or TeamDirectory()
         self._services = dict(services)
         self._limits = limits
         by_host: dict[str, list[RouteRule]] = {}
@@ -92,6 +100,11 @@
         """Return the bounds on requests."""
         return self._limits
 
+    @property
+    def teams(self) -> TeamDirectory:
+        """Return the teams that share the deployment."""
+        return self._teams
+
     @property
     def rules(self) -> list[RouteRule]:
         """Return all routes."""
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import aiohttp
 import yarl
@@ -12,6 +12,7 @@
 from gentianmill.clock import BootClock
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
+from gentianmill.teams import Team, TeamDirectory, TeamEntry
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.mesh_node import MeshNode
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
@@ -30,16 +31,27 @@
 
 
 class JsonRules(RulesDecoder):
-    """Decode rules that consist of a version and the service of two routes."""
+    """Decode rules that consist of a version, the service of all routes, and teams."""
 
     def decode(self, document: bytes) -> RuleSet:
-        """Return a safe route ``/read/`` and an unsafe route ``/pay/``."""
+        """Return safe routes ``/read/`` and ``/open/`` and an unsafe route ``/pay/``.
+
+        Only ``/open/`` allows requests without a key.
+        """
         fields = json.loads(document)
         rules = [
             _rule('/read/', fields['service'], repeatable=True),
             _rule('/pay/', fields['service'], repeatable=False),
+            dataclasses.replace(
+                _rule('/open/', fields['service'], repeatable=True),
+                allows_anonymous=True,
+            ),
         ]
-        return RuleSet(fields['version'], rules, {}, LIMITS)
+        teams = TeamDirectory(
+            TeamEntry(Team(name, priority), keys)
+            for name, keys, priority in fields.get('teams', ())
+        )
+        return RuleSet(fields['version'], rules, {}, LIMITS, teams)
 
 
 def _rule(prefix: str, service: str, *, repeatable: bool) -> RouteRule:
@@ -57,9 +69,16 @@
     )
 
 
-def rules_document(version: int = 1, service: str = 'back') -> bytes:
+TeamFields = tuple[str, Sequence[str], int | None]
+"""Name, keys and priority of a team."""
+
+
+def rules_document(
+    version: int = 1, service: str = 'back', teams: Sequence[TeamFields] = ()
+) -> bytes:
     """Return rules in the format of ``JsonRules``."""
-    return json.dumps({'version': version, 'service': service}).encode()
+    fields = {'version': version, 'service': service, 'teams': teams}
+    return json.dumps(fields).encode()
 
 
 class FixedRules(RulesSource):
@@ -78,11 +97,12 @@
         self,
         holder: RulesHolder,
         _turns: PollTurns,
-        _on_confirmed: Callable[[float], None],
+        on_confirmed: Callable[[float], None],
     ) -> None:
-        """Offer the document."""
+        """Offer the document as the newest."""
         if self._document is not None:
             holder.offer(self._document, 'test')
+            on_confirmed(BootClock().now_ms())
 
     def refresh(self) -> None:
         """Do nothing."""
@@ -136,8 +156,10 @@
 class Deployment:
     """Nodes ``entry`` and ``back``; only ``back`` has a running upstream."""
 
-    def __init__(self, handler: Handler) -> None:
-        """Set the handler for requests to the upstream of ``back``."""
+    def __init__(self, handler: Handler, teams: Sequence[TeamFields] = ()) -> None:
+        """Set the handler for requests to the upstream of ``back``, and the teams."""
+        self.teams = teams
+        self.rules: dict[str, RulesHolder] = {}
         self.nodes: dict[str, MeshNode] = {}
         self.fault_proxy: FaultProxy | None = None
         self.seen: list[web.BaseRequest] = []
@@ -236,11 +258,12 @@
             names=NAMES,
             stop_within_ms=5000,
         )
+        self.rules[name] = RulesHolder(JsonRules())
         node = MeshNode(
             settings,
-            FixedRules(rules_document()),
+            FixedRules(rules_document(teams=self.teams)),
             SharedNodes(self._tables, advertised_port),
-            RulesHolder(JsonRules()),
+            self.rules[name],
             BootClock(),
         )
         await node.start()
--- a/tests/mesh_upstream.py
+++ b/tests/mesh_upstream.py
@@ -16,6 +16,9 @@
     caller_service=b'x-caller',
     expected_upstream=b'x-expected',
     not_run=b'x-not-run',
+    key=b'x-key',
+    key_scheme=b'Pass',
+    team=b'x-team',
 )
 
 
--- a/tests/test_call_tree.py
+++ b/tests/test_call_tree.py
@@ -72,3 +72,14 @@
     tree = CallTree()
     tree.start('a1.b2', 4, 'read', Cause.retry)
     assert not tree.origin(call_id, 1).is_inner
+
+
+@pytest.mark.parametrize('ends_by', ['nothing', 'abandonment'])
+def test_calls_have_the_team_of_their_request(ends_by: str):
+    """Guards against calls of an upstream that no team answers for, so that they stop."""
+    tree = CallTree()
+    tree.start('root', 1, 'r', team='ants')
+    if ends_by == 'abandonment':
+        tree.abandon('root', 1000, 0)
+    assert tree.origin('root.1', 2).team == 'ants'
+    assert not tree.origin('new', 2).team
