--- a/packages/gentianmill/src/gentianmill/work_queue.py
+++ b/packages/gentianmill/src/gentianmill/work_queue.py
@@ -1,16 +1,23 @@
-"""Queue of the requests that wait for an upstream."""
+"""Queue of the requests that wait for an upstream.
+
+Answers two loads: a team that sends many times its usual demand, which must delay its own
+requests only, and requests of unequal length, whose cost is their time in a slot.
+"""
 
 import dataclasses
-import heapq
-import itertools
 import math
 
+from gentianmill.fair_queue import FairQueue
+
 SERVICE_TIME_WEIGHT = 0.1
 """Weight of a new service time in the smoothed service time."""
 
 INITIAL_SERVICE_MS = 50.0
 """Service time assumed until the first request has ended."""
 
+MAX_KINDS = 1024
+"""Kinds of work whose service times are kept; routes that are gone would stay."""
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class WorkItem:
@@ -28,6 +35,12 @@
     max_wait_ms: float = math.inf
     """Maximum wait; an item that would wait longer is refused at once."""
 
+    flow: str = ''
+    """Team that it belongs to; empty for requests of no team, which form one flow."""
+
+    kind: str = ''
+    """Kind of work, such as a route, for the expected time in a slot."""
+
     started_ms: float | None = None
     dropped: bool = False
 
@@ -43,8 +56,9 @@
 class WorkQueue:
     """Run up to a limit of requests at once and keep the others in order.
 
-    Within a rank the oldest goes first. An item that can no longer end before its
-    deadline is refused instead of started, so that another can use the slot.
+    Within a rank, flows get equal time in slots, and the oldest request of a flow goes
+    first. An item that can no longer end before its deadline is refused instead of
+    started, so that another can use the slot.
     """
 
     def __init__(self, limit: int, max_queued: int) -> None:
@@ -58,9 +72,9 @@
         self._max_queued = max_queued
         self._running = 0
         self._queued = 0
-        self._heap: list[tuple[int, int, WorkItem]] = []
-        self._serial = itertools.count()
+        self._by_rank: dict[int, FairQueue[WorkItem]] = {}
         self._service_ms = INITIAL_SERVICE_MS
+        self._kind_service_ms: dict[str, float] = {}
 
     @property
     def running(self) -> int:
@@ -100,10 +114,10 @@
             The request itself if it starts or is refused, and the less important
             request that was evicted if the queue was full.
         """
-        if self._expected_wait_ms(item.rank) > item.max_wait_ms:
+        if self._expected_wait_ms(item) > item.max_wait_ms:
             item.dropped = True
             return Dispatch(refused=[item])
-        heapq.heappush(self._heap, (item.rank, next(self._serial), item))
+        self._queue(item.rank).push(item, item.flow, self._cost_ms(item))
         self._queued += 1
         dispatch = self._start_waiting(now_ms)
         if self._queued > self._max_queued:
@@ -119,8 +133,7 @@
         """
         self._running -= 1
         if item.started_ms is not None:
-            elapsed_ms = now_ms - item.started_ms
-            self._service_ms += SERVICE_TIME_WEIGHT * (elapsed_ms - self._service_ms)
+            self._observe(item.kind, now_ms - item.started_ms)
         return self._start_waiting(now_ms)
 
     def withdraw(self, item: WorkItem) -> None:
@@ -128,44 +141,66 @@
         if not item.dropped and item.started_ms is None:
             item.dropped = True
             self._queued -= 1
+            self._queue(item.rank).remove(item)
 
     def drain(self) -> list[WorkItem]:
         """Remove and return all waiting requests."""
-        waiting = [item for _, _, item in self._heap if not item.dropped]
+        waiting = [item for queue in self._by_rank.values() for item in queue.items]
         for item in waiting:
             self.withdraw(item)
-        self._heap.clear()
         return waiting
 
-    def _expected_wait_ms(self, rank: int) -> float:
+    def _queue(self, rank: int) -> FairQueue[WorkItem]:
+        queue = self._by_rank.get(rank)
+        if queue is None:
+            queue = FairQueue()
+            self._by_rank[rank] = queue
+            self._by_rank = dict(sorted(self._by_rank.items()))
+        return queue
+
+    def _cost_ms(self, item: WorkItem) -> float:
+        if not item.flow:
+            # Equal costs keep the order of arrival where there are no teams.
+            return INITIAL_SERVICE_MS
+        return self._kind_service_ms.get(item.kind, self._service_ms)
+
+    def _observe(self, kind: str, elapsed_ms: float) -> None:
+        self._service_ms += SERVICE_TIME_WEIGHT * (elapsed_ms - self._service_ms)
+        if len(self._kind_service_ms) >= MAX_KINDS:
+            self._kind_service_ms.clear()
+        mean_ms = self._kind_service_ms.get(kind, elapsed_ms)
+        mean_ms += SERVICE_TIME_WEIGHT * (elapsed_ms - mean_ms)
+        self._kind_service_ms[kind] = mean_ms
+
+    def _expected_wait_ms(self, item: WorkItem) -> float:
         if self._running < self._limit or not self._queued:
             return 0
-        ahead = sum(1 for entry in self._heap if _is_ahead(entry, rank))
+        own = self._queue(item.rank)
+        ahead = own.count_before(own.tag_for(item.flow, self._cost_ms(item)))
+        ahead += sum(
+            len(queue) for rank, queue in self._by_rank.items() if rank < item.rank
+        )
         return ahead * self._service_ms / max(self._limit, 1)
 
     def _start_waiting(self, now_ms: float) -> Dispatch:
         dispatch = Dispatch()
-        while self._heap and self._running < self._limit:
-            item = heapq.heappop(self._heap)[2]
-            if item.dropped:
-                continue
-            self._queued -= 1
+        while self._queued and self._running < self._limit:
+            queue = next(filter(None, self._by_rank.values()))
+            item = queue.peek()
             if now_ms + item.expected_ms > item.deadline_ms:
-                item.dropped = True
+                self.withdraw(item)
                 dispatch.refused.append(item)
                 continue
+            queue.start(item)
+            self._queued -= 1
             item.started_ms = now_ms
             self._running += 1
             dispatch.started.append(item)
         return dispatch
 
     def _evict(self) -> WorkItem:
-        """Remove and return the newest item of the least important rank."""
-        waiting = (entry for entry in self._heap if not entry[2].dropped)
-        item = max(waiting)[2]
+        """Remove and return the item of the least important rank that would go last."""
+        queue = next(filter(None, reversed(self._by_rank.values())))
+        item = queue.last()
         self.withdraw(item)
         return item
-
-
-def _is_ahead(entry: tuple[int, int, WorkItem], rank: int) -> bool:
-    return entry[0] <= rank and not entry[2].dropped
--- a/tests/test_tenant_queue.py
+++ b/tests/test_tenant_queue.py
@@ -78,5 +78,6 @@
         ticket = make_ticket(f'tenant {number}')
         queue.push(ticket)
         queue.start(ticket)
-    entries = len(queue._first) + len(queue._last) + len(queue._tenant_tags)
+    fair = queue._queue
+    entries = len(fair._first) + len(fair._last) + len(fair._flow_tags)
     assert entries < 500
