--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -215,6 +215,8 @@
             deadline_ms=call.deadline_ms,
             expected_ms=LATE_MARGIN_MS,
             max_wait_ms=call.max_wait_ms,
+            flow=call.team,
+            kind=call.route,
         )
         if not await self._slots.acquire(item):
             return GuardReply.not_run('overloaded')
