--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -26,6 +26,9 @@
 STOPPING = 'stopping'
 """Refusal of a request that a stop leaves no time for."""
 
+UNCONFIRMED = 'rules_not_confirmed'
+"""Refusal while the rules may hold keys that are withdrawn."""
+
 MS_PER_S = 1000
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
@@ -96,6 +99,7 @@
         self._refusing = False
         rules.on_change(self._split.keep)
         rules.on_change(admission.set_rules)
+        rules.on_change(self._keys.set_rules)
 
     def end_by(self, end_ms: float) -> None:
         """Give the requests that are forwarded from now on only the time until a stop.
@@ -138,16 +142,17 @@
         """
         if self._refusing:
             return self._refusal(caller, STOPPING)
-        rules = self._rules.rules
+        rules = self._rules.served
         if rules is None:
-            return self._refusal(caller, 'no_rules')
+            is_known = self._rules.rules is not None
+            return self._refusal(caller, UNCONFIRMED if is_known else 'no_rules')
         rule = rules.find(caller.host, caller.path)
         if rule is None:
             log.info('No route.', request_id=caller.request_id, rules=rules.version)
             return HttpResponse(STATUS_NOT_FOUND, [], b'no route\n')
         identity = self._keys.identify(caller.keys, caller.request_id, rules, rule)
         if identity.refusal:
-            return self._unauthorized(caller, rule, identity.refusal)
+            return self._unauthorized(caller, rule, identity)
         return self._admit_identified(caller, rules, rule, identity)
 
     async def run(self, admitted: AdmittedRequest) -> HttpResponse:
@@ -162,6 +167,7 @@
             response = self._failure(caller, progress)
         spent_ms = self._clock.now_ms() - caller.arrived_ms
         self._metrics.on_request(progress.rule.name, str(response.status), spent_ms)
+        self._metrics.on_team_request(progress.team, response.status)
         return response
 
     def _admit_identified(
@@ -178,7 +184,7 @@
             rule, identity.priority, caller.time_left_ms
         ):
             share = self._admission.share(rule)
-            return self._refusal(caller, 'overloaded_below', share)
+            return self._refusal(caller, 'overloaded_below', share, identity.team)
         progress = RequestProgress(
             request=self._keys.forwarded(caller.request, rules),
             request_id=caller.request_id,
@@ -192,16 +198,18 @@
         return AdmittedRequest(caller, progress)
 
     def _unauthorized(
-        self, caller: CallerRequest, rule: RouteRule, reason: str
+        self, caller: CallerRequest, rule: RouteRule, identity: Identity
     ) -> HttpResponse:
         log.info(
             'Request not authorized.',
             request_id=caller.request_id,
             route=rule.name,
-            reason=reason,
+            reason=identity.refusal,
             rules=self._rules.version,
+            **_team_field(identity.team),
         )
-        self._metrics.on_decision('unauthorized', reason)
+        self._metrics.on_decision('unauthorized', identity.refusal)
+        self._metrics.on_team_refusal(identity.team, identity.refusal)
         return HttpResponse(
             STATUS_UNAUTHORIZED,
             [[b'WWW-Authenticate', self._keys.scheme]],
@@ -209,7 +217,7 @@
         )
 
     def _refusal(
-        self, caller: CallerRequest, reason: str, share: float = 1
+        self, caller: CallerRequest, reason: str, share: float = 1, team: str = ''
     ) -> HttpResponse:
         retry_after_ms = return_after_ms(share, self._time_left_ms(caller), self._rng)
         log.info(
@@ -218,8 +226,10 @@
             reason=reason,
             share=round(share, 2),
             return_after_ms=round(retry_after_ms),
+            **_team_field(team),
         )
         self._metrics.on_decision('refused', reason)
+        self._metrics.on_team_refusal(team, reason)
         retry_after_s = b'%.2f' % (retry_after_ms / MS_PER_S)
         return HttpResponse(
             STATUS_UNAVAILABLE, [[b'Retry-After', retry_after_s]], b'not run\n'
@@ -249,7 +259,7 @@
     ) -> HttpResponse:
         if not (progress.runs or self._has_no_time_left(caller, progress)):
             share = self._admission.share(progress.rule)
-            return self._refusal(caller, progress.reason, share)
+            return self._refusal(caller, progress.reason, share, progress.team)
         self._metrics.on_decision('failed', progress.reason)
         status = STATUS_BAD_GATEWAY
         if progress.reason == 'deadline':
@@ -260,10 +270,16 @@
             route=progress.rule.name,
             reason=progress.reason,
             status=status,
+            **_team_field(progress.team),
         )
         return HttpResponse(status, [], b'no answer\n')
 
 
+def _team_field(team: str) -> dict[str, str]:
+    """Return the field of a log line that names a team, if there is one."""
+    return {'team': team} if team else {}
+
+
 def _deadline_ms(caller: CallerRequest, rule: RouteRule) -> float:
     limits = [
         limit_ms
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/key_check.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/key_check.py
@@ -1,19 +1,24 @@
 """Identifies the team of a request by its key, or by the request that it is made for."""
 
 import dataclasses
+from collections import Counter
 
 from gentianmill.call_tree import CallOrigin, CallTree
 from gentianmill.route_rules import RouteRule, RuleSet
-from gentianmill.teams import Team, TeamDirectory
+from gentianmill.teams import Team, TeamDirectory, WithdrawnKeys
 from gentianmill_mesh.http_message import HttpRequest
 from gentianmill_mesh.wire_names import WireNames
+from gentianmill_node.logs import component
 
 __all__ = ('Identity', 'KeyCheck')
 
 NO_KEY = 'no_key'
 UNKNOWN_KEY = 'unknown_key'
+WITHDRAWN_KEY = 'withdrawn_key'
 SEVERAL_KEYS = 'several_keys'
 
+log = component('rules')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
@@ -24,7 +29,7 @@
     """Importance of the request; 0 is the highest."""
 
     team: str = ''
-    """Name of its team, or empty if none."""
+    """Name of its team, or of the one that held a withdrawn key, or empty."""
 
     is_key_holder: bool = False
     """Whether the request itself carried a key of the team."""
@@ -49,6 +54,25 @@
         """
         self._names = names
         self._tree = tree
+        self._teams = TeamDirectory()
+        self._withdrawn = WithdrawnKeys()
+
+    def set_rules(self, rules: RuleSet) -> None:
+        """Remember the keys that new rules withdraw, to explain refusals.
+
+        Args:
+            rules: The rules in force.
+        """
+        withdrawn = rules.teams.withdrawn_since(self._teams)
+        self._withdrawn.record(withdrawn)
+        if withdrawn or len(rules.teams.teams) != len(self._teams.teams):
+            log.info(
+                'Teams in force.',
+                version=rules.version,
+                teams=len(rules.teams.teams),
+                withdrawn=Counter(withdrawn.values()),
+            )
+        self._teams = rules.teams
 
     @property
     def scheme(self) -> bytes:
@@ -85,7 +109,20 @@
         if teams.is_empty or team is not None:
             return identity
         needs_key = not (rule.allows_anonymous or origin.is_inner)
-        return dataclasses.replace(identity, refusal=_refusal(keys, needs_key))
+        return self._refused(identity, keys, needs_key=needs_key)
+
+    def _refused(
+        self, identity: Identity, keys: tuple[bytes, ...], *, needs_key: bool
+    ) -> Identity:
+        """Return an identity without a valid key, with its refusal if it needs one."""
+        if not keys:
+            refusal = NO_KEY if needs_key else ''
+            return dataclasses.replace(identity, refusal=refusal)
+        if len(keys) > 1:
+            return dataclasses.replace(identity, refusal=SEVERAL_KEYS)
+        team = self._withdrawn.team_of(keys[0])
+        refusal = WITHDRAWN_KEY if team else UNKNOWN_KEY
+        return dataclasses.replace(identity, team=team, refusal=refusal)
 
     def forwarded(self, request: HttpRequest, rules: RuleSet) -> HttpRequest:
         """Return a request without its key and without a name of a team.
@@ -102,12 +139,3 @@
 
 def _team(teams: TeamDirectory, keys: tuple[bytes, ...]) -> Team | None:
     return teams.of_key(keys[0]) if len(keys) == 1 else None
-
-
-def _refusal(keys: tuple[bytes, ...], needs_key: bool) -> str:
-    """Return why a request without a valid key is refused, or ''."""
-    if len(keys) > 1:
-        return SEVERAL_KEYS
-    if keys:
-        return UNKNOWN_KEY
-    return NO_KEY if needs_key else ''
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -12,6 +12,13 @@
 further routes share ``OTHER_ROUTE``."""
 
 OTHER_ROUTE = 'other'
+
+MAX_TEAMS = 512
+"""Teams with a label of their own; their names come from the rules, and a deployment may
+have 500 of them. Further teams share ``OTHER_TEAM``."""
+
+OTHER_TEAM = 'other'
+STATUS_CLASS = 100
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
 MS_PER_S = 1000
 BYTES_PER_KIB = 1024
@@ -24,6 +31,7 @@
         """Create the metrics in a separate registry."""
         self._registry = Registry()
         self._routes: set[str] = set()
+        self._teams: set[str] = set()
         self._latency = Histogram(
             'gentianmill_request_seconds',
             'Time from a request to its answer, by route.',
@@ -34,10 +42,18 @@
         self._requests = self._counter('requests', 'Requests by route and end.')
         self._decisions = self._counter('decisions', 'Decisions by kind and reason.')
         self._arrivals = self._counter('arrivals', 'Arrivals at the upstream by cause.')
+        self._team_requests = self._counter(
+            'team_requests', 'Requests by team and class of the status.'
+        )
+        self._team_refusals = self._counter(
+            'team_refusals', 'Requests that were not run, by team and reason.'
+        )
         # aioprometheus encodes the labels as JSON for each increment, so counts are
         # accumulated here until they are rendered.
         self._ended: Tally[tuple[str, str]] = Tally()
         self._decided: Tally[tuple[str, str]] = Tally()
+        self._ended_by_team: Tally[tuple[str, str]] = Tally()
+        self._refused_by_team: Tally[tuple[str, str]] = Tally()
         self._gauges: dict[str, Gauge] = {}
 
     def on_request(self, route: str, end: str, latency_ms: float) -> None:
@@ -62,6 +78,27 @@
         """Record a decision, such as ``refused`` for the reason ``overloaded``."""
         self._decided[kind, reason] += 1
 
+    def on_team_request(self, team: str, status: int) -> None:
+        """Record the end of a request of a team.
+
+        Args:
+            team: Name of the team; nothing is recorded without one.
+            status: Status of its response.
+        """
+        if team:
+            end = f'{status // STATUS_CLASS}xx'
+            self._ended_by_team[self._team_label(team), end] += 1
+
+    def on_team_refusal(self, team: str, reason: str) -> None:
+        """Record that a request of a team was not run.
+
+        Args:
+            team: Name of the team; nothing is recorded without one.
+            reason: Why it was not run.
+        """
+        if team:
+            self._refused_by_team[self._team_label(team), reason] += 1
+
     def on_arrivals(self, total: Mapping[str, int]) -> None:
         """Set the total arrivals at the upstream, by cause."""
         for cause, count in total.items():
@@ -83,12 +120,10 @@
 
     def render(self) -> tuple[bytes, str]:
         """Return the metrics in the text format, and its content type."""
-        for (route, end), count in self._ended.items():
-            self._requests.add({'route': route, 'end': end}, count)
-        for (kind, reason), count in self._decided.items():
-            self._decisions.add({'kind': kind, 'reason': reason}, count)
-        self._ended.clear()
-        self._decided.clear()
+        _move(self._ended, self._requests, 'route', 'end')
+        _move(self._decided, self._decisions, 'kind', 'reason')
+        _move(self._ended_by_team, self._team_requests, 'team', 'end')
+        _move(self._refused_by_team, self._team_refusals, 'team', 'reason')
         peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         self.set_gauge('peak_bytes', 'Peak memory.', peak_kib * BYTES_PER_KIB)
         text, headers = render(self._registry, ['text/plain'])
@@ -101,5 +136,21 @@
             self._routes.add(route)
         return route
 
+    def _team_label(self, team: str) -> str:
+        if team not in self._teams:
+            if len(self._teams) >= MAX_TEAMS:
+                return OTHER_TEAM
+            self._teams.add(team)
+        return team
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f'gentianmill_{name}_total', doc, registry=self._registry)
+
+
+def _move(
+    counts: Tally[tuple[str, str]], counter: Counter, first: str, second: str
+) -> None:
+    """Add accumulated counts to a counter with two labels, and clear them."""
+    for (first_label, second_label), count in counts.items():
+        counter.add({first: first_label, second: second_label}, count)
+    counts.clear()
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -214,7 +214,7 @@
     @property
     def ready(self) -> bool:
         """Return whether callers should use this node."""
-        return not self._stopping and self._rules.rules is not None
+        return not self._stopping and self._rules.served is not None
 
     @property
     def crashes(self) -> CrashWatch:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -39,7 +39,8 @@
         """Start to offer rules to a holder; return before the first rules arrive.
 
         Args:
-            holder: Receives each version.
+            holder: Receives each version, and is told once the rules in force are known
+                to be the newest; rules with teams serve nothing before.
             turns: Decides when to poll.
             on_confirmed: Called after each poll, with a time in ms, by the clock of the
                 node, at which there was no newer version.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -34,6 +34,30 @@
         self._rules: RuleSet | None = None
         self._document = b''
         self._listeners: list[Callable[[RuleSet], None]] = []
+        self._rejected = b''
+        self._is_confirmed = False
+
+    @property
+    def served(self) -> RuleSet | None:
+        """Return the rules by which requests are served, or None.
+
+        Rules with teams that an earlier process or another node may have replaced could
+        hold keys that are withdrawn, so they serve nothing before they are confirmed.
+        """
+        return None if self.is_withheld else self._rules
+
+    @property
+    def is_withheld(self) -> bool:
+        """Return whether the rules in force must not serve requests yet."""
+        rules = self._rules
+        if rules is None or rules.teams.is_empty:
+            return False
+        return not self._is_confirmed
+
+    @property
+    def rejected(self) -> bytes:
+        """Return the last document that was not readable."""
+        return self._rejected
 
     @property
     def rules(self) -> RuleSet | None:
@@ -68,6 +92,7 @@
             rules = self._decoder.decode(document)
         except ValueError as error:
             log.error('Rules not readable.', source=source, error=str(error))
+            self._rejected = document
             return False
         if rules.version <= self.version:
             return False
@@ -84,6 +109,15 @@
             self._notify(listener, rules)
         return True
 
+    def confirm_newest(self) -> None:
+        """Record that the rules in force were the newest at a time of this process.
+
+        It holds for all later ones, too, as versions only increase.
+        """
+        if not self._is_confirmed and self._rules is not None:
+            self._is_confirmed = True
+            log.info('Rules confirmed as the newest.', version=self.version)
+
     def _notify(self, listener: Callable[[RuleSet], None], rules: RuleSet) -> None:
         try:
             listener(rules)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from gentianmill.clock import Clock
-from gentianmill.confirmed import Confirmed
+from gentianmill.confirmed import UNKNOWN_AGE_MS, Confirmed
 from gentianmill.followers import FollowerChoice
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.poll_turn import Freshness, PollTurn, TurnAction, TurnSettings
@@ -75,6 +75,7 @@
         self._links = links
         self._rules = rules
         self._clock = clock
+        self._created_ms = clock.now_ms()
         self._choice = FollowerChoice(own.name)
         self._rng = random.Random()  # noqa: S311
         self._confirmed_rules = Confirmed()
@@ -118,9 +119,13 @@
     def status(self) -> FreshnessStatus:
         """Return what other nodes are told."""
         now_ms = self.now_ms
+        rules_age_ms = self._confirmed_rules.wire_age_ms(now_ms)
+        if self._rules.is_withheld:
+            # Others would serve them on the word of this node, which does not.
+            rules_age_ms = UNKNOWN_AGE_MS
         return FreshnessStatus(
             rules_version=self._rules.version,
-            rules_age_ms=self._confirmed_rules.wire_age_ms(now_ms),
+            rules_age_ms=rules_age_ms,
             nodes_digest=self._table.digest,
             nodes_age_ms=self._confirmed_nodes.wire_age_ms(now_ms),
         )
@@ -137,6 +142,10 @@
             if status.rules_version == self._rules.version:
                 self._confirmed_rules.confirm(as_of_ms)
                 self._rules_from_others.confirm(as_of_ms)
+                # What was the newest before the start may miss what an earlier process of
+                # this node had in force.
+                if as_of_ms >= self._created_ms:
+                    self._rules.confirm_newest()
         if status.nodes_age_ms >= 0:
             self._on_nodes(status.nodes_digest, sent_ms - status.nodes_age_ms)
 
--- a/packages/gentianmill/src/gentianmill/teams.py
+++ b/packages/gentianmill/src/gentianmill/teams.py
@@ -4,15 +4,20 @@
 import hashlib
 import math
 import os
-from collections.abc import Collection, Iterable, Sequence
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
-__all__ = ('Team', 'TeamDirectory', 'TeamEntry')
+__all__ = ('Team', 'TeamDirectory', 'TeamEntry', 'WithdrawnKeys')
 
 DIGEST_BYTES = 16
 
 MAX_PRIORITY = 1_000_000
 """Ranks are computed from priorities, and a frame carries 64-bit integers."""
 
+MAX_WITHDRAWN = 1000
+"""Withdrawn keys that are remembered, to explain refusals: a rotation of the two keys of
+each of 500 teams."""
+
 _DIGEST_KEY = os.urandom(DIGEST_BYTES)
 """Drawn at the start of the process, so that the time of a lookup tells nothing of a key."""
 
@@ -82,6 +87,18 @@
         """Return the team that holds a key, or None."""
         return self._by_digest.get(_digest(key))
 
+    def withdrawn_since(self, former: 'TeamDirectory') -> dict[bytes, str]:
+        """Return the teams of the keys that are no longer known, by digest.
+
+        Args:
+            former: Teams of an earlier version.
+        """
+        return {
+            digest: team.name
+            for digest, team in former._by_digest.items()
+            if digest not in self._by_digest
+        }
+
     def _add(self, entry: TeamEntry) -> None:
         team = entry.team
         if not team.name or team.name in self._by_name:
@@ -102,6 +119,30 @@
             self._by_digest[digest] = team
 
 
+class WithdrawnKeys:
+    """Name the teams of keys that were withdrawn lately; it never decides anything."""
+
+    def __init__(self) -> None:
+        """Start without withdrawn keys."""
+        self._teams: OrderedDict[bytes, str] = OrderedDict()
+
+    def record(self, withdrawn: Mapping[bytes, str]) -> None:
+        """Record keys that were withdrawn.
+
+        Args:
+            withdrawn: Names of their teams, by digest.
+        """
+        for digest, team in withdrawn.items():
+            self._teams[digest] = team
+            self._teams.move_to_end(digest)
+        while len(self._teams) > MAX_WITHDRAWN:
+            self._teams.popitem(last=False)
+
+    def team_of(self, key: bytes) -> str:
+        """Return the name of the team that held a key, or ''."""
+        return self._teams.get(_digest(key), '')
+
+
 def _is_in_range(team: Team) -> bool:
     rates = (team.rate_per_s, team.burst)
     has_rates = all(rate >= 0 and math.isfinite(rate) for rate in rates)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -102,6 +102,7 @@
         """Offer the document as the newest."""
         if self._document is not None:
             holder.offer(self._document, 'test')
+            holder.confirm_newest()
             on_confirmed(BootClock().now_ms())
 
     def refresh(self) -> None:
@@ -163,10 +164,11 @@
         self.nodes: dict[str, MeshNode] = {}
         self.fault_proxy: FaultProxy | None = None
         self.seen: list[web.BaseRequest] = []
-        self._handler = handler
+        self.handler = handler
         self._web = WebServer()
         self._tables: list[NodeTable] = []
         self.entry_port = 0
+        self.entry_ports: dict[str, int] = {}
         self._metrics_ports: dict[str, int] = {}
         self._session: aiohttp.ClientSession | None = None
         self._upstream_port = 0
@@ -183,6 +185,7 @@
         )
         await self._start_node('entry', 'front', ports[4:8], ports[8], None)
         self.entry_port = ports[5]
+        self.entry_ports = {'back': ports[1], 'entry': ports[5]}
         self._metrics_ports = {'back': ports[3], 'entry': ports[7]}
         self._upstream_port = ports[8]
         self.report()
@@ -211,13 +214,18 @@
         return self._tables[-1]
 
     async def call(
-        self, path: str, method: str = 'GET', body: bytes = b'', **headers: str
+        self,
+        path: str,
+        method: str = 'GET',
+        body: bytes = b'',
+        node: str = 'entry',
+        **headers: str,
     ) -> tuple[int, bytes, dict[str, str]]:
-        """Send a request to the entry and return status, body and headers."""
+        """Send a request to a node and return status, body and headers."""
         extra_headers = {name.replace('_', '-'): text for name, text in headers.items()}
         async with self._session.request(
             method,
-            yarl.URL(f'http://{HOST}:{self.entry_port}{path}', encoded=True),
+            yarl.URL(f'http://{HOST}:{self.entry_ports[node]}{path}', encoded=True),
             headers={'Host': RULE_HOST, **extra_headers},
             data=body or None,
         ) as response:
@@ -234,7 +242,7 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append(request)
-        return await self._handler(request)
+        return await self.handler(request)
 
     async def _start_node(
         self,
--- a/tests/test_team_keys.py
+++ b/tests/test_team_keys.py
@@ -6,7 +6,8 @@
 import aiohttp
 import pytest
 from aiohttp import web
-from mesh_deployment import RULE_HOST, Deployment, TeamFields
+from gentianmill_mesh.mesh_metrics import MAX_TEAMS, OTHER_TEAM, MeshMetrics
+from mesh_deployment import RULE_HOST, Deployment, TeamFields, rules_document
 from standins.processes import HOST
 
 KEY = 'k-ants-1'
@@ -142,3 +143,120 @@
         ]
 
     assert _run(scenario, ()) == [[], ['Basic a', 'b', 'ants']]
+
+
+def test_calls_of_an_upstream_inherit_the_team_and_need_no_key():
+    """Guards against a 401 for work that a team has already paid for.
+
+    The upstream of ``back`` calls through the node on its own VM, under an id that
+    contains that of its request, and without a key.
+    """
+
+    async def scenario(deployment: Deployment) -> list[object]:
+        inner: list[object] = []
+
+        async def call_again(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == '/read/outer':
+                for request_id in ('root.1', 'stranger.1'):
+                    status, _, _ = await deployment.call(
+                        '/pay/inner',
+                        'POST',
+                        node='back',
+                        X_Attempt=request_id,
+                        X_Team='bees',
+                    )
+                    inner.append(status)
+            elif request.path == '/pay/inner':
+                inner.append(request.headers.getall('X-Team', []))
+            return web.Response(headers={'X-Attempt': request.headers['X-Attempt']})
+
+        deployment.handler = call_again
+        status, _, _ = await deployment.call(
+            '/read/outer', X_Key=f'Pass {KEY}', X_Attempt='root'
+        )
+        assert 'team_requests_total{end="2xx",team="ants"} 1' in (
+            await deployment.metrics('back')
+        )
+        return [status, *inner]
+
+    assert _run(scenario) == [200, [], 200, 401]
+
+
+@pytest.mark.parametrize('node', ['entry', 'back'])
+def test_withdrawn_key_is_out_of_use_on_an_open_connection(node: str):
+    """Guards against a key that is remembered with its connection."""
+
+    async def scenario(deployment: Deployment) -> list[object]:
+        reader, writer = await asyncio.open_connection(
+            HOST, deployment.entry_ports[node]
+        )
+
+        async def ask() -> int:
+            line = b'X-Key: Pass %b\r\n\r\n' % KEY.encode()
+            writer.write(b'GET /read/a HTTP/1.1\r\nHost: till.example\r\n' + line)
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = head.lower().partition(b'content-length: ')[2]
+            await reader.readexactly(int(length.split()[0]))
+            return int(head.split()[1])
+
+        statuses = [await ask()]
+        for document in (
+            rules_document(2, teams=TEAMS[1:]),
+            rules_document(1, teams=TEAMS),
+            rules_document(2, teams=TEAMS),
+        ):
+            deployment.rules[node].offer(document, 'test')
+            statuses.append(await ask())
+        writer.close()
+        return statuses
+
+    assert _run(scenario) == [200, 401, 401, 401]
+
+
+def test_refusals_are_logged_and_counted_without_keys(capsys):
+    """Guards against a refusal without a cause, and a key in the log or the metrics."""
+
+    async def scenario(deployment: Deployment) -> str:
+        deployment.rules['entry'].offer(rules_document(2, teams=TEAMS[1:]), 'test')
+        for number, key in enumerate((KEY, 'k-none-1')):
+            await deployment.call(
+                '/read/a', X_Key=f'Pass {key}', X_Attempt=f'r{number}'
+            )
+        await deployment.call('/read/a', X_Attempt='r2')
+        await _send_malformed(deployment)
+        return await deployment.metrics()
+
+    metrics = _run(scenario)
+    written = capsys.readouterr().out
+    logged = [line for line in written.splitlines() if 'not authorized' in line]
+    assert len(logged) == len(EXPECTED_LINES)
+    for expected, line in zip(EXPECTED_LINES, logged, strict=True):
+        assert expected in line
+    assert 'team_refusals_total{reason="withdrawn_key",team="ants"} 1' in metrics
+    assert 'k-' not in written
+    assert 'k-' not in metrics
+
+
+EXPECTED_LINES = (
+    'reason=withdrawn_key request_id=r0 route=/read/ rules=2 team=ants',
+    'reason=unknown_key request_id=r1 route=/read/ rules=2',
+    'reason=no_key request_id=r2 route=/read/ rules=2',
+)
+
+
+async def _send_malformed(deployment: Deployment) -> None:
+    reader, writer = await asyncio.open_connection(HOST, deployment.entry_port)
+    writer.write(b'GET /read/a HTTP/1.1\r\nX-Key: Pass %b\0\r\n\r\n' % KEY.encode())
+    assert b' 400 ' in await reader.readline()
+    writer.close()
+
+
+def test_metrics_by_team_are_bounded():
+    """Guards against a page of metrics that grows with each renamed team."""
+    metrics = MeshMetrics()
+    for number in range(MAX_TEAMS + 50):
+        metrics.on_team_request(f't{number}', 200)
+        metrics.on_team_refusal(f't{number}', 'no_key')
+    text = metrics.render()[0].decode()
+    assert text.count('team_requests_total{') == MAX_TEAMS + 1
+    assert f'team="{OTHER_TEAM}"}} 50' in text
