--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -150,7 +150,9 @@
             self._links,
             random.Random(),  # noqa: S311
         )
-        self._gossip = NodeGossip(self._table, self._links, peers)
+        self._gossip = NodeGossip(
+            self._table, self._links, peers, registry.own_record_seen
+        )
         rules.on_change(
             RulesGossip(peers, self._links, settings.region, self._following).announce
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -7,7 +7,7 @@
 Maintenance", 1987). A node that the gossip misses gets the record at its next poll.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -35,14 +35,22 @@
 class NodeGossip:
     """Spread records among nodes."""
 
-    def __init__(self, table: NodeTable, links: RelayLinks, peers: RandomPeers) -> None:
+    def __init__(
+        self,
+        table: NodeTable,
+        links: RelayLinks,
+        peers: RandomPeers,
+        on_own_record: Callable[[NodeRecord], None] | None = None,
+    ) -> None:
         """Create a gossip that has sent nothing yet.
 
         Args:
             table: Node records known to this node.
             links: Links to the other nodes.
             peers: Chooses the receivers.
+            on_own_record: Called with each record of this node that another one sends.
         """
+        self._on_own_record = on_own_record
         self._table = table
         self._links = links
         self._peers = peers
@@ -75,6 +83,10 @@
                 service=record.service,
                 revision=record.revision,
             )
+        if self._on_own_record is not None:
+            for told in records:
+                if told.name == self._peers.own_name:
+                    self._on_own_record(told)
         if changed:
             self._send(changed, NEXT_FANOUT)
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -84,6 +84,17 @@
             A future that is done when this record or a later one is stored.
         """
 
+    @abc.abstractmethod
+    def own_record_seen(self, record: NodeRecord) -> None:
+        """Check a record of this node that another node has passed on.
+
+        If an earlier process of this node has replaced what this one stored, it is
+        stored again.
+
+        Args:
+            record: The record, with the registry's version of it.
+        """
+
     @abc.abstractmethod
     def refresh(self) -> None:
         """Abandon the current wait for records and ask again, on a new connection."""
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -120,6 +120,9 @@
         stored.set_result(None)
         return stored
 
+    def own_record_seen(self, record: NodeRecord) -> None:
+        """Do nothing; the tables have no other writer."""
+
     def refresh(self) -> None:
         """Do nothing."""
 
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -34,6 +34,16 @@
         self.unanswered_writes = 0
         """Number of further writes that are applied but get no response."""
 
+        self.held_writes = 0
+        """Number of further writes that get no response and are held until
+        ``do_held_writes``."""
+
+        self.tells_conflicts = True
+        """Whether the response to a write whose condition fails has the current rows."""
+
+        self.write_calls = 0
+        self.conflicts = 0
+        self._held: list[dict] = []
         self.compacted_version = 0
         """Version up to which the change history is discarded."""
 
@@ -92,6 +102,12 @@
         """Remove a row as another writer does."""
         self._put(table, key, '', deleted=True)
 
+    def do_held_writes(self) -> list[int]:
+        """Do the held writes whose conditions hold, and return their statuses."""
+        held = tuple(self._held)
+        self._held.clear()
+        return [self._apply(entries).status for entries in held]
+
     def _put(self, table: str, key: str, value: str, *, deleted: bool = False) -> None:
         self.version += 1
         self._rows[table, key] = _Row(table, key, value, self.version, deleted)
@@ -135,20 +151,38 @@
 
     async def _transact(self, request: web.Request) -> web.StreamResponse:
         entries = await request.json()
-        for row in entries['expectedRevision']:
-            current = self._rows.get((row['table'], row['key']))
-            version = current.version if current else 0
-            if version != row['rowVersion']:
-                return web.json_response({'rows': []}, status=412)
+        self.write_calls += 1
+        if self.held_writes:
+            self.held_writes -= 1
+            self._held.append(entries)
+            request.transport.abort()
+            return web.Response()
+        response = self._apply(entries)
+        if self.unanswered_writes:
+            self.unanswered_writes -= 1
+            request.transport.abort()
+        return response
+
+    def _apply(self, entries: dict) -> web.Response:
+        for expected in entries['expectedRevision']:
+            current = self._rows.get((expected['table'], expected['key']))
+            exists = current is not None and not current.deleted
+            version = current.version if exists else 0
+            if expected['rowVersion'] != version:
+                self.conflicts += 1
+                return self._conflict([current] if exists else [])
         for row in entries['writes']:
             self._put(row['table'], row['key'], row['value'])
         for row in entries['remove']:
             self.remove(row['table'], row['key'])
-        if self.unanswered_writes:
-            self.unanswered_writes -= 1
-            request.transport.abort()
         return web.json_response({'rowVersion': self.version, 'now': '0ms'})
 
+    def _conflict(self, current: list[_Row]) -> web.Response:
+        told = current if self.tells_conflicts else []
+        rows = [_described(row) for row in told]
+        described = {'rows': rows, 'rowVersion': self.version, 'now': '0ms'}
+        return web.json_response(described, status=412)
+
     def _after(self, table: str, version: int) -> list[_Row]:
         return [
             row
@@ -159,22 +193,22 @@
     def _page(
         self, rows: list[_Row], version: int, max_rows: int = 500
     ) -> web.Response:
-        described = [
-            {
-                'table': row.table,
-                'part': '',
-                'key': row.key,
-                'value': row.value,
-                'rowVersion': row.version,
-                'tombstone': row.deleted,
-            }
-            for row in rows[:max_rows]
-        ]
         return web.json_response(
             {
-                'rows': described,
+                'rows': [_described(row) for row in rows[:max_rows]],
                 'hasMore': len(rows) > max_rows,
                 'rowVersion': version,
                 'now': '0ms',
             }
         )
+
+
+def _described(row: _Row) -> dict[str, object]:
+    return {
+        'table': row.table,
+        'part': '',
+        'key': row.key,
+        'value': row.value,
+        'rowVersion': row.version,
+        'tombstone': row.deleted,
+    }
