--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -34,7 +34,7 @@
     ServiceListener,
     plain_response,
 )
-from gentianmill_mesh.store_following import StoreFollowing
+from gentianmill_mesh.store_following import CHECK_S, StoreFollowing
 from gentianmill_mesh.strike_gossip import StrikeGossip
 from gentianmill_mesh.suspension_watch import SuspensionWatch
 from gentianmill_mesh.upstream_guard import STOPPING, UpstreamGuard
@@ -142,7 +142,12 @@
             budget,
         )
         self._following = StoreFollowing(
-            own, self._table, self._links, rules, self._clock
+            own,
+            self._table,
+            self._links,
+            rules,
+            self._clock,
+            settings.config_apply_ms,
         )
         peers = RandomPeers(
             settings.node,
@@ -265,6 +270,7 @@
         )
         self._tasks += [
             repeat(self._tick, TICK_S, 'tick'),
+            repeat(self._following.check, CHECK_S, 'follow'),
             repeat(self._reap, REAP_INTERVAL_S, 'reap'),
         ]
         log.info(
@@ -369,7 +375,6 @@
     def _tick(self) -> None:
         self._ticks += 1
         self._suspension.check()
-        self._following.check()
         self._guard.check()
         self._relay.check()
         if not self._ticks % ARRIVAL_LOG_TICKS:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -71,6 +71,9 @@
     """Whether the whole deployment starts for the first time, so that no other node knows
     what an earlier process of this one has acknowledged."""
 
+    config_apply_ms: float = 9000
+    """Time after its acknowledgement in which a change of the rules must be in force."""
+
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     read_ahead: ReadAheadSettings = ReadAheadSettings()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -11,10 +11,9 @@
 class PollTurns(abc.ABC):
     """Decides when a platform's store is polled, as nodes follow it together."""
 
-    @property
     @abc.abstractmethod
-    def is_urgent(self) -> bool:
-        """Return whether the next poll should be answered without waiting for a change."""
+    def wait_ms(self, longest_ms: int) -> int:
+        """Return how long the next poll should wait for a change, at most a given time."""
 
     @abc.abstractmethod
     async def until_due(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -9,29 +9,31 @@
 import asyncio
 import math
 import random
+import time
 from collections.abc import Callable
 
-from gentianmill.clock import Clock
-from gentianmill.confirmed import Confirmed
-from gentianmill.followers import FollowerChoice
+from gentianmill.clock import NS_PER_MS, Clock
+from gentianmill.confirmed import MAX_AGE_MS, Confirmed
+from gentianmill.followers import FollowerChoice, SilentFollowers
 from gentianmill.node_table import NodeRecord, NodeTable
-from gentianmill.poll_turn import Freshness, PollTurn, TurnAction, TurnSettings
+from gentianmill.poll_turn import (
+    CHECK_MS,
+    Freshness,
+    OpenPoll,
+    PollTurn,
+    TurnAction,
+    TurnSettings,
+    slot_wait_ms,
+    turns_within,
+)
 from gentianmill.relay_messages import FreshnessStatus, RulesRequest
 from gentianmill_mesh.ports import PollTurns
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_node.background import spawn
+from gentianmill_node.logs import component
 
-__all__ = ('NODES_TURNS', 'RULES_TURNS', 'StoreFollowing')
-
-RULES_TURNS = TurnSettings(
-    confirm_within_ms=3000,
-    follower_pause_ms=0,
-    mismatch_ms=math.inf,
-    max_mismatch_ms=math.inf,
-)
-"""Followers wait for changes, at most 2.5 s a poll, so that confirmations are younger.
-Newer rules are told as such, so there is no mismatch to wait for."""
+__all__ = ('CHECK_S', 'NODES_TURNS', 'StoreFollowing')
 
 NODES_TURNS = TurnSettings(
     confirm_within_ms=15_000,
@@ -41,6 +43,11 @@
 )
 """The store keeps its history for 20 s. Gossip brings changes within a second."""
 
+CHECK_S = CHECK_MS / 1000
+"""Interval at which ``StoreFollowing.check`` must be called."""
+
+APPLY_WITHIN_MS = 9000.0
+"""Time in which a change must be in force if the settings name none."""
 
 URGENT_AGE_MS = 1000.0
 """Age of the last confirmation from which a poll must not wait for a change: a node that
@@ -50,6 +57,9 @@
 """Time for which the choice of followers is kept, as it takes a pass over all records."""
 
 
+log = component('following')
+
+
 class StoreFollowing:
     """Know how recent this node's rules and node records are, and tell others."""
 
@@ -60,6 +70,7 @@
         links: RelayLinks,
         rules: RulesHolder,
         clock: Clock,
+        apply_within_ms: float = APPLY_WITHIN_MS,
     ) -> None:
         """Create a state in which nothing is confirmed.
 
@@ -69,6 +80,7 @@
             links: Links to the other nodes.
             rules: Rules in force.
             clock: Clock of the node.
+            apply_within_ms: Time in which a change of the rules must be in force.
         """
         self._own = own
         self._table = table
@@ -76,7 +88,8 @@
         self._rules = rules
         self._clock = clock
         self._choice = FollowerChoice(own.name)
-        self._rng = random.Random()  # noqa: S311
+        self._silent = SilentFollowers()
+        self._asked: set[str] = set()
         self._confirmed_rules = Confirmed()
         self._rules_from_others = Confirmed()
         self._confirmed_nodes = Confirmed()
@@ -84,7 +97,10 @@
         self._chosen: list[NodeRecord] = []
         self._chosen_ms = -math.inf
         self._rules_turns = _Turns(
-            RULES_TURNS, self, self.rules_freshness, self._confirmed_rules
+            turns_within(apply_within_ms),
+            self,
+            self.rules_freshness,
+            self._confirmed_rules,
         )
         self._nodes_turns = _Turns(
             NODES_TURNS, self, self.nodes_freshness, self._confirmed_nodes
@@ -100,10 +116,21 @@
         """Return the turns to poll the registry."""
         return self._nodes_turns
 
+    @property
+    def chosen_followers(self) -> list[NodeRecord]:
+        """Return the followers of this node's region, as far as it knows."""
+        now_ms = self.now_ms
+        if now_ms - self._chosen_ms >= CHOICE_MS:
+            self._chosen_ms = now_ms
+            self._chosen = self._choice.followers(
+                self._own.region, self._table.records, self._is_usable
+            )
+        return self._chosen
+
     @property
     def is_follower(self) -> bool:
         """Return whether this node asks the store on behalf of others."""
-        return any(record.name == self._own.name for record in self._followers())
+        return any(record.name == self._own.name for record in self.chosen_followers)
 
     @property
     def rules_age_ms(self) -> float:
@@ -166,16 +193,42 @@
         self._mismatch_since_ms = None
 
     def ask_follower(self) -> None:
-        """Ask a follower for its status; it is applied when it arrives."""
-        followers = [
-            record for record in self._followers() if record.name != self._own.name
-        ]
-        if followers:
-            link = self._links.to(self._rng.choice(followers))
-            request = RulesRequest(
-                self._rules.version, wants_status=True, nodes_digest=self._table.digest
-            )
-            spawn(link.ask_status(request), 'ask follower')
+        """Ask the followers for their status; it is applied when it arrives."""
+        request = RulesRequest(
+            self._rules.version, wants_status=True, nodes_digest=self._table.digest
+        )
+        others = self._other_followers()
+        self._asked = {record.name for record in others}
+        for record in others:
+            spawn(self._links.to(record).ask_status(request), 'ask follower')
+
+    def replace_followers(self, age_ms: float) -> None:
+        """Choose other followers, as those that were asked knew nothing newer.
+
+        Args:
+            age_ms: Age of the last confirmation.
+        """
+        others = {record.name for record in self._other_followers()}
+        # Followers chosen since the question may have news.
+        names = sorted(others & self._asked)
+        if names:
+            age_ms = min(age_ms, MAX_AGE_MS)
+            log.info('Followers without news.', followers=names, age_ms=round(age_ms))
+            self._silent.mark(names, self.now_ms)
+            self._chosen_ms = -math.inf
+
+    def slot_wait_ms(self, longest_ms: float) -> float:
+        """Return how long a poll of this node should wait for a change.
+
+        Args:
+            longest_ms: Longest wait.
+        """
+        names = [record.name for record in self.chosen_followers]
+        if self._own.name not in names:
+            return longest_ms
+        unix_ms = time.time_ns() / NS_PER_MS
+        rank = names.index(self._own.name)
+        return slot_wait_ms(unix_ms, rank, len(names), longest_ms)
 
     def check(self) -> None:
         """End the waits for polls that are due; call it regularly."""
@@ -189,14 +242,13 @@
             if as_of_ms > self._confirmed_nodes.as_of_ms:
                 self._mismatch_since_ms = self.now_ms
 
-    def _followers(self) -> list[NodeRecord]:
-        now_ms = self.now_ms
-        if now_ms - self._chosen_ms >= CHOICE_MS:
-            self._chosen_ms = now_ms
-            self._chosen = self._choice.followers(
-                self._own.region, self._table.records, self._links.reaches
-            )
-        return self._chosen
+    def _other_followers(self) -> list[NodeRecord]:
+        own = self._own.name
+        return [record for record in self.chosen_followers if record.name != own]
+
+    def _is_usable(self, record: NodeRecord) -> bool:
+        is_silent = self._silent.has(record.name, self.now_ms)
+        return self._links.reaches(record) and not is_silent
 
 
 class _Turns(PollTurns):
@@ -210,6 +262,8 @@
         confirmed: Confirmed,
     ) -> None:
         self._turn = PollTurn(settings, random.Random())  # noqa: S311
+        self._poll = OpenPoll(settings)
+        self._was_follower = False
         self._following = following
         self._freshness = freshness
         self._confirmed = confirmed
@@ -220,6 +274,18 @@
         """Return whether the last confirmation is so old that a new one is needed now."""
         return self._confirmed.age_ms(self._following.now_ms) > URGENT_AGE_MS
 
+    def wait_ms(self, longest_ms: int) -> int:
+        """Return how long the next poll should wait for a change.
+
+        The first poll of a new follower does not wait, as others need a confirmation.
+        """
+        was_follower = self._was_follower
+        self._was_follower = self._following.is_follower
+        is_new = self._was_follower and not was_follower
+        if is_new or self.is_urgent:
+            return 0
+        return int(self._following.slot_wait_ms(longest_ms))
+
     async def until_due(self) -> None:
         """Wait until this node must poll."""
         self._turn.begin(self._following.now_ms)
@@ -229,13 +295,34 @@
             await self._due
         finally:
             self._due = None
+            self._poll.begin()
 
     def check(self) -> None:
-        """End the wait if the poll is due."""
-        if self._due is None or self._due.done():
+        """End the wait if the poll is due; ask others while a poll gets no answer."""
+        if self._due is None:
+            self._check_poll()
             return
-        action = self._turn.decide(self._following.now_ms, self._freshness())
+        if self._due.done():
+            return
+        known = self._freshness()
+        action = self._turn.decide(self._following.now_ms, known)
         if action is TurnAction.ask_follower:
             self._following.ask_follower()
+        elif action is TurnAction.replace_followers:
+            self._following.replace_followers(known.age_ms)
+            self._following.ask_follower()
         elif action is TurnAction.poll:
             self._due.set_result(None)
+
+    def _check_poll(self) -> None:
+        """Ask others if the poll under way does not confirm what this node knows.
+
+        It may be cut off the store, and others may be silent, too.
+        """
+        now_ms = self._following.now_ms
+        age_ms = self._confirmed.age_ms(now_ms)
+        action = self._poll.decide(now_ms, age_ms, self._turn.limit_ms)
+        if action is TurnAction.replace_followers:
+            self._following.replace_followers(age_ms)
+        if action is not TurnAction.wait:
+            self._following.ask_follower()
--- a/packages/gentianmill/src/gentianmill/confirmed.py
+++ b/packages/gentianmill/src/gentianmill/confirmed.py
@@ -2,7 +2,7 @@
 
 import math
 
-__all__ = ('UNKNOWN_AGE_MS', 'Confirmed')
+__all__ = ('MAX_AGE_MS', 'UNKNOWN_AGE_MS', 'Confirmed')
 
 UNKNOWN_AGE_MS = -1
 """Age on the wire of a state that was never confirmed."""
--- a/packages/gentianmill/src/gentianmill/followers.py
+++ b/packages/gentianmill/src/gentianmill/followers.py
@@ -5,17 +5,52 @@
 node that hears no confirmation asks by itself.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from gentianmill.node_table import NodeRecord, NodeState
 from gentianmill.rendezvous import hash_text, mix
 
-__all__ = ('FollowerChoice',)
+__all__ = ('FollowerChoice', 'SilentFollowers')
 
 MAX_CACHED_HASHES = 4096
 """Several times the nodes of the design size, replaced ones included."""
 
 
+SILENT_MS = 10_000.0
+"""Time for which a follower without news is not chosen. A disruption of the paths to the
+store lasts about 5 s; a follower that is wrongly left out costs a few calls."""
+
+
+MAX_SILENT = 4
+"""Followers that are left out at once, two replaced pairs. During an outage of the whole
+store all are silent, and leaving out all would make each node a follower."""
+
+
+class SilentFollowers:
+    """Followers that had no news when this node needed some."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._until_ms: dict[str, float] = {}
+
+    def mark(self, names: Iterable[str], now_ms: float) -> None:
+        """Leave out followers for a while.
+
+        Args:
+            names: Names of the followers.
+            now_ms: Current time.
+        """
+        for name in names:
+            self._until_ms.pop(name, None)
+            self._until_ms[name] = now_ms + SILENT_MS
+        while len(self._until_ms) > MAX_SILENT:
+            self._until_ms.pop(next(iter(self._until_ms)))
+
+    def has(self, name: str, now_ms: float) -> bool:
+        """Return whether a follower is left out now."""
+        return self._until_ms.get(name, now_ms) > now_ms
+
+
 class FollowerChoice:
     """Choose two followers in each region, in two availability zones if it has them."""
 
--- a/tests/following_model.py
+++ b/tests/following_model.py
@@ -10,24 +10,31 @@
 from collections.abc import Callable, Sequence
 
 from gentianmill.confirmed import UNKNOWN_AGE_MS, Confirmed
-from gentianmill.followers import FollowerChoice
+from gentianmill.followers import FollowerChoice, SilentFollowers
 from gentianmill.node_table import NodeRecord
-from gentianmill.poll_turn import Freshness, PollTurn, TurnAction, TurnSettings
+from gentianmill.poll_turn import (
+    Freshness,
+    OpenPoll,
+    PollTurn,
+    TurnAction,
+    slot_wait_ms,
+    turns_within,
+)
 from node_records import node_record
 
 STEP_MS = 50
 POLL_WAIT_MS = 2500
 URGENT_AGE_MS = 1000
+POLL_MARGIN_MS = 1500
+"""Time after its wait in which a poll without an answer ends."""
+
 REGIONS = 3
 ZONES_PER_REGION = 3
 CALLS_PER_S = 10
-TURNS = TurnSettings(
-    confirm_within_ms=3000,
-    follower_pause_ms=0,
-    mismatch_ms=float('inf'),
-    max_mismatch_ms=float('inf'),
-)
-"""As in ``gentianmill_mesh.store_following``."""
+APPLY_MS = 2500
+"""The strictest bound of the deployments."""
+
+TURNS = turns_within(APPLY_MS)
 
 
 class ModelNode:
@@ -39,9 +46,14 @@
         self.confirmed = Confirmed()
         self.heard = Confirmed()
         self.choice = FollowerChoice(record.name)
+        self.silent = SilentFollowers()
         self.turn = PollTurn(TURNS, rng)
+        self.poll = OpenPoll(TURNS)
+        self.chosen: list[str] = []
+        self.asked: set[str] = set()
         self.poll_ends_ms: float | None = None
         self.is_follower = False
+        self.was_follower = False
         self.confirmed.confirm(0)
         self.heard.confirm(0)
 
@@ -67,6 +79,7 @@
         """Create nodes that know each other and have just read the rules."""
         self.rng = random.Random(seed)  # noqa: S311
         self.nodes = [ModelNode(_record(number), self.rng) for number in range(count)]
+        self._by_name = {node.record.name: node for node in self.nodes}
         self.faults = Faults()
         self.now_ms = 0.0
         self.store_calls = 0
@@ -94,42 +107,75 @@
                 self._record_ages()
 
     def _choose_followers(self) -> None:
-        records = [node.record for node in self.nodes]
-        by_name = {node.record.name: node for node in self.nodes}
         for node in self.nodes:
-            chosen = node.choice.followers(
-                node.record.region, records, self._reaches_from(node, by_name)
-            )
-            node.is_follower = node.record in chosen
-
-    def _reaches_from(
-        self, node: ModelNode, by_name: dict[str, ModelNode]
-    ) -> Callable[[NodeRecord], bool]:
-        return lambda other: self.faults.link(node, by_name[other.name])
+            self._choose_followers_of(node)
+
+    def _choose_followers_of(self, node: ModelNode) -> None:
+        records = [each.record for each in self.nodes]
+        chosen = node.choice.followers(
+            node.record.region, records, self._reaches_from(node)
+        )
+        node.is_follower = node.record in chosen
+        node.chosen = [record.name for record in chosen]
+
+    def _reaches_from(self, node: ModelNode) -> Callable[[NodeRecord], bool]:
+        return lambda other: (
+            self.faults.link(node, self._by_name[other.name])
+            and not node.silent.has(other.name, self.now_ms)
+        )
 
     def _step(self, node: ModelNode) -> None:
         if self.rng.random() < self._calls_per_step:
             self._hear(node, self.rng.choice(self.nodes))
         if node.poll_ends_ms is not None:
-            if self.now_ms >= node.poll_ends_ms:
-                self._end_poll(node)
+            self._wait_for_poll(node)
             return
         age_ms = node.heard.age_ms(self.now_ms)
         known = Freshness(age_ms, 0, node.is_follower)
         action = node.turn.decide(self.now_ms, known)
         if action is TurnAction.poll:
-            self.store_calls += 1
-            is_urgent = node.confirmed.age_ms(self.now_ms) > URGENT_AGE_MS
-            wait_ms = STEP_MS if is_urgent else POLL_WAIT_MS
-            node.poll_ends_ms = self.now_ms + wait_ms
+            self._poll(node)
+        elif action is TurnAction.replace_followers:
+            self._replace_followers(node)
+            self._ask_followers(node)
         elif action is TurnAction.ask_follower:
-            near = [
-                other
-                for other in self.followers
-                if other.record.region == node.record.region and other is not node
-            ]
-            if near:
-                self._hear(node, self.rng.choice(near))
+            self._ask_followers(node)
+
+    def _poll(self, node: ModelNode) -> None:
+        self.store_calls += 1
+        wait_ms = POLL_WAIT_MS
+        is_new = node.is_follower and not node.was_follower
+        node.was_follower = node.is_follower
+        if is_new or node.confirmed.age_ms(self.now_ms) > URGENT_AGE_MS:
+            wait_ms = STEP_MS
+        elif node.is_follower:
+            rank = node.chosen.index(node.record.name)
+            wait_ms = slot_wait_ms(self.now_ms, rank, len(node.chosen), POLL_WAIT_MS)
+        if node.record.name in self.faults.cut_from_store:
+            wait_ms += POLL_MARGIN_MS
+        node.poll_ends_ms = self.now_ms + wait_ms
+        node.poll.begin()
+
+    def _wait_for_poll(self, node: ModelNode) -> None:
+        if self.now_ms >= node.poll_ends_ms:
+            self._end_poll(node)
+            return
+        age_ms = node.confirmed.age_ms(self.now_ms)
+        action = node.poll.decide(self.now_ms, age_ms, node.turn.limit_ms)
+        if action is TurnAction.replace_followers:
+            self._replace_followers(node)
+        if action is not TurnAction.wait:
+            self._ask_followers(node)
+
+    def _replace_followers(self, node: ModelNode) -> None:
+        others = {name for name in node.chosen if name != node.record.name}
+        node.silent.mark(sorted(others & node.asked), self.now_ms)
+        self._choose_followers_of(node)
+
+    def _ask_followers(self, node: ModelNode) -> None:
+        node.asked = {name for name in node.chosen if name != node.record.name}
+        for name in node.asked:
+            self._hear(node, self._by_name[name])
 
     def _hear(self, node: ModelNode, other: ModelNode) -> None:
         if not self.faults.link(node, other):
--- a/tests/poll_turns.py
+++ b/tests/poll_turns.py
@@ -10,10 +10,9 @@
 class ImmediateTurns(PollTurns):
     """Let a node poll again after a short pause."""
 
-    @property
-    def is_urgent(self) -> bool:
+    def wait_ms(self, longest_ms: int) -> int:
         """Return that a poll may wait for a change."""
-        return False
+        return longest_ms
 
     async def until_due(self) -> None:
         """Pause."""
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -28,6 +28,8 @@
 CALLER_HOST = 'till.example'
 SERVICE = 'back'
 HEARTBEAT_S = 0.3
+APPLY_MS = 2500
+"""Time in which a change must be in force, the strictest of the deployments."""
 
 
 def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
@@ -108,6 +110,7 @@
             readiness_path='/ready',
             names=NAMES,
             stop_within_ms=5000,
+            config_apply_ms=APPLY_MS,
         )
         self._stores: list[Store] = []
         self._heartbeats: asyncio.Task[None] | None = None
@@ -175,6 +178,12 @@
         document = json.dumps(config(version, prefixes)).encode()
         self.store.put('op', 'config', document)
 
+    async def followers(self) -> list[FollowingNode]:
+        """Return the nodes that ask the store on behalf of others."""
+        return [
+            node for node in self.nodes if 'gentianmill_follower 1' in await _get(node)
+        ]
+
     def silence(self) -> None:
         """Make all open connections silent, to the store and between the nodes."""
         for node in self.nodes:
--- a/tests/test_following_model.py
+++ b/tests/test_following_model.py
@@ -1,7 +1,7 @@
 """Tests of how many calls the store gets, and how old what the nodes know becomes."""
 
 import pytest
-from following_model import POLL_WAIT_MS, TURNS, FollowingModel, quantile_ms
+from following_model import APPLY_MS, POLL_WAIT_MS, FollowingModel, quantile_ms
 from seeds import seeds
 
 SIZES = (30, 100, 300)
@@ -9,11 +9,9 @@
 FOLLOWERS = 6
 CALLS_PER_FOLLOWER = RUN_MS / POLL_WAIT_MS + 1
 
-MAX_AGE_MS = (
-    TURNS.confirm_within_ms + TURNS.peer_wait_ms + TURNS.spread_ms + POLL_WAIT_MS
-)
-"""A node that hears nothing knows the newest rules within this time: it waits for a
-confirmation, asks a follower, and polls."""
+MAX_AGE_MS = APPLY_MS
+"""A node that acts on rules must know that they were the newest within the bound on a
+change: it waits for a confirmation, asks a follower, and polls."""
 
 
 def _model(size: int, seed: int, calls_per_s: float = 10) -> FollowingModel:
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -32,10 +32,9 @@
 class _OneTurn(PollTurns):
     """Let a node poll only when it asks for it."""
 
-    @property
-    def is_urgent(self) -> bool:
+    def wait_ms(self, longest_ms: int) -> int:
         """Return that a poll may wait for a change."""
-        return False
+        return longest_ms
 
     async def until_due(self) -> None:
         """Wait for ever."""
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -11,7 +11,7 @@
 from gentianmill_mesh.store_following import StoreFollowing
 from mesh_deployment import JsonRules, rules_document
 from node_records import node_record
-from rules_deployment import RulesDeployment, rules_deployment
+from rules_deployment import APPLY_MS, RulesDeployment, rules_deployment
 
 APPLY_LIMIT_S = 9
 """A confirmed change is in force everywhere within this time (docs/CAPACITY.md)."""
@@ -40,14 +40,16 @@
         self.requests.append(request)
 
 
-def _following() -> tuple[StoreFollowing, ManualClock, NodeTable]:
+def _following(
+    links: _Links | None = None,
+) -> tuple[StoreFollowing, ManualClock, NodeTable]:
     clock = ManualClock(100_000)
     table = NodeTable()
     own = node_record('own')
     table.merge([own, node_record('other'), node_record('third')])
     holder = RulesHolder(JsonRules())
     holder.offer(rules_document(3), 'test')
-    return StoreFollowing(own, table, _Links(), holder, clock), clock, table
+    return StoreFollowing(own, table, links or _Links(), holder, clock), clock, table
 
 
 def _status(version: int, age_ms: int, digest: int = 0) -> FreshnessStatus:
@@ -167,6 +169,56 @@
     _run(scenario, 4)
 
 
+def test_change_is_in_force_in_time_while_both_followers_are_cut_off_the_store():
+    """Guards against nodes that wait for followers which hear nothing themselves.
+
+    The followers must have the change, too, as they reach nodes that know it.
+    """
+
+    async def scenario(deployment: RulesDeployment) -> None:
+        await asyncio.sleep(WARM_UP_S)
+        followers = await deployment.followers()
+        assert len(followers) == FOLLOWERS
+        for node in followers:
+            node.store_proxy.dropping = True
+        deployment.put(2)
+        await asyncio.wait_for(deployment.until_all(2), APPLY_MS / 1000)
+
+    _run(scenario, 5)
+
+
+def test_followers_without_news_are_replaced():
+    """Guards against nodes that ask the store one by one while followers hear nothing."""
+
+    async def scenario() -> None:
+        following, clock, table = _following()
+        table.merge([node_record(name) for name in ('fourth', 'fifth')])
+        following.rules_confirmed(clock.now_ms())
+        first = {record.name for record in following.chosen_followers}
+        clock.advance(3000)
+        following.ask_follower()
+        following.replace_followers(3000)
+        replaced = {record.name for record in following.chosen_followers}
+        assert not (first - {'own'}) & replaced
+
+    asyncio.run(scenario())
+
+
+def test_follower_whose_poll_gets_no_answer_asks_others():
+    """Guards against a node that is cut off the store and waits for the store alone."""
+
+    async def scenario() -> list[RulesRequest]:
+        links = _Links()
+        following, clock, _ = _following(links)
+        following.rules_confirmed(clock.now_ms())
+        clock.advance(9000)
+        following.check()
+        await asyncio.sleep(0)
+        return links.requests
+
+    assert asyncio.run(scenario())
+
+
 def test_invalid_rules_are_no_confirmation_of_older_ones_elsewhere():
     """Guards against an invalid version that keeps nodes from a later valid one."""
 
