--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -11,10 +11,9 @@
 class PollTurns(abc.ABC):
     """Decides when a platform's store is polled, as nodes follow it together."""
 
-    @property
     @abc.abstractmethod
-    def is_urgent(self) -> bool:
-        """Return whether the next poll should be answered without waiting for a change."""
+    def wait_ms(self, longest_ms: int) -> int:
+        """Return how long the next poll should wait for a change, at most a given time."""
 
     @abc.abstractmethod
     async def until_due(self) -> None:
@@ -85,6 +84,17 @@
             A future that is done when this record or a later one is stored.
         """
 
+    @abc.abstractmethod
+    def own_record_seen(self, record: NodeRecord) -> None:
+        """Check a record of this node that another node has passed on.
+
+        If an earlier process of this node has replaced what this one stored, it is
+        stored again.
+
+        Args:
+            record: The record, with the registry's version of it.
+        """
+
     @abc.abstractmethod
     def refresh(self) -> None:
         """Abandon the current wait for records and ask again, on a new connection."""
