--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -1,13 +1,11 @@
 """Sends a request to a node of its service, with retries and hedges on other nodes."""
 
 import asyncio
-import dataclasses
 import random
 from collections.abc import Coroutine
 
 from gentianmill.admission_share import ShareTable
 from gentianmill.arrivals import Cause
-from gentianmill.call_tree import CallOrigin
 from gentianmill.clock import Clock
 from gentianmill.hedge import HedgePolicy
 from gentianmill.node_table import NodeRecord, NodeTable
@@ -16,16 +14,15 @@
 from gentianmill.retry import RetryThrottle
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.retry_budget import RetryBudgetSettings
-from gentianmill.route_rules import RouteRule
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.hedge_race import HedgeRace
 from gentianmill_mesh.http_message import (
     FIRST_SERVER_ERROR,
     HttpResponse,
-    HttpRequest,
 )
 from gentianmill_mesh.relay_link import RelayReply
 from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_mesh.request_progress import RequestProgress
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS
 from gentianmill_mesh.upstream_guard import (
     CRASH_SUSPECT,
@@ -36,6 +33,8 @@
 )
 from gentianmill_node.logs import component
 
+__all__ = ('Dispatcher', 'RequestProgress')
+
 MAX_REDIRECTS = 4
 """Nodes that may refuse a call before its caller is asked to retry later."""
 
@@ -58,45 +57,11 @@
 UNRELATED_TO_NODE = frozenset(('overloaded', 'deadline', CRASH_SUSPECT, RETRY_BUDGET))
 """Refusals after which the next call may go to the same node at once."""
 
-FAILED_AT_SERVICE = frozenset(('overloaded', RETRY_BUDGET)) | REFUSED_BY_UPSTREAM
-"""Refusals that a call from another node would get as well."""
-
 MS_PER_S = 1000
 
 log = component('entry')
 
 
-@dataclasses.dataclass(slots=True)
-class RequestProgress:
-    """A request in progress and the nodes that were tried for it."""
-
-    request: HttpRequest
-    request_id: str
-    rule: RouteRule
-    service: str
-    origin: CallOrigin
-    deadline_ms: float
-    tried: set[str] = dataclasses.field(default_factory=set)
-    runs: int = 0
-    """Upstreams that may have run the request."""
-
-    rejections: int = 0
-    """Upstreams that received the request and did not run it."""
-
-    reason: str = 'no_node'
-    """Why there is no response yet."""
-
-    @property
-    def failed_at_service(self) -> bool:
-        """Return whether the service failed the request, not the path to the service."""
-        return bool(self.runs) or self.reason in FAILED_AT_SERVICE
-
-    @property
-    def sends_left(self) -> int:
-        """Return how many more upstreams the request may be sent to by its rule."""
-        return self.rule.max_attempts - self.runs - self.rejections
-
-
 class Dispatcher:
     """Run requests on nodes of their service."""
 
@@ -127,7 +92,8 @@
         self._links = links
         self._shares = shares
         self._clock = clock
-        self._placement = Placement(own.zone, own.region, random.Random())  # noqa: S311
+        self._rng = random.Random()  # noqa: S311
+        self._placement = Placement(own.zone, own.region, self._rng)
         self._hedges = HedgePolicy()
         self._throttles: dict[str, RetryThrottle] = {}
         self._retry_ratio = budget.ratio
@@ -144,7 +110,7 @@
         if self._guard.crashes.refuses(self._own.service, progress.request):
             progress.reason = CRASH_SUSPECT
             return None
-        while node := self._choose(progress):
+        while node := await self._next_node(progress):
             reply = await self._call_hedged(progress, node)
             if reply.response is not None:
                 if response is not None:
@@ -172,6 +138,26 @@
             now_ms
         )
 
+    async def _next_node(self, progress: RequestProgress) -> NodeRecord | None:
+        """Return the node for the next attempt, after a pause if it was rejected before.
+
+        A call of a running tree goes to the nodes that rejected it again, once all others
+        were tried.
+        """
+        if not progress.was_rejected:
+            return self._choose(progress)
+        retry = progress.retry
+        node = None if retry.is_round_over else self._choose(progress)
+        if node is None:
+            progress.tried -= retry.retry_nodes
+            if not (progress.origin.is_inner and retry.begin_round()):
+                return None
+        pause_ms = retry.pause_ms(self._rng)
+        if pause_ms:
+            await asyncio.sleep(pause_ms / MS_PER_S)
+        is_late = _is_late(progress, self._clock.now_ms())
+        return None if is_late else self._choose(progress)
+
     def _choose(self, progress: RequestProgress) -> NodeRecord | None:
         return self._placement.choose(
             self._candidates(progress.service),
@@ -238,8 +224,8 @@
         duplicate_cause: Cause = Cause.retry,
     ) -> GuardReply:
         progress.tried.add(node.name)
-        was_sent = progress.runs or progress.rejections
-        cause = duplicate_cause if was_sent else progress.origin.cause
+        cause = duplicate_cause if progress.was_sent else progress.origin.cause
+        is_throttled = cause.is_duplicate and not progress.was_rejected
         progress.runs += 1
         started_ms = self._clock.now_ms()
         self._placement.record_start(node.name)
@@ -248,20 +234,21 @@
         except asyncio.CancelledError:
             spent_ms = self._clock.now_ms() - started_ms
             self._placement.record_cancelled(node.name, progress.rule.name, spent_ms)
-            self._count_retry(progress, cause)
+            self._count_retry(progress, is_throttled)
             raise
         finally:
             self._placement.record_end(node.name)
         if relayed.reply.outcome is Outcome.not_run:
             progress.runs -= 1
-            progress.rejections += _reached_upstream(relayed.reply)
+            _record_refusal(progress, node, relayed.reply)
         if _may_have_arrived(relayed.reply):
-            self._count_retry(progress, cause)
+            self._count_retry(progress, is_throttled)
         self._record_reply(progress, node, relayed, started_ms)
         return relayed.reply
 
-    def _count_retry(self, progress: RequestProgress, cause: Cause) -> None:
-        if cause.is_duplicate:
+    def _count_retry(self, progress: RequestProgress, is_throttled: bool) -> None:
+        # Retries after rejections are bounded by the guards alone.
+        if is_throttled:
             self._throttle(progress.service).on_retry(self._clock.now_ms())
 
     async def _send(self, node: NodeRecord, call: GuardCall) -> RelayReply:
@@ -276,20 +263,13 @@
             request=progress.request,
             deadline_ms=progress.deadline_ms,
             rank=progress.origin.rank,
-            max_wait_ms=self._max_wait_ms(progress),
+            max_wait_ms=_max_wait_ms(progress, self._clock.now_ms()),
             repeatable=progress.rule.repeatable,
             caller_service=self._own.service,
             route=progress.rule.name,
             cause=cause,
         )
 
-    def _max_wait_ms(self, progress: RequestProgress) -> float:
-        left_ms = max(progress.deadline_ms - self._clock.now_ms(), 0)
-        if progress.origin.is_inner:
-            return left_ms
-        target_ms = progress.rule.target_latency_ms or left_ms
-        return min(target_ms, left_ms) * QUEUE_WAIT_SHARE
-
     def _record_load(
         self, progress: RequestProgress, node: NodeRecord, load: GuardLoad
     ) -> None:
@@ -349,16 +329,37 @@
     def _may_try_next(self, progress: RequestProgress, reply: GuardReply) -> bool:
         if reply.response is not None and not _failed_at_upstream(reply):
             return False
-        is_late = self._clock.now_ms() >= progress.deadline_ms - LATE_MARGIN_MS
-        if is_late or reply.reason == CRASH_SUSPECT:
+        if _is_late(progress, self._clock.now_ms()) or reply.reason == CRASH_SUSPECT:
             return False
+        if _reached_upstream(reply):
+            return progress.retry.may_retry(is_inner=progress.origin.is_inner)
         if not _may_have_arrived(reply):
-            return len(progress.tried) <= MAX_REDIRECTS
-        if reply.outcome is not Outcome.not_run and not progress.rule.repeatable:
-            return False
-        if progress.sends_left <= 0:
+            return progress.redirects <= MAX_REDIRECTS
+        if not progress.rule.repeatable or progress.sends_left <= 0:
             return False
-        return self._throttle(progress.service).permits(self._clock.now_ms())
+        throttle = self._throttle(progress.service)
+        return progress.was_rejected or throttle.permits(self._clock.now_ms())
+
+
+def _record_refusal(
+    progress: RequestProgress, node: NodeRecord, reply: GuardReply
+) -> None:
+    if _reached_upstream(reply):
+        progress.retry.on_rejection(node.name)
+    elif reply.reason == RETRY_BUDGET and progress.was_rejected:
+        progress.retry.on_budget_refusal(node.name)
+
+
+def _is_late(progress: RequestProgress, now_ms: float) -> bool:
+    return now_ms >= progress.deadline_ms - LATE_MARGIN_MS
+
+
+def _max_wait_ms(progress: RequestProgress, now_ms: float) -> float:
+    left_ms = max(progress.deadline_ms - now_ms, 0)
+    if progress.origin.is_inner:
+        return left_ms
+    target_ms = progress.rule.target_latency_ms or left_ms
+    return min(target_ms, left_ms) * QUEUE_WAIT_SHARE
 
 
 def _is_failure(response: HttpResponse | None) -> bool:
--- /dev/null
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_progress.py
@@ -0,0 +1,61 @@
+"""A request in progress, and what became of its attempts so far."""
+
+import dataclasses
+
+from gentianmill.call_tree import CallOrigin
+from gentianmill.rejection_retry import RejectionRetry
+from gentianmill.route_rules import RouteRule
+from gentianmill_mesh.http_message import HttpRequest
+from gentianmill_mesh.upstream_guard import REFUSED_BY_UPSTREAM, RETRY_BUDGET
+
+FAILED_AT_SERVICE = frozenset(('overloaded', RETRY_BUDGET)) | REFUSED_BY_UPSTREAM
+"""Refusals that a call from another node would get as well."""
+
+
+@dataclasses.dataclass(slots=True)
+class RequestProgress:
+    """A request in progress and the nodes that were tried for it."""
+
+    request: HttpRequest
+    request_id: str
+    rule: RouteRule
+    service: str
+    origin: CallOrigin
+    deadline_ms: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    runs: int = 0
+    """Upstreams that may have run the request."""
+
+    retry: RejectionRetry = dataclasses.field(default_factory=RejectionRetry)
+    """Upstreams that received the request and did not run it."""
+
+    reason: str = 'no_node'
+    """Why there is no response yet."""
+
+    @property
+    def was_rejected(self) -> bool:
+        """Return whether an upstream has rejected the request."""
+        return bool(self.retry.rejections)
+
+    @property
+    def was_sent(self) -> bool:
+        """Return whether an upstream may have received the request."""
+        return bool(self.runs) or self.was_rejected
+
+    @property
+    def failed_at_service(self) -> bool:
+        """Return whether the service failed the request, not the path to the service."""
+        return bool(self.runs) or self.reason in FAILED_AT_SERVICE
+
+    @property
+    def redirects(self) -> int:
+        """Return the nodes that were tried, without those that may be tried again."""
+        return len(self.tried - self.retry.retry_nodes)
+
+    @property
+    def sends_left(self) -> int:
+        """Return how many more upstreams may run the request by its rule.
+
+        An upstream that rejected it has not run it, and does not count.
+        """
+        return self.rule.max_attempts - self.runs
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -39,6 +39,10 @@
 SUSPECT = GuardReply.not_run(CRASH_SUSPECT)
 
 
+def _rejections(count: int) -> list[GuardReply]:
+    return [FULL for _ in range(count)]
+
+
 def _node(name: str) -> NodeRecord:
     return node_record(name, service='back', slots=50)
 
@@ -91,13 +95,15 @@
     )
 
 
-def _attempt(*, repeatable: bool, left_ms: float = 2000) -> RequestProgress:
+def _attempt(
+    *, repeatable: bool, left_ms: float = 2000, parent_route: str | None = None
+) -> RequestProgress:
     return RequestProgress(
         request=HttpRequest('GET', b'/', [], b''),
         request_id='1',
         rule=_rule(repeatable=repeatable),
         service='back',
-        origin=CallOrigin(0, None),
+        origin=CallOrigin(0, parent_route),
         deadline_ms=MonotonicClock().now_ms() + left_ms,
     )
 
@@ -109,6 +115,7 @@
     warm_calls: int = WARM_CALLS,
     left_ms: float = 2000,
     before: Sequence[Sequence[GuardReply]] = (),
+    parent_route: str | None = None,
 ) -> tuple[HttpResponse | None, int, RequestProgress]:
     """Return the response, the number of nodes called and the attempt.
 
@@ -118,6 +125,7 @@
         warm_calls: Successful calls made first.
         left_ms: Time until the deadline.
         before: Scripts of earlier calls.
+        parent_route: Route of the running request that makes the call, if any.
     """
 
     async def scenario() -> tuple[HttpResponse | None, int, RequestProgress]:
@@ -140,7 +148,9 @@
             await dispatcher.run(_attempt(repeatable=True))
         links.sent.clear()
         links.script = list(script)
-        attempt = _attempt(repeatable=repeatable, left_ms=left_ms)
+        attempt = _attempt(
+            repeatable=repeatable, left_ms=left_ms, parent_route=parent_route
+        )
         response = await dispatcher.run(attempt)
         return response, len(set(links.sent)), attempt
 
@@ -217,3 +227,54 @@
     """Guards against a request that crashes the upstream of each further node."""
     response, sends, attempt = _run([SUSPECT], repeatable=True)
     assert (response, sends, attempt.runs) == (None, 1, 0)
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+def test_rejected_call_of_a_tree_is_sent_until_it_is_taken(repeatable: bool):
+    """Guards against a tree whose finished work is lost since two upstreams rejected.
+
+    The sender has earned no retries, and each of the three upstreams rejects twice.
+    """
+    response, sends, attempt = _run(
+        _rejections(6), repeatable=repeatable, warm_calls=0, parent_route='parent'
+    )
+    assert (response.status, sends) == (200, 3)
+    assert attempt.retry.rejections == 6
+
+
+def test_rejected_payment_that_may_have_run_is_never_sent_again():
+    """Guards against paying twice when a retry after a rejection is lost."""
+    response, _, attempt = _run([FULL, LOST], repeatable=False, parent_route='parent')
+    assert (response, attempt.runs) == (None, 1)
+
+
+def test_rejections_do_not_use_up_the_attempts_of_the_route():
+    """Guards against a read that is not repeated after a loss, as it was rejected."""
+    script = [FULL, LOST, FULL, LOST, LOST]
+    response, _, attempt = _run(script, repeatable=True, parent_route='parent')
+    assert (response, attempt.runs) == (None, 2)
+
+
+def test_rejected_call_ends_at_its_deadline():
+    """Guards against retries of a call whose request nobody waits for."""
+    response, _, attempt = _run(
+        _rejections(10_000), repeatable=True, left_ms=100, parent_route='parent'
+    )
+    assert (response, attempt.runs) == (None, 0)
+    assert attempt.retry.rejections < 100
+
+
+def test_rejected_call_ends_when_the_guards_have_no_budget():
+    """Guards against asking guards until the deadline for a budget that is used up."""
+    script = [FULL, *(NO_BUDGET for _ in range(10_000))]
+    response, _, attempt = _run(
+        script, repeatable=True, left_ms=60_000, parent_route='parent'
+    )
+    assert (response, attempt.reason) == (None, RETRY_BUDGET)
+
+
+def test_new_request_that_all_upstreams_reject_is_returned():
+    """Guards against a new request that goes round while it could be refused."""
+    response, sends, attempt = _run(_rejections(10), repeatable=True)
+    assert (response, sends, attempt.runs) == (None, 3, 0)
+    assert attempt.retry.rejections == 3
