--- a/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
@@ -36,6 +36,11 @@
         """Return how many duplicate attempts the budget admits now."""
         return self._budget.credit(self._clock.now_ms())
 
+    @property
+    def earned_per_s(self) -> float:
+        """Return how many duplicate attempts are earned in a second now."""
+        return self._budget.earned_per_s(self._clock.now_ms())
+
     def share_slack(self, guards: int) -> None:
         """Set the number of guards of the service, which share the slack."""
         self._budget.share_slack(guards)
--- a/packages/gentianmill/src/gentianmill/retry_budget.py
+++ b/packages/gentianmill/src/gentianmill/retry_budget.py
@@ -6,6 +6,13 @@
 attempts of that window, and of the short time before it, have earned there. These
 bounds add up: all guards of a service together stay within the same ratio, however
 load is distributed or moves among them, and without messages between them.
+
+A part of it may be earned a window later instead. When entries refuse call trees, since
+a service rejects their calls, its first attempts drop and would take with them the
+retries that complete the admitted trees. The split is fixed: a guard's duplicates are
+at most ratio x (a x its first attempts of this window + (1 - a) x those of the previous
+one). Summed over guards, that is at most ratio x the larger of the service's two counts.
+A guard that took the larger of its own two counts would break this when load moves.
 """
 
 import dataclasses
@@ -42,6 +49,8 @@
 ORDINARY_RESERVED_SHARE = 0.03
 """Further fraction that ordinary work leaves to the most important priority."""
 
+MS_PER_S = 1000
+
 EXPIRY_SLOTS = 10
 """Steps in which earned credit expires; a tenth of the time for which it is kept is a
 hundredth of the window."""
@@ -58,6 +67,9 @@
     slack: float = 0
     """Further duplicate attempts permitted in a window."""
 
+    previous_share: float = 0
+    """Part of the credit that is earned one window after a first attempt."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Slot:
@@ -75,11 +87,16 @@
             settings: The bound for the service.
         """
         self._settings = settings
-        self._credit_per_attempt = settings.ratio * EARNED_SHARE
+        earned = settings.ratio * EARNED_SHARE
+        self._earned_at_once = earned * (1 - settings.previous_share)
+        self._earned_later = earned * settings.previous_share
         self._credit_lifetime_ms = settings.window_ms * CREDIT_LIFETIME_SHARE
         self._slack: float | None = None
         self._slots: deque[_Slot] = deque()
+        self._delayed: deque[_Slot] = deque()
+        self._matured: deque[_Slot] = deque()
         self._first_attempts = 0
+        self._matured_attempts = 0
         self._credit = float(0)
         self._updated_ms: float | None = None
 
@@ -95,6 +112,11 @@
         self._update(now_ms)
         return self._credit
 
+    def earned_per_s(self, now_ms: float) -> float:
+        """Return the duplicate attempts that are earned in a second now."""
+        self._update(now_ms)
+        return self._earned_credit / self._credit_lifetime_ms * MS_PER_S
+
     def permits(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
         """Return whether an attempt is a first one or within the budget.
 
@@ -130,16 +152,27 @@
     @property
     def _max_credit(self) -> float:
         """Return the credit earned by the first attempts still kept, plus the slack."""
-        return self._first_attempts * self._credit_per_attempt + (self._slack or 0)
+        return self._earned_credit + (self._slack or 0)
+
+    @property
+    def _earned_credit(self) -> float:
+        at_once = self._first_attempts * self._earned_at_once
+        return at_once + self._matured_attempts * self._earned_later
+
+    @property
+    def _step_ms(self) -> float:
+        return self._credit_lifetime_ms / EXPIRY_SLOTS
 
     def _add_credit(self, now_ms: float) -> None:
         self._update(now_ms)
-        step_ms = self._credit_lifetime_ms / EXPIRY_SLOTS
-        if not self._slots or now_ms - self._slots[-1].start_ms >= step_ms:
-            self._slots.append(_Slot(now_ms))
+        if not self._slots or now_ms - self._slots[-1].start_ms >= self._step_ms:
+            slot = _Slot(now_ms)
+            self._slots.append(slot)
+            if self._earned_later:
+                self._delayed.append(slot)
         self._slots[-1].first_attempts += 1
         self._first_attempts += 1
-        self._credit += self._credit_per_attempt
+        self._credit += self._earned_at_once
 
     def _update(self, now_ms: float) -> None:
         """Refill the slack, and drop credit that has expired."""
@@ -151,4 +184,19 @@
             self._slots and self._slots[0].start_ms < now_ms - self._credit_lifetime_ms
         ):
             self._first_attempts -= self._slots.popleft().first_attempts
+        self._mature(now_ms - self._settings.window_ms)
         self._credit = min(self._credit, self._max_credit)
+
+    def _mature(self, past_ms: float) -> None:
+        """Add the delayed credit of one window ago, and drop what has expired of it.
+
+        A slot counts when its last first attempt is a whole window old.
+        """
+        while self._delayed and self._delayed[0].start_ms + self._step_ms <= past_ms:
+            slot = self._delayed.popleft()
+            self._matured.append(slot)
+            self._matured_attempts += slot.first_attempts
+            self._credit += slot.first_attempts * self._earned_later
+        expired_ms = past_ms - self._credit_lifetime_ms
+        while self._matured and self._matured[0].start_ms < expired_ms:
+            self._matured_attempts -= self._matured.popleft().first_attempts
--- a/tests/test_retry_budget_credit.py
+++ b/tests/test_retry_budget_credit.py
@@ -1,6 +1,7 @@
 """Tests of the budget for retries and hedges that a guard keeps."""
 
 import bisect
+import dataclasses
 import random
 
 import pytest
@@ -10,6 +11,9 @@
 from hypothesis import strategies as st
 
 SETTINGS = RetryBudgetSettings(ratio=0.2, window_ms=10_000, slack=0)
+SPLIT_SETTINGS = RetryBudgetSettings(
+    ratio=0.2, window_ms=10_000, slack=0, previous_share=0.4
+)
 STEP_MS = 10
 """Time between two requests of a steady load."""
 
@@ -31,6 +35,13 @@
     return bisect.bisect_right(times, end_ms) - bisect.bisect_left(times, start_ms)
 
 
+def _allowed_by_two_windows(first_attempts: list[float], end_ms: float) -> float:
+    """Return the duplicates that the first attempts of two windows permit until a time."""
+    current = _count_in_longer_window(first_attempts, end_ms)
+    previous = _count_in_longer_window(first_attempts, end_ms - SETTINGS.window_ms)
+    return max(current, previous) * SETTINGS.ratio
+
+
 @given(
     st.lists(
         st.tuples(st.floats(0, 600), st.sampled_from([*Cause, Cause.first])),
@@ -53,6 +64,65 @@
         assert _count_in_window(duplicates, start_ms) <= allowed
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 600),
+            st.integers(0, 2),
+            st.sampled_from([Cause.first, Cause.first, Cause.inherited]),
+            st.integers(1, 30),
+        ),
+        min_size=100,
+        max_size=300,
+    ),
+    st.sampled_from([0.1, 0.4, 0.5, 1]),
+)
+def test_guards_that_count_two_windows_stay_within_the_larger_one(
+    bursts: list[tuple[float, int, Cause, int]], previous_share: float
+):
+    """Guards against load that earns both where it was and where it moved to."""
+    settings = dataclasses.replace(SETTINGS, previous_share=previous_share)
+    budgets = [RetryBudget(settings) for _ in range(3)]
+    now_ms = 0.0
+    first_attempts: list[float] = []
+    duplicates: list[float] = []
+    for pause_ms, number, cause, count in bursts:
+        now_ms += pause_ms
+        if cause is Cause.first:
+            first_attempts.extend(now_ms for _ in range(count))
+            sum(budgets[number].admit(cause, now_ms) for _ in range(count))
+            continue
+        for budget in budgets:
+            while budget.admit(cause, now_ms):
+                duplicates.append(now_ms)
+    for last_ms in set(duplicates):
+        start_ms = last_ms - SETTINGS.window_ms + 1e-3
+        allowed = _allowed_by_two_windows(first_attempts, last_ms)
+        assert _count_in_window(duplicates, start_ms) <= allowed + 1e-6
+
+
+def test_earlier_load_permits_retries_after_a_sudden_drop():
+    """Guards against refusing trees at the entry and with them the budget of the rest."""
+    budget = RetryBudget(SPLIT_SETTINGS)
+    for now_ms in range(0, 20_000, STEP_MS):
+        budget.admit(Cause.first, now_ms)
+    admitted = sum(
+        budget.admit(Cause.retry, now_ms) for now_ms in range(22_000, 28_000, STEP_MS)
+    )
+    earlier = 6000 / STEP_MS * SETTINGS.ratio * SPLIT_SETTINGS.previous_share
+    assert 0.7 * earlier < admitted < earlier
+
+
+def test_steady_load_earns_the_same_with_and_without_the_split():
+    """Guards against fewer retries on days without rejections."""
+    budgets = [RetryBudget(settings) for settings in (SETTINGS, SPLIT_SETTINGS)]
+    for budget in budgets:
+        for now_ms in range(0, 20_000, STEP_MS):
+            budget.admit(Cause.first, now_ms)
+    plain, split = (budget.earned_per_s(20_000) for budget in budgets)
+    assert split == pytest.approx(plain, rel=0.11)
+
+
 def test_calls_of_running_duplicates_are_refused_last():
     """Guards against hedges that use up the credit for calls of running retries."""
     budget = RetryBudget(SETTINGS)
@@ -104,13 +174,15 @@
     assert len(duplicates) > allowed
 
 
-def _simulate_moving_load(upstreams: int, rng: random.Random) -> list[float]:
+def _simulate_moving_load(
+    upstreams: int, rng: random.Random, settings: RetryBudgetSettings = SETTINGS
+) -> list[float]:
     """Return the times of admitted duplicates while load moves between upstreams.
 
     A steady load moves to another upstream every few seconds. Duplicate attempts come
     in bursts, as many as all upstreams together admit.
     """
-    budgets = [RetryBudget(SETTINGS) for _ in range(upstreams)]
+    budgets = [RetryBudget(settings) for _ in range(upstreams)]
     duplicates: list[float] = []
     active, moves_ms, fails_until_ms = 0, 0.0, 0.0
     for now_ms in range(0, RUN_MS, STEP_MS):
@@ -127,13 +199,14 @@
     return duplicates
 
 
+@pytest.mark.parametrize('settings', [SETTINGS, SPLIT_SETTINGS])
 @pytest.mark.parametrize('upstreams', [1, 2, 5])
 @pytest.mark.parametrize('seed', range(5))
 def test_duplicates_before_load_moves_count_at_its_new_upstream(
-    upstreams: int, seed: int
+    upstreams: int, seed: int, settings: RetryBudgetSettings
 ):
     """Guards against credit that is spent both where load leaves and where it goes."""
-    duplicates = _simulate_moving_load(upstreams, random.Random(seed))
+    duplicates = _simulate_moving_load(upstreams, random.Random(seed), settings)
     allowed = SETTINGS.window_ms / STEP_MS * SETTINGS.ratio
     assert (
         max(_count_in_window(duplicates, start_ms) for start_ms in duplicates)
