--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -237,6 +237,7 @@
             rules_age_ms=status.rules_age_ms,
             nodes_digest=status.nodes_digest,
             nodes_age_ms=status.nodes_age_ms,
+            calls=reply.calls,
         )
 
     def _compact(
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -6,6 +6,7 @@
 
 from gentianmill.admission_share import ShareTable
 from gentianmill.arrivals import Cause
+from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
 from gentianmill.hedge import HedgePolicy
 from gentianmill.node_table import NodeRecord, NodeTable
@@ -106,6 +107,7 @@
         """
         if not progress.origin.cause.is_duplicate:
             self._throttle(progress.service).on_call(self._clock.now_ms())
+        _count_call(self._guard.tree, progress)
         response: HttpResponse | None = None
         if self._guard.crashes.refuses(self._own.service, progress.request):
             progress.reason = CRASH_SUSPECT
@@ -277,6 +279,7 @@
         calls = load.running + load.queued
         self._placement.record_load(node.name, calls, load.limit, now_ms)
         self._shares.record(progress.rule.name, load.shares, now_ms)
+        self._shares.record_trees(load.tree_shares, now_ms)
         if progress.origin.parent_route is not None:
             self._shares.add_downstream(progress.origin.parent_route, load.shares)
 
@@ -303,6 +306,7 @@
                 node.name, progress.rule.name, latency_ms, len(response.body)
             )
             self._hedges.observe(progress.rule.name, latency_ms)
+            self._guard.tree.costs.learn(progress.rule.name, relayed.reply.calls)
 
     def _record_failure(
         self,
@@ -350,6 +354,11 @@
         progress.retry.on_budget_refusal(node.name)
 
 
+def _count_call(tree: CallTree, progress: RequestProgress) -> None:
+    if progress.origin.is_inner:
+        tree.add_call(progress.request_id, progress.service, progress.rule.name)
+
+
 def _is_late(progress: RequestProgress, now_ms: float) -> bool:
     return now_ms >= progress.deadline_ms - LATE_MARGIN_MS
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
@@ -1,24 +1,37 @@
 """Decides at the entry whether to admit a new request."""
 
 import random
+from collections.abc import Mapping
 
 from gentianmill.admission_share import ShareTable, admits
 from gentianmill.clock import Clock
 from gentianmill.route_rules import RouteRule, RuleSet
+from gentianmill.tree_budget import TreeBudget
+from gentianmill.tree_costs import TreeCosts
+from gentianmill_node.logs import component
 
 RETURN_SHARE = 0.97
 """A caller whose time left is below this part of the longest one seen on the route is
 treated as one that was refused before and retries."""
 
 
+OVERLOADED_BELOW = 'overloaded_below'
+REJECTED_BELOW = 'rejected_below'
+"""Refusal while a service below rejects calls, and its retry budget is promised to other
+requests."""
+
+log = component('entry')
+
+
 class EntryAdmission:
-    """Admit the share of new requests that the downstream services can accept."""
+    """Admit the new requests that the downstream services can accept and complete."""
 
-    def __init__(self, shares: ShareTable, clock: Clock) -> None:
+    def __init__(self, shares: ShareTable, costs: TreeCosts, clock: Clock) -> None:
         """Create an admission that admits all requests.
 
         Args:
             shares: Shares of new requests that services can admit.
+            costs: Calls that the trees of each route make.
             clock: Clock of the node.
         """
         self._shares = shares
@@ -26,6 +39,10 @@
         self._rng = random.Random()  # noqa: S311
         self._longest_time_left_ms: dict[str, float] = {}
         self._importance: dict[int, float] = {}
+        self._costs = costs
+        self._trees = TreeBudget(self._rng)
+        self._routes: list[RouteRule] = []
+        self._rejecting: set[str] = set()
 
     def set_rules(self, rules: RuleSet) -> None:
         """Apply the priorities of new rules.
@@ -33,6 +50,7 @@
         Args:
             rules: The rules in force.
         """
+        self._routes = rules.rules
         priorities = sorted({rule.priority for rule in rules.rules}, reverse=True)
         steps = max(len(priorities) - 1, 1)
         self._importance = {
@@ -41,7 +59,59 @@
 
     def share(self, rule: RouteRule) -> float:
         """Return the share of new requests of a route that can be admitted."""
-        return self._shares.share(rule.name, self._clock.now_ms())
+        load_share = self._shares.share(rule.name, self._clock.now_ms())
+        return min(load_share, self._trees.part(rule.name))
+
+    @property
+    def rejecting(self) -> set[str]:
+        """Return the services below that rejected calls at the last request."""
+        return self._rejecting
+
+    def refusal(self, rule: RouteRule, time_left_ms: float | None) -> str:
+        """Return why a new request is refused, or an empty text if it is admitted.
+
+        Args:
+            rule: Its route.
+            time_left_ms: Time for which its caller still waits, or None if unknown.
+        """
+        if not self._admits_tree(rule):
+            return REJECTED_BELOW
+        return '' if self.admits(rule, time_left_ms) else OVERLOADED_BELOW
+
+    def _admits_tree(self, rule: RouteRule) -> bool:
+        now_ms = self._clock.now_ms()
+        shares = self._shares.tree_shares(now_ms)
+        self._note_rejecting(shares)
+        admitted = self._trees.admits(
+            rule.name, rule.priority, shares, self._calls_to, now_ms
+        )
+        for service, share in shares.items():
+            if self._is_uncounted(rule, service) and self._rng.random() >= share:
+                return False
+        return admitted
+
+    def _note_rejecting(self, shares: Mapping[str, float]) -> None:
+        if shares.keys() == self._rejecting:
+            return
+        self._rejecting = set(shares)
+        log.info(
+            'Services that reject calls.',
+            shares={name: round(share, 3) for name, share in shares.items()},
+        )
+
+    def _calls_to(self, service: str) -> dict[str, float]:
+        """Return the calls that a tree of each route makes to a service."""
+        return {
+            rule.name: self._costs.calls(rule.name).get(service, 0)
+            + _direct_part(rule, service)
+            for rule in self._routes
+        }
+
+    def _is_uncounted(self, rule: RouteRule, service: str) -> bool:
+        """Return whether a route calls a service, and its calls are not known yet."""
+        if self._costs.calls(rule.name) or _direct_part(rule, service):
+            return False
+        return self._shares.is_downstream(rule.name, service)
 
     def admits(self, rule: RouteRule, time_left_ms: float | None) -> bool:
         """Return whether to admit a new request.
@@ -53,7 +123,7 @@
             rule: Its route.
             time_left_ms: Time for which its caller still waits, or None if unknown.
         """
-        share = self.share(rule)
+        share = self._shares.share(rule.name, self._clock.now_ms())
         returning = self._is_returning(rule, time_left_ms)
         importance = self._importance.get(rule.priority, 0)
         if not rule.repeatable:
@@ -66,3 +136,14 @@
         longest_ms = max(self._longest_time_left_ms.get(rule.name, 0), time_left_ms)
         self._longest_time_left_ms[rule.name] = longest_ms
         return time_left_ms < longest_ms * RETURN_SHARE
+
+
+def _direct_part(rule: RouteRule, service: str) -> float:
+    """Return the part of a route's requests that a service runs itself."""
+    total = sum(destination.weight for destination in rule.destinations)
+    direct = sum(
+        destination.weight
+        for destination in rule.destinations
+        if destination.service == service
+    )
+    return direct / total if total else 0
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -8,7 +8,7 @@
 from gentianmill.return_time import MIN_PAUSE_MS, return_after_ms
 from gentianmill.route_rules import RequestLimits, RouteRule, SplitCounter
 from gentianmill_mesh.dispatcher import RequestProgress, Dispatcher
-from gentianmill_mesh.entry_admission import EntryAdmission
+from gentianmill_mesh.entry_admission import REJECTED_BELOW, EntryAdmission
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.rules_holder import RulesHolder
@@ -140,11 +140,13 @@
         if len(caller.request.body) > rules.limits.body_bytes:
             return HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n')
         origin = self._guard.tree.origin(caller.request_id, rule.priority)
-        if not origin.is_inner and not self._admission.admits(
-            rule, caller.time_left_ms
-        ):
-            share = self._admission.share(rule)
-            return self._refusal(caller, 'overloaded_below', share)
+        reason = (
+            ''
+            if origin.is_inner
+            else self._admission.refusal(rule, caller.time_left_ms)
+        )
+        if reason:
+            return self._refusal(caller, reason, self._admission.share(rule))
         progress = RequestProgress(
             request=caller.request,
             request_id=caller.request_id,
@@ -181,6 +183,9 @@
             return_after_ms=round(retry_after_ms),
         )
         self._metrics.on_decision('refused', reason)
+        if reason == REJECTED_BELOW:
+            for service in self._admission.rejecting:
+                self._metrics.on_decision('refused_below', service)
         retry_after_s = b'%.2f' % (retry_after_ms / MS_PER_S)
         return HttpResponse(
             STATUS_UNAVAILABLE, [[b'Retry-After', retry_after_s]], b'not run\n'
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -32,6 +32,8 @@
     outcome: Outcome
     response: HttpResponse | None = None
     reason: str = ''
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Calls made for the request, by service; empty if they were not counted."""
 
     def discard(self) -> None:
         """Stop a body that nobody takes."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -197,7 +197,7 @@
             rules,
             self._guard,
             self._dispatcher,
-            EntryAdmission(shares, self._clock),
+            EntryAdmission(shares, self._guard.tree.costs, self._clock),
             self._metrics,
             self._clock,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -305,4 +305,4 @@
         return GuardReply(outcome, reason=frame.reason)
     headers = restore_headers(frame.headers, call.headers, request_id)
     response = HttpResponse(frame.status, headers, frame.body, framed=frame.framed)
-    return GuardReply(outcome, response, frame.reason)
+    return GuardReply(outcome, response, frame.reason, frame.calls)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -1,6 +1,6 @@
 """Last admission step before the upstream: its queue, concurrency limit and state."""
 
-from gentianmill.admission_share import SHARE_SCALE, AdmissionShare, ShareTable
+from gentianmill.admission_share import ShareTable
 from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
@@ -14,6 +14,7 @@
 from gentianmill_mesh.retry_budget_gate import RetryBudgetGate
 from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.guard_shares import GuardShares
 from gentianmill_mesh.http_message import FIRST_SERVER_ERROR, HttpResponse, header
 from gentianmill_mesh.silence_check import SilenceCheck
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS, SlotQueue
@@ -76,14 +77,15 @@
         self._clock = clock
         self._status = UpstreamStatus()
         self._tree = CallTree()
-        self._shares = shares
-        self._share = AdmissionShare()
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
         self._silence = SilenceCheck(pool)
         self._crashes = CrashWatch(pool, clock)
         self._refusing = ''
         self._gate = RetryBudgetGate(budget, clock)
+        self._load_shares = GuardShares(
+            service, shares, self._gate, completes_trees=budget.previous_share > 0
+        )
 
     @property
     def gate(self) -> RetryBudgetGate:
@@ -128,9 +130,7 @@
         """
         now_ms = self._clock.now_ms()
         load = self._slots.load
-        self._share.observe(load.running + load.queued, load.limit, now_ms)
-        load.shares = self._shares.shares(route, now_ms)
-        load.shares[self._service] = int(self._share.share * SHARE_SCALE)
+        self._load_shares.report(load, route, now_ms)
         return load
 
     def apply_report(self, report: UpstreamReport) -> bool:
@@ -251,6 +251,7 @@
             return GuardReply.not_run('deadline')
         if not self._gate.admit(call.cause, call.rank):
             return GuardReply.not_run(RETRY_BUDGET)
+        self._load_shares.on_arrival(call.cause, self._clock.now_ms())
         extra_headers = [
             (self._names.time_left, b'%d' % left_ms),
             (self._names.caller_service, call.caller_service.encode()),
@@ -274,11 +275,14 @@
             downstream_reason = (
                 FAILED_DOWNSTREAM if self._tree.has_failed_downstream(tree_id) else ''
             )
+            calls = self._tree.costs.end(tree_id)
             self._tree.end(tree_id)
         finally:
             self._tree.abandon(tree_id, call.deadline_ms, self._clock.now_ms())
         self._crashes.record_completion(call)
-        return self._reply_to_response(response, downstream_reason)
+        reply = self._reply_to_response(response, downstream_reason)
+        reply.calls = calls
+        return reply
 
     def _may_resend(self, call: GuardCall, tree_id: str) -> bool:
         """Return whether to resend a call on a new connection; count the resend if so."""
@@ -298,10 +302,10 @@
         if refusal and not response.attributed:
             return GuardReply.unknown('refusal_of_another')
         if refusal == UPSTREAM_FULL:
-            self._share.on_response(accepted=False, now_ms=now_ms)
+            self._load_shares.on_response(accepted=False, now_ms=now_ms)
         if refusal:
             return GuardReply.not_run(refusal)
-        self._share.on_response(accepted=True, now_ms=now_ms)
+        self._load_shares.on_response(accepted=True, now_ms=now_ms)
         response.headers = self._names.forwarded_response(response.headers)
         failed = response.status >= FIRST_SERVER_ERROR
         return GuardReply(
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -63,6 +63,18 @@
 MIN_REPORT_AGE_MS = 5.0
 """Least weight of a report, as several come in one read."""
 
+TREE_REPORT_DECAY_MS = 100.0
+"""Time constant with which the reports of rejections are averaged over the guards of a
+service; each of them is an average over 400 ms already."""
+
+TREE_REPORT_LIFETIME_MS = 700.0
+TREE_FORWARD_MS = 300.0
+"""Age at which a report of rejections has no effect, and at which it is not passed on; all
+effects of the last rejection end within 1 s."""
+
+MAX_TREE_SHARE = 0.95
+"""Completable share from which all requests are admitted."""
+
 MAX_IMPORTANCE_FACTOR = 4.0
 """Admission chance of the most important requests relative to the least."""
 
@@ -91,6 +103,11 @@
         """Return the share, above 0 and up to 1."""
         return max(self._share * self._accepted_share**ACCEPTED_EXPONENT, MIN_SHARE)
 
+    @property
+    def load_share(self) -> float:
+        """Return the share by the load alone, without what the upstream rejects."""
+        return self._share
+
     def on_response(self, accepted: bool, now_ms: float) -> None:
         """Record whether the upstream accepted a call or rejected it."""
         kept = math.exp((self._counted_ms - now_ms) / RESPONSE_DECAY_MS)
@@ -148,6 +165,7 @@
         """Create an empty table."""
         self._reports: dict[str, _Report] = {}
         self._downstream: dict[str, set[str]] = {}
+        self._tree_reports: dict[str, _Report] = {}
 
     def record(self, route: str, shares: Mapping[str, int], now_ms: float) -> None:
         """Record the report in a response.
@@ -170,6 +188,46 @@
             previous.share += weight * (share - previous.share)
             previous.received_ms = now_ms
 
+    def record_trees(self, tree_shares: Mapping[str, int], now_ms: float) -> None:
+        """Record the shares of trees that rejecting services complete.
+
+        Args:
+            tree_shares: Share in thousandths per service; 1000 after its rejections.
+            now_ms: Current time.
+        """
+        for service, thousandths in tree_shares.items():
+            share = thousandths / SHARE_SCALE
+            known = self._tree_reports.get(service)
+            if known is None or now_ms - known.received_ms >= TREE_REPORT_LIFETIME_MS:
+                self._tree_reports[service] = _Report(share, now_ms)
+                continue
+            age_ms = max(now_ms - known.received_ms, MIN_REPORT_AGE_MS)
+            weight = 1 - math.exp(-age_ms / TREE_REPORT_DECAY_MS)
+            known.share += weight * (share - known.share)
+            known.received_ms = now_ms
+
+    def tree_shares(self, now_ms: float) -> dict[str, float]:
+        """Return the services that reject calls, and the share that each completes."""
+        return {
+            service: report.share
+            for service, report in self._tree_reports.items()
+            if now_ms - report.received_ms < TREE_REPORT_LIFETIME_MS
+            and report.share < MAX_TREE_SHARE
+        }
+
+    def forwarded_trees(self, route: str, now_ms: float) -> dict[str, int]:
+        """Return the recent shares of services downstream of a route, in thousandths."""
+        downstream = self._downstream.get(route, ())
+        return {
+            service: int(report.share * SHARE_SCALE)
+            for service, report in self._tree_reports.items()
+            if now_ms - report.received_ms < TREE_FORWARD_MS and service in downstream
+        }
+
+    def is_downstream(self, route: str, service: str) -> bool:
+        """Return whether calls of a route go to a service."""
+        return service in self._downstream.get(route, ())
+
     def add_downstream(self, route: str, services: Iterable[str]) -> None:
         """Record services that the calls of a route go to."""
         self._downstream.setdefault(route, set()).update(services)
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -1,11 +1,13 @@
 """Running requests of an upstream, and the calls that it makes for them."""
 
 import dataclasses
+import random
 import re
 from collections import OrderedDict
 from collections.abc import Iterator
 
 from gentianmill.arrivals import Cause
+from gentianmill.tree_costs import TreeCosts
 
 _SEPARATOR = re.compile('[^0-9A-Za-z]+')
 
@@ -49,6 +51,12 @@
         self._abandoned: OrderedDict[str, tuple[CallOrigin, float]] = OrderedDict()
         self._failed_downstream: set[str] = set()
         self._orphans = 0
+        self._costs = TreeCosts(random.Random())  # noqa: S311
+
+    @property
+    def costs(self) -> TreeCosts:
+        """Return the calls that trees make."""
+        return self._costs
 
     @property
     def orphans(self) -> int:
@@ -66,6 +74,7 @@
             route: Name of its route.
             cause: Why it was sent to the upstream.
         """
+        self._costs.start(request_id)
         self._running[request_id] = CallOrigin(
             rank - rank % RANKS_PER_PRIORITY,
             route,
@@ -75,6 +84,7 @@
     def end(self, request_id: str) -> None:
         """Record a request that ended."""
         self._running.pop(request_id, None)
+        self._costs.end(request_id)
         self._failed_downstream.discard(request_id)
 
     def abandon(self, request_id: str, until_ms: float, now_ms: float) -> None:
@@ -106,6 +116,21 @@
                 self._failed_downstream.add(parent_id)
                 return
 
+    def add_call(self, call_id: str, service: str, route: str) -> None:
+        """Count a call that is made for a running request.
+
+        Args:
+            call_id: Its id.
+            service: Service that it is sent to.
+            route: Its route.
+        """
+        if not self._costs.counted:
+            return
+        for parent_id in _parent_ids(call_id):
+            if parent_id in self._running:
+                self._costs.add_call(parent_id, service, route)
+                return
+
     def has_failed_downstream(self, request_id: str) -> bool:
         """Return whether a call made for a running request has failed."""
         return request_id in self._failed_downstream
