--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -8,7 +8,7 @@
 from gentianmill.return_time import MIN_PAUSE_MS, return_after_ms
 from gentianmill.route_rules import RequestLimits, RouteRule, RuleSet, SplitCounter
 from gentianmill_mesh.dispatcher import RequestProgress, Dispatcher
-from gentianmill_mesh.entry_admission import EntryAdmission
+from gentianmill_mesh.entry_admission import REJECTED_BELOW, EntryAdmission
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
 from gentianmill_mesh.key_check import Identity, KeyCheck
 from gentianmill_mesh.mesh_metrics import MeshMetrics
@@ -179,18 +179,21 @@
     ) -> HttpResponse | AdmittedRequest:
         if len(caller.request.body) > rules.limits.body_bytes:
             return HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n')
-        is_inner = identity.origin.is_inner
-        if not is_inner and not self._admission.admits(
-            rule, identity.priority, caller.time_left_ms
-        ):
+        origin = identity.origin
+        reason = ''
+        if not origin.is_inner:
+            reason = self._admission.refusal(
+                rule, identity.priority, caller.time_left_ms
+            )
+        if reason:
             share = self._admission.share(rule)
-            return self._refusal(caller, 'overloaded_below', share, identity.team)
+            return self._refusal(caller, reason, share, identity.team)
         progress = RequestProgress(
             request=self._keys.forwarded(caller.request, rules),
             request_id=caller.request_id,
             rule=rule,
             service=self._split.pick(rule),
-            origin=identity.origin,
+            origin=origin,
             deadline_ms=min(_deadline_ms(caller, rule), self._end_ms),
             team=identity.team,
             is_key_holder=identity.is_key_holder,
@@ -230,6 +233,9 @@
         )
         self._metrics.on_decision('refused', reason)
         self._metrics.on_team_refusal(team, reason)
+        if reason == REJECTED_BELOW:
+            for service in self._admission.rejecting:
+                self._metrics.on_decision('refused_below', service)
         retry_after_s = b'%.2f' % (retry_after_ms / MS_PER_S)
         return HttpResponse(
             STATUS_UNAVAILABLE, [[b'Retry-After', retry_after_s]], b'not run\n'
