--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -19,7 +19,7 @@
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse
 from gentianmill_mesh.part_sender import WINDOW_BYTES, StreamedBody, WholeBody
-from gentianmill_mesh.relay_handshake import PROTOCOL
+from gentianmill_mesh.relay_handshake import PARTS_PROTOCOL
 from gentianmill_mesh.relay_sender import RelayJob, RelaySender
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames, compact_headers
@@ -173,7 +173,7 @@
     async def _run(self, sender: RelaySender, job: RelayJob) -> None:
         try:
             job.reply = await self._guard.run(_guard_call(job))
-            if sender.protocol < PROTOCOL:
+            if sender.protocol < PARTS_PROTOCOL:
                 job.reply = await _whole_reply(job.reply)
         except asyncio.CancelledError:
             log.debug('Call cancelled.', key=job.key)
@@ -191,7 +191,7 @@
         if response is not None and response.stream is not None:
             job.answer.body_bytes = _wire_length(response)
         elif response is not None and len(response.body) > SMALL_BYTES:
-            if sender.protocol >= PROTOCOL:
+            if sender.protocol >= PARTS_PROTOCOL:
                 job.answer.body_bytes = len(response.body)
                 job.answer.body = b''
         job.keep(response)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -11,6 +11,9 @@
 """Routes with a label of their own, as the operator may add hundreds of routes;
 further routes share ``OTHER_ROUTE``."""
 
+MAX_TEAMS = 128
+"""Teams with a label of their own; 85 are expected."""
+
 OTHER_ROUTE = 'other'
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
 MS_PER_S = 1000
@@ -38,6 +41,14 @@
         # accumulated here until they are rendered.
         self._ended: Tally[tuple[str, str]] = Tally()
         self._decided: Tally[tuple[str, str]] = Tally()
+        self._quotas = self._counter('quota', 'Quota decisions by team and kind.')
+        self._owned = Gauge(
+            'gentianmill_quota_owned',
+            "Fraction of the region's rate of a team that this node issues.",
+            registry=self._registry,
+        )
+        self._teams: set[str] = set()
+        self._quota_decided: Tally[tuple[str, str]] = Tally()
         self._gauges: dict[str, Gauge] = {}
 
     def on_request(self, route: str, end: str, latency_ms: float) -> None:
@@ -62,6 +73,27 @@
         """Record a decision, such as ``refused`` for the reason ``overloaded``."""
         self._decided[kind, reason] += 1
 
+    def on_quota(self, team: str, kind: str) -> None:
+        """Record a decision on a request of a team, ``granted`` or ``refused``."""
+        self._quota_decided[self._team_label(team), kind] += 1
+
+    def on_owned_quota(
+        self, team: str, totals: Mapping[str, int], share: float
+    ) -> None:
+        """Set what this node did as an owner of a team.
+
+        Args:
+            team: Name of the team.
+            totals: Tokens and refusals by kind since the start of the process.
+            share: Fraction of the region's rate that it issues.
+        """
+        label = self._team_label(team)
+        if label == OTHER_ROUTE:
+            return
+        for kind, total in totals.items():
+            self._quotas.set({'team': label, 'kind': kind}, total)
+        self._owned.set({'team': label}, share)
+
     def on_arrivals(self, total: Mapping[str, int]) -> None:
         """Set the total arrivals at the upstream, by cause."""
         for cause, count in total.items():
@@ -87,6 +119,9 @@
             self._requests.add({'route': route, 'end': end}, count)
         for (kind, reason), count in self._decided.items():
             self._decisions.add({'kind': kind, 'reason': reason}, count)
+        for (team, decision), count in self._quota_decided.items():
+            self._quotas.add({'team': team, 'kind': decision}, count)
+        self._quota_decided.clear()
         self._ended.clear()
         self._decided.clear()
         peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
@@ -101,5 +136,12 @@
             self._routes.add(route)
         return route
 
+    def _team_label(self, team: str) -> str:
+        if team not in self._teams:
+            if len(self._teams) >= MAX_TEAMS:
+                return OTHER_ROUTE
+            self._teams.add(team)
+        return team
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f'gentianmill_{name}_total', doc, registry=self._registry)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -1,7 +1,6 @@
 """Assembles a node that forwards requests."""
 
 import asyncio
-import random
 import time
 
 from gentianmill.admission_share import ShareTable
@@ -23,6 +22,7 @@
 from gentianmill_mesh.node_reaper import NodeReaper
 from gentianmill_mesh.own_state import OwnState, own_record
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.quota_gate import QuotaGate
 from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
@@ -144,12 +144,7 @@
         self._following = StoreFollowing(
             own, self._table, self._links, rules, self._clock
         )
-        peers = RandomPeers(
-            settings.node,
-            self._table,
-            self._links,
-            random.Random(),  # noqa: S311
-        )
+        peers = RandomPeers(settings.node, self._table, self._links)
         self._gossip = NodeGossip(self._table, self._links, peers)
         rules.on_change(
             RulesGossip(peers, self._links, settings.region, self._following).announce
@@ -165,6 +160,15 @@
             settings.service, self._guard.crashes, self._table, self._links, peers
         )
         self._own = OwnState(own, self._guard, self._recovery, registry)
+        self._quotas = QuotaGate(
+            settings,
+            self._identity,
+            self._table,
+            self._links,
+            lambda _name: None,
+            self._metrics,
+            self._clock,
+        )
         self._relay = RelayServer(
             self._identity,
             self._guard,
@@ -182,6 +186,7 @@
                 strikes.apply,
                 strikes.apply_uncounted,
                 self._recovery.wanted_state,
+                self._quotas.on_request,
             ),
         )
         self._dispatcher = Dispatcher(
@@ -243,6 +248,7 @@
             self._gossip.apply,
             self._recovery.on_state,
             self._recovery.state_of,
+            self._quotas.on_grant,
         )
         self._recovery.begin(self._own.publish)
         await self._relay.listen(settings.relay)
@@ -339,6 +345,7 @@
         for task in self._tasks:
             task.cancel()
         self._entry.abort()
+        self._quotas.close()
         self._readiness.close()
         self._metrics_listener.close()
         await self._source.close()
@@ -398,6 +405,7 @@
 
     def _on_nodes_confirmed(self, as_of_ms: float) -> None:
         self._following.nodes_confirmed(as_of_ms)
+        self._quotas.on_nodes_confirmed()
         if not self._recovery.has_read_table:
             self._recovery.table_read()
             self._own.publish()
@@ -463,6 +471,7 @@
         )
         for name, doc, value in gauges:
             self._metrics.set_gauge(name, doc, value)
+        self._quotas.report()
         self._metrics.on_arrivals(self._guard.gate.arrivals.total)
         text, content_type = self._metrics.render()
         return plain_response(STATUS_OK, text, content_type)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -1,6 +1,7 @@
 """Settings of a node that forwards requests."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from gentianmill.node_record_codec import MAX_PORT
 from gentianmill.retry_budget import RetryBudgetSettings
@@ -73,6 +74,8 @@
 
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     read_ahead: ReadAheadSettings = ReadAheadSettings()
+    zones: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    """Region of each availability zone, or nothing if they are not listed."""
 
     def with_live(self, changed: 'MeshSettings') -> 'MeshSettings':
         """Return these settings with the changes that take effect while a node runs."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/random_peers.py
@@ -13,7 +13,11 @@
     """Choose other nodes at random, those with an open link first."""
 
     def __init__(
-        self, own_name: str, table: NodeTable, links: RelayLinks, rng: random.Random
+        self,
+        own_name: str,
+        table: NodeTable,
+        links: RelayLinks,
+        rng: random.Random | None = None,
     ) -> None:
         """Create a choice among the nodes of a table.
 
@@ -21,12 +25,12 @@
             own_name: Name of this node, which is never chosen.
             table: Records of the nodes.
             links: Links to the other nodes.
-            rng: Source of randomness.
+            rng: Source of randomness; by default a new one.
         """
         self._own_name = own_name
         self._table = table
         self._links = links
-        self._rng = rng
+        self._rng = rng or random.Random()  # noqa: S311
 
     @property
     def own_name(self) -> str:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_connection.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 from collections.abc import Callable, Iterator
+from types import MappingProxyType
 
 from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import Clock
@@ -14,6 +15,8 @@
     FreshnessStatus,
     KnownState,
     NodeNews,
+    QuotaGrant,
+    QuotaRequest,
     StateRequest,
     StrikeNews,
 )
@@ -21,8 +24,10 @@
 from gentianmill_mesh.frame_socket import FrameReceiver, FrameSocket
 from gentianmill_mesh.relay_codec import RelayFrame, encode
 from gentianmill_mesh.relay_handshake import (
+    PARTS_PROTOCOL,
     PEER_HEADER,
     PROTOCOL,
+    QUOTA_PROTOCOL,
     NodeIdentity,
     protocol_of,
 )
@@ -49,8 +54,15 @@
 the design size. An idle link costs no traffic, but the bytes of each handshake between
 regions cost money; closing after 10 s cost more bytes than it saved."""
 
-NEWER_FRAMES = (KnownState, StateRequest, StrikeNews)
-"""Frames that nodes of protocol 1 do not know; they would close the link."""
+FIRST_PROTOCOLS = MappingProxyType(
+    {
+        KnownState: PARTS_PROTOCOL,
+        StateRequest: PARTS_PROTOCOL,
+        StrikeNews: PARTS_PROTOCOL,
+        QuotaRequest: QUOTA_PROTOCOL,
+    }
+)
+"""First protocol with a frame; nodes of older ones would close the link."""
 
 MS_PER_S = 1000
 
@@ -72,6 +84,7 @@
     budget: ByteBudget
     on_state: Callable[[KnownState], None]
     state_of: Callable[[StateRequest], KnownState]
+    on_quota_grant: Callable[[str, QuotaGrant], None]
 
 
 class ConnectionListener(abc.ABC):
@@ -146,7 +159,7 @@
     @property
     def takes_parts(self) -> bool:
         """Return whether the other node takes bodies in parts."""
-        return self._protocol >= PROTOCOL
+        return self._protocol >= PARTS_PROTOCOL
 
     @property
     def closed(self) -> bool:
@@ -163,7 +176,7 @@
         channel = self._channel
         if channel is None:
             return False
-        if self._protocol < PROTOCOL and isinstance(frame, NEWER_FRAMES):
+        if self._protocol < _protocol_of_frame(frame):
             return False
         self._last_used_ms = self._context.clock.now_ms()
         channel.send(encode(frame))
@@ -375,3 +388,7 @@
         except ConnectionError as error:
             # The end of the connection is reported, too, which handles the loss.
             log.info('Link broke.', error=repr(error))
+
+
+def _protocol_of_frame(frame: RelayFrame) -> int:
+    return FIRST_PROTOCOLS.get(type(frame), 1)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_handshake.py
@@ -7,9 +7,14 @@
 INCARNATION_HEADER = 'X-Incarnation'
 
 PROTOCOL_HEADER = 'X-Protocol'
-PROTOCOL = 2
-"""Version of the frames: nodes of version 1 know neither parts of bodies nor requests for
-state. A node without the header has version 1."""
+PROTOCOL = 3
+"""Version of the frames. A node without the header has version 1."""
+
+PARTS_PROTOCOL = 2
+"""First version with parts of bodies and requests for state."""
+
+QUOTA_PROTOCOL = 3
+"""First version with quota frames; older nodes would close the link."""
 
 PEER_HEADER = 'X-Peer'
 """Name of the node that the sender intends to reach; the address of a removed VM may be
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_links.py
@@ -10,6 +10,7 @@
     FreshnessStatus,
     KnownState,
     NodeNews,
+    QuotaGrant,
     RulesRequest,
     StateRequest,
 )
@@ -68,6 +69,7 @@
         on_nodes: Callable[[NodeNews], None],
         on_state: Callable[[KnownState], None],
         state_of: Callable[[StateRequest], KnownState],
+        on_quota_grant: Callable[[str, QuotaGrant], None],
     ) -> None:
         """Make links possible; call it while the event loop runs.
 
@@ -77,6 +79,7 @@
             on_nodes: Called with node records of another node.
             on_state: Called with what another node knows about the guard of a node.
             state_of: Returns what this node knows about the guard of another one.
+            on_quota_grant: Called with the name of a node and its grant of tokens.
         """
         self._context = RelayContext(
             identity=self._identity,
@@ -90,6 +93,7 @@
             budget=self._budget,
             on_state=on_state,
             state_of=state_of,
+            on_quota_grant=on_quota_grant,
         )
 
     async def close(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_peer.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_peer.py
@@ -7,6 +7,8 @@
     FreshnessStatus,
     KnownState,
     NodeNews,
+    QuotaGrant,
+    QuotaRequest,
     RulesReply,
     RulesRequest,
     StateRequest,
@@ -50,6 +52,7 @@
             NodeNews: context.on_nodes,
             FreshnessStatus: self._on_status,
             KnownState: context.on_state,
+            QuotaGrant: lambda grant: context.on_quota_grant(record.name, grant),
             StateRequest: lambda asked: spawn(
                 self.post(context.state_of(asked)), 'tell state'
             ),
@@ -88,6 +91,21 @@
         log.info('Frame not delivered.', peer=self._record.name)
         return False
 
+    async def send_quota(self, frame: QuotaRequest) -> bool:
+        """Send a request for tokens; return whether an open connection took it.
+
+        It is not sent again: its sender asks another node if there is no answer.
+        """
+        return await self.reach() and self.send_now(frame)
+
+    def send_now(self, frame: QuotaRequest) -> bool:
+        """Send a request for tokens if the connection is open; return whether it is."""
+        return self._connection.send(frame)
+
+    async def confirm(self) -> bool:
+        """Return whether the other node answers; drop a connection that is silent."""
+        return await self._connection.confirm()
+
     async def ask_status(self, request: RulesRequest) -> None:
         """Ask the other node how recent its rules and node records are.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
@@ -148,6 +148,9 @@
         self.protocol = PROTOCOL
         """Version of the frames that the node understands."""
 
+        self.incarnation = 0
+        """Start of its process as Unix time in ms."""
+
         self.running = 0
         """Number of calls that have not ended."""
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -12,6 +12,7 @@
     FreshnessStatus,
     KnownState,
     NodeNews,
+    QuotaRequest,
     RelayCall,
     RelayCancel,
     RelayCredit,
@@ -28,7 +29,7 @@
 from gentianmill_mesh.relay_codec import RelayFrame, decode
 from gentianmill_mesh.relay_handshake import (
     PEER_HEADER,
-    PROTOCOL,
+    PARTS_PROTOCOL,
     NodeIdentity,
     protocol_of,
 )
@@ -83,6 +84,9 @@
     wanted_state: Callable[[], StateRequest | None]
     """Returns what to ask a node that connects, or None."""
 
+    on_quota_request: Callable[[RelaySender, QuotaRequest], None]
+    """Called with a request for tokens and its sender, which is sent the answer."""
+
 
 class RelayServer(FrameAcceptor):
     """Accept the links of other nodes and run their calls."""
@@ -121,6 +125,7 @@
             RulesRequest: self._on_rules_request,
             StateRequest: lambda sender, asked: sender.send(exchange.state_of(asked)),
             KnownState: lambda _sender, state: exchange.on_state(state),
+            QuotaRequest: exchange.on_quota_request,
         }
         self._identity = identity
         self._calls = calls
@@ -177,6 +182,7 @@
         sender = self._senders.get(identity)
         if sender is None:
             sender = RelaySender(identity.name, self._calls.lose_upload)
+            sender.incarnation = identity.incarnation
             self._senders[identity] = sender
         sender.protocol = protocol_of(headers)
         return _SenderLink(sender, self._clock, self._handle, self._on_closed)
@@ -187,7 +193,7 @@
             receiver.open(socket)
             self._sockets.add(socket)
             wanted = self._exchange.wanted_state()
-            if wanted is not None and receiver.sender.protocol >= PROTOCOL:
+            if wanted is not None and receiver.sender.protocol >= PARTS_PROTOCOL:
                 receiver.sender.send(wanted)
 
     def forget_departed_senders(self) -> None:
--- /dev/null
+++ b/packages/gentianmill/src/gentianmill/quota_members.py
@@ -0,0 +1,118 @@
+"""Which nodes may own the quota of a team, and which ones support an owner.
+
+Teams are hashed to a fixed number of domains, so that the nodes that support the owner of a
+domain agree on what they support although they may know different nodes.
+"""
+
+from collections.abc import Mapping
+
+from gentianmill.rendezvous import hash_text, score
+
+__all__ = ('DOMAINS', 'QuotaMembers', 'domain_of')
+
+DOMAINS = 32
+"""Domains of teams; at most this many nodes of a region renew their support, which bounds
+the messages at 610 nodes."""
+
+MAX_VOTERS = 11
+"""Nodes of a region that support owners. A voter that some nodes do not know yet adds an
+eleventh of the region's rate until they do."""
+
+MAX_CANDIDATES = 3
+"""Nodes of a region that may own a domain, the first and two successors."""
+
+
+def domain_of(team: str) -> int:
+    """Return the domain of a team."""
+    return hash_text(team) % DOMAINS
+
+
+class QuotaMembers:
+    """The nodes that serve, as one node knows them."""
+
+    def __init__(self, own: str, region: str, regions: int | None = None) -> None:
+        """Create a view with this node only.
+
+        Args:
+            own: Name of this node.
+            region: Its region.
+            regions: Number of regions of the deployment, or None to count those of the
+                known nodes.
+        """
+        self._own = own
+        self._region = region
+        self._regions = regions
+        self._region_of: dict[str, str] = {own: region}
+        self._ranked: dict[tuple[int, str], tuple[str, ...]] = {}
+        self._voters: tuple[str, ...] | None = None
+
+    @property
+    def own(self) -> str:
+        """Return the name of this node."""
+        return self._own
+
+    @property
+    def region(self) -> str:
+        """Return the region of this node."""
+        return self._region
+
+    @property
+    def count(self) -> int:
+        """Return the number of nodes in all regions."""
+        return max(len(self._region_of), 1)
+
+    @property
+    def region_count(self) -> int:
+        """Return the number of regions, by which the rate of a team is divided."""
+        if self._regions:
+            return self._regions
+        return len({self._region, *self._region_of.values()})
+
+    @property
+    def other_regions(self) -> tuple[str, ...]:
+        """Return the other regions of the known nodes in a fixed order."""
+        return tuple(sorted(set(self._region_of.values()) - {self._region}))
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Return the nodes of the own region that support owners."""
+        if self._voters is None:
+            ranked = _ranked('voters', self._names_in(self._region))
+            self._voters = tuple(ranked[:MAX_VOTERS])
+        return self._voters
+
+    def update(self, region_of: Mapping[str, str]) -> None:
+        """Set the nodes that serve.
+
+        Args:
+            region_of: Their regions by name, with this node if it serves.
+        """
+        if region_of != self._region_of:
+            self._region_of = dict(region_of)
+            self._ranked.clear()
+            self._voters = None
+
+    def is_local(self, name: str) -> bool:
+        """Return whether a node is in the own region."""
+        return self._region_of.get(name) == self._region
+
+    def candidates(self, domain: int, region: str) -> tuple[str, ...]:
+        """Return the nodes of a region that may own a domain, the first one first."""
+        found = self._ranked.get((domain, region))
+        if found is None:
+            ranked = _ranked(f'quota {domain}', self._names_in(region))
+            found = tuple(ranked[:MAX_CANDIDATES])
+            self._ranked[domain, region] = found
+        return found
+
+    def rank(self, domain: int, name: str) -> int:
+        """Return the position of a node among the candidates of the own region."""
+        candidates = self.candidates(domain, self._region)
+        return candidates.index(name) if name in candidates else MAX_CANDIDATES
+
+    def _names_in(self, region: str) -> list[str]:
+        return [name for name, other in self._region_of.items() if other == region]
+
+
+def _ranked(key: str, names: list[str]) -> list[str]:
+    return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -87,6 +87,7 @@
                 lambda _: None,
                 lambda _: None,
                 lambda: None,
+                lambda _sender, _request: None,
             ),
         )
 
--- a/tests/test_overdue_resends.py
+++ b/tests/test_overdue_resends.py
@@ -49,6 +49,7 @@
         budget=ByteBudget(1000),
         on_state=lambda _state: None,
         state_of=lambda asked: KnownState(asked.node, []),
+        on_quota_grant=lambda _name, _grant: None,
     )
     link = RelayLink(node_record('back'), context)
     connection = _Connection()
