--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -7,11 +7,12 @@
 from gentianmill.clock import Clock
 from gentianmill.return_time import MIN_PAUSE_MS, return_after_ms
 from gentianmill.route_rules import RequestLimits, RouteRule, RuleSet, SplitCounter
-from gentianmill_mesh.dispatcher import RequestProgress, Dispatcher
+from gentianmill_mesh.dispatcher import RequestProgress
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.http_message import HttpResponse, HttpRequest
 from gentianmill_mesh.key_check import Identity, KeyCheck
 from gentianmill_mesh.mesh_metrics import MeshMetrics
+from gentianmill_mesh.quota_dispatcher import QuotaDispatcher
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.upstream_guard import UpstreamGuard
 from gentianmill_mesh.wire_names import WireNames
@@ -66,7 +67,7 @@
         self,
         rules: RulesHolder,
         guard: UpstreamGuard,
-        dispatcher: Dispatcher,
+        dispatcher: QuotaDispatcher,
         admission: EntryAdmission,
         metrics: MeshMetrics,
         clock: Clock,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -165,7 +165,7 @@
             self._identity,
             self._table,
             self._links,
-            lambda _name: None,
+            rules.find_team,
             self._metrics,
             self._clock,
         )
@@ -201,7 +201,7 @@
         self._forwarder = Forwarder(
             rules,
             self._guard,
-            self._dispatcher,
+            self._quotas.limit(self._dispatcher),
             EntryAdmission(shares, self._clock),
             self._metrics,
             self._clock,
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
@@ -18,6 +18,8 @@
 from gentianmill.teams import Team
 from gentianmill_mesh.mesh_metrics import MeshMetrics
 from gentianmill_mesh.mesh_settings import MeshSettings
+from gentianmill_mesh.dispatcher import Dispatcher
+from gentianmill_mesh.quota_dispatcher import QuotaAdmission, QuotaDispatcher
 from gentianmill_mesh.quota_desk import (
     DeskContext,
     QuotaDesk,
@@ -43,7 +45,7 @@
 """Time after which a node that could not read the registry goes by what others told it."""
 
 
-class QuotaGate(QuotaPort):
+class QuotaGate(QuotaPort, QuotaAdmission):
     """Admit the requests of teams within their quotas."""
 
     def __init__(
@@ -94,10 +96,15 @@
         self._senders: weakref.WeakValueDictionary[str, RelaySender] = (
             weakref.WeakValueDictionary()
         )
+        self._find_team = find_team
         self._has_read_registry = False
         self._digest: int | None = None
         self._timer: asyncio.TimerHandle | None = None
 
+    def limit(self, dispatcher: Dispatcher) -> QuotaDispatcher:
+        """Return a dispatcher that runs requests within their quotas only."""
+        return QuotaDispatcher(dispatcher, self, self._find_team, self._clock)
+
     async def admit(self, team: Team) -> float | None:
         """Return None if a request may be sent, else the time in ms until a retry.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from gentianmill.route_rules import RuleSet
+from gentianmill.teams import Team
 from gentianmill_node.logs import component
 
 log = component('rules')
@@ -50,6 +51,10 @@
         """Return the rules in force in the format of the platform."""
         return self._document
 
+    def find_team(self, name: str) -> Team | None:
+        """Return a team of the rules in force by its name, or None."""
+        return self._rules.teams.find(name) if self._rules else None
+
     def on_change(self, listener: Callable[[RuleSet], None]) -> None:
         """Register a function to be called with each new version."""
         self._listeners.append(listener)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -48,8 +48,8 @@
             ),
         ]
         teams = TeamDirectory(
-            TeamEntry(Team(name, priority), keys)
-            for name, keys, priority in fields.get('teams', ())
+            TeamEntry(Team(name, priority, *limits), keys)
+            for name, keys, priority, *limits in fields.get('teams', ())
         )
         return RuleSet(fields['version'], rules, {}, LIMITS, teams)
 
@@ -69,8 +69,8 @@
     )
 
 
-TeamFields = tuple[str, Sequence[str], int | None]
-"""Name, keys and priority of a team."""
+TeamFields = tuple[str, Sequence[str], int | None, *tuple[float, ...]]
+"""Name, keys and priority of a team, and its rate and burst if it has a quota."""
 
 
 def rules_document(
