--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -57,6 +57,13 @@
         self._decided: Tally[tuple[str, str]] = Tally()
         self._ended_by_team: Tally[tuple[str, str]] = Tally()
         self._refused_by_team: Tally[tuple[str, str]] = Tally()
+        self._quotas = self._counter('quota', 'Quota decisions by team and kind.')
+        self._owned = Gauge(
+            'gentianmill_quota_owned',
+            "Fraction of the region's rate of a team that this node issues.",
+            registry=self._registry,
+        )
+        self._quota_decided: Tally[tuple[str, str]] = Tally()
         self._gauges: dict[str, Gauge] = {}
 
     def on_request(self, route: str, end: str, latency_ms: float) -> None:
@@ -102,6 +109,27 @@
         if team:
             self._refused_by_team[self._team_label(team), reason] += 1
 
+    def on_quota(self, team: str, kind: str) -> None:
+        """Record a decision on a request of a team, ``granted`` or ``refused``."""
+        self._quota_decided[self._team_label(team), kind] += 1
+
+    def on_owned_quota(
+        self, team: str, totals: Mapping[str, int], share: float
+    ) -> None:
+        """Set what this node did as an owner of a team.
+
+        Args:
+            team: Name of the team.
+            totals: Tokens and refusals by kind since the start of the process.
+            share: Fraction of the region's rate that it issues.
+        """
+        label = self._team_label(team)
+        if label == OTHER_TEAM:
+            return
+        for kind, total in totals.items():
+            self._quotas.set({'team': label, 'kind': kind}, total)
+        self._owned.set({'team': label}, share)
+
     def on_arrivals(self, total: Mapping[str, int]) -> None:
         """Set the total arrivals at the upstream, by cause."""
         for cause, count in total.items():
@@ -132,6 +160,7 @@
         _move(self._decided, self._decisions, 'kind', 'reason')
         _move(self._ended_by_team, self._team_requests, 'team', 'end')
         _move(self._refused_by_team, self._team_refusals, 'team', 'reason')
+        _move(self._quota_decided, self._quotas, 'team', 'kind')
         peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         self.set_gauge('peak_bytes', 'Peak memory.', peak_kib * BYTES_PER_KIB)
         text, headers = render(self._registry, ['text/plain'])
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -1,7 +1,6 @@
 """Assembles a node that forwards requests."""
 
 import asyncio
-import random
 import time
 
 from gentianmill.admission_share import ShareTable
@@ -23,6 +22,7 @@
 from gentianmill_mesh.node_reaper import NodeReaper
 from gentianmill_mesh.own_state import OwnState, own_record
 from gentianmill_mesh.ports import NodeRegistry, RulesSource
+from gentianmill_mesh.quota_gate import QuotaGate
 from gentianmill_mesh.random_peers import RandomPeers
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
@@ -149,12 +149,7 @@
             self._clock,
             settings.config_apply_ms,
         )
-        peers = RandomPeers(
-            settings.node,
-            self._table,
-            self._links,
-            random.Random(),  # noqa: S311
-        )
+        peers = RandomPeers(settings.node, self._table, self._links)
         self._gossip = NodeGossip(
             self._table, self._links, peers, registry.own_record_seen
         )
@@ -172,6 +167,15 @@
             settings.service, self._guard.crashes, self._table, self._links, peers
         )
         self._own = OwnState(own, self._guard, self._recovery, registry)
+        self._quotas = QuotaGate(
+            settings,
+            self._identity,
+            self._table,
+            self._links,
+            rules.find_team,
+            self._metrics,
+            self._clock,
+        )
         self._relay = RelayServer(
             self._identity,
             self._guard,
@@ -189,6 +193,7 @@
                 strikes.apply,
                 strikes.apply_uncounted,
                 self._recovery.wanted_state,
+                self._quotas.on_request,
             ),
         )
         policy = DispatchPolicy.of_node(own, settings.retry_budget, settings.traffic)
@@ -205,7 +210,7 @@
         self._forwarder = Forwarder(
             rules,
             self._guard,
-            self._dispatcher,
+            self._quotas.limit(self._dispatcher),
             EntryAdmission(shares, self._guard.tree.costs, self._clock),
             self._metrics,
             self._clock,
@@ -253,6 +258,7 @@
             self._gossip.apply,
             self._recovery.on_state,
             self._recovery.state_of,
+            self._quotas.on_grant,
         )
         self._recovery.begin(self._own.publish)
         await self._relay.listen(settings.relay)
@@ -350,6 +356,7 @@
         for task in self._tasks:
             task.cancel()
         self._entry.abort()
+        self._quotas.close()
         self._readiness.close()
         self._metrics_listener.close()
         await self._source.close()
@@ -408,6 +415,7 @@
 
     def _on_nodes_confirmed(self, as_of_ms: float) -> None:
         self._following.nodes_confirmed(as_of_ms)
+        self._quotas.on_nodes_confirmed()
         if not self._recovery.has_read_table:
             self._recovery.table_read()
             self._own.publish()
@@ -473,6 +481,7 @@
         )
         for name, doc, value in gauges:
             self._metrics.set_gauge(name, doc, value)
+        self._quotas.report()
         self._metrics.on_arrivals(self._guard.gate.arrivals.total)
         self._metrics.on_placements(self._traffic.calls)
         text, content_type = self._metrics.render()
--- a/packages/gentianmill/src/gentianmill/poll_turn.py
+++ b/packages/gentianmill/src/gentianmill/poll_turn.py
@@ -264,11 +264,13 @@
             settings: Waits between two polls.
         """
         self._settings = settings
+        self._has_begun = False
         self._asked = 0
         self._ask_at_ms = -math.inf
 
     def begin(self) -> None:
         """Begin a poll."""
+        self._has_begun = True
         self._asked = 0
 
     def decide(self, now_ms: float, age_ms: float, limit_ms: float) -> TurnAction:
@@ -279,7 +281,7 @@
             age_ms: Age of the last confirmation.
             limit_ms: Age from which the node asks.
         """
-        if age_ms < limit_ms:
+        if age_ms < limit_ms or not self._has_begun:
             self._asked = 0
             return TurnAction.wait
         if self._asked and now_ms < self._ask_at_ms:
