Ask no other node before the first poll has begun

Cause: nodes of tests that never poll the registry asked each other all the time, so that links without calls were not closed (tests/test_mesh_nodes.py). Change: a node that nothing was confirmed to asks once its first poll was due.

--- a/packages/gentianmill/src/gentianmill/poll_turn.py
+++ b/packages/gentianmill/src/gentianmill/poll_turn.py
@@ -281,7 +281,8 @@
             age_ms: Age of the last confirmation.
             limit_ms: Age from which the node asks.
         """
-        if age_ms < limit_ms or not self._has_begun:
+        is_first = math.isinf(age_ms) and not self._has_begun
+        if age_ms < limit_ms or is_first:
             self._asked = 0
             return TurnAction.wait
         if self._asked and now_ms < self._ask_at_ms:
@@ -289,5 +290,6 @@
         doublings = min(self._asked, MAX_ASK_DOUBLINGS)
         self._ask_at_ms = now_ms + self._settings.peer_wait_ms * 2**doublings
         self._asked += 1
-        is_first = self._asked == 1
-        return TurnAction.ask_follower if is_first else TurnAction.replace_followers
+        if self._asked == 1:
+            return TurnAction.ask_follower
+        return TurnAction.replace_followers
