--- a/tests/memory_bed.py
+++ b/tests/memory_bed.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
@@ -28,6 +29,10 @@
 MB = 1_000_000
 _addresses = itertools.count(1)
 
+ServeConnection = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
 
 def _config() -> bytes:
     rules = [
@@ -75,7 +80,9 @@
         self._ip += str(next(_addresses))
         self._process: asyncio.subprocess.Process | None = None
 
-    async def start(self, memory_mb: int, store_port: int, app_port: int) -> None:
+    async def start(
+        self, limits: dict[str, int], store_port: int, app_port: int
+    ) -> None:
         """Start the process."""
         settings = {
             'node': self.name,
@@ -83,7 +90,7 @@
             'zone': 'a',
             'region': 'r',
             'bootstrap': True,
-            'limits': {'memoryMb': memory_mb},
+            'limits': limits,
             'listenAddrs': {
                 'outbound': f'{HOST}:{self.entry}',
                 'ready': f'{HOST}:{self.ready}',
@@ -121,6 +128,11 @@
         """Return the memory that the process takes now."""
         return self._status('VmRSS')
 
+    @property
+    def descriptors(self) -> int:
+        """Return the number of descriptors that the process has open."""
+        return len(os.listdir(f'/proc/{self._process.pid}/fd'))
+
     @property
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
@@ -148,12 +160,29 @@
 class MemoryBed:
     """Nodes ``entry`` and ``back``; the upstream is beside ``back``."""
 
-    def __init__(self, folder: Path, memory_mb: int) -> None:
-        """Create a bed that is not started."""
+    def __init__(
+        self,
+        folder: Path,
+        memory_mb: int,
+        *,
+        max_fds: int | None = None,
+        serve: ServeConnection | None = None,
+    ) -> None:
+        """Create a bed that is not started.
+
+        Args:
+            folder: Folder of the settings files and logs.
+            memory_mb: Memory that each node may take.
+            max_fds: Descriptors that each node may open, or None if the system decides.
+            serve: Serves a connection of the upstream, or None for the usual upstream.
+        """
         self.entry = NodeProcess('entry', 'front', folder)
         self.back = NodeProcess('back', SERVICE, folder)
         self.nodes = (self.entry, self.back)
-        self._memory_mb = memory_mb
+        self._limits = {'memoryMb': memory_mb}
+        if max_fds is not None:
+            self._limits['maxFds'] = max_fds
+        self._serve_connection = serve
         self._stack = contextlib.AsyncExitStack()
         self._session: aiohttp.ClientSession | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -162,15 +191,11 @@
         """Start everything, and wait until a payment is answered."""
         store = await self._stack.enter_async_context(FakeStore())
         store.put('op', 'config', _config())
-        app = web.Application(client_max_size=MAX_BODY_BYTES * 2)
-        app.router.add_route('*', '/{tail:.*}', _serve)
-        upstream = WebServer()
         app_port = free_ports(1)[0]
-        await upstream.start('upstream', app, HOST, app_port, None)
-        self._stack.push_async_callback(upstream.close)
+        await self._start_upstream(app_port)
         self._session = await self._stack.enter_async_context(aiohttp.ClientSession())
         for node in self.nodes:
-            await node.start(self._memory_mb, store.port, app_port)
+            await node.start(self._limits, store.port, app_port)
         self._tasks.append(asyncio.ensure_future(self._report(app_port)))
         async with asyncio.timeout(START_LIMIT_S):
             while await self.pay() != 200:
@@ -213,6 +238,17 @@
         )
         return Caller(reader, writer)
 
+    async def _start_upstream(self, app_port: int) -> None:
+        if self._serve_connection is not None:
+            server = await asyncio.start_server(self._serve_connection, HOST, app_port)
+            self._stack.callback(server.close)
+            return
+        app = web.Application(client_max_size=MAX_BODY_BYTES * 2)
+        app.router.add_route('*', '/{tail:.*}', _serve)
+        upstream = WebServer()
+        await upstream.start('upstream', app, HOST, app_port, None)
+        self._stack.push_async_callback(upstream.close)
+
     async def _report(self, app_port: int) -> None:
         born = 1_700_000_000_000
         for sequence in itertools.count(1):
