--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -29,7 +29,7 @@
 __all__ = ('OUT_OF_MEMORY', 'CallIntake')
 
 OUT_OF_MEMORY = 'memory'
-"""Refusal of a large request for which there is no room."""
+"""Refusal of a request for which there is no room."""
 
 log = component('relay')
 
@@ -74,6 +74,9 @@
             return
         job = RelayJob(frame, arrived_ms, self._budget)
         sender.begin(job)
+        if not job.has_head_room:
+            self.refuse(sender, job, OUT_OF_MEMORY)
+            return
         if frame.body_bytes:
             self._receive(sender, job)
         else:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_connection.py
@@ -87,6 +87,8 @@
         self._reader = RequestReader(
             self._exchanges,
             names,
+            settings,
+            handler.budget,
             lambda: handler.limits,
             lambda: RequestRoom(
                 handler.budget,
@@ -269,7 +271,7 @@
 
     def _on_sent(self, closing: bool) -> None:
         self._active_ms = self._clock.now_ms()
-        self._exchanges.pop_first().release_request()
+        self._exchanges.pop_first().release()
         if closing:
             self._close()
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_exchange.py
@@ -7,6 +7,7 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from gentianmill_mesh.forwarder import CallerRequest
+from gentianmill_mesh.head_room import HeadRoom
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.request_room import RequestRoom
 from gentianmill_mesh.response_encoder import BodyEnd, encode_response
@@ -40,6 +41,9 @@
     room: RequestRoom | None = None
     """Room for the body."""
 
+    head_room: HeadRoom | None = None
+    """Room for the head."""
+
     is_dropped: bool = False
 
     response: HttpResponse | None = None
@@ -112,11 +116,22 @@
             STATUS_BAD_GATEWAY, [], b'the end of the response is not known\n'
         )
 
+    @property
+    def head_bytes(self) -> int:
+        """Return the bytes that the head takes."""
+        return 0 if self.head_room is None else self.head_room.count
+
     def release_request(self) -> None:
         """Give back the room of the body, which is not needed any more."""
         if self.room is not None:
             self.room.release()
 
+    def release(self) -> None:
+        """Give back all room, as the exchange has ended."""
+        self.release_request()
+        if self.head_room is not None:
+            self.head_room.release()
+
     def discard(self) -> None:
         """Drop the exchange, as nobody waits for its response."""
         self.is_dropped = True
@@ -124,7 +139,7 @@
             self.task.cancel()
         if self.response is not None:
             self.response.discard()
-        self.release_request()
+        self.release()
 
     def encode(self, response: HttpResponse, *, closing: bool) -> bytes:
         """Return the bytes of the response, without a body that still arrives.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/exchange_queue.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/exchange_queue.py
@@ -6,6 +6,7 @@
 
 from gentianmill_mesh.entry_exchange import EntryExchange
 from gentianmill_mesh.forwarder import CallerRequest
+from gentianmill_mesh.head_room import headers_cost
 from gentianmill_mesh.mesh_settings import ReadAheadSettings
 
 __all__ = ('ExchangeQueue', 'RunAheadPolicy')
@@ -122,14 +123,22 @@
         )
 
     def _holds_little(self) -> bool:
-        held_bytes = 0
-        for exchange in self._exchanges:
-            if exchange.caller is not None:
-                held_bytes += len(exchange.caller.request.body)
-            if exchange.response is not None:
-                held_bytes += len(exchange.response.body)
+        if len(self._exchanges) == 1 and self._exchanges[0].response is None:
+            caller = self._exchanges[0].caller
+            return caller is None or len(caller.request.body) < self._settings.bytes
+        held_bytes = sum(_held_bytes(exchange) for exchange in self._exchanges)
         return held_bytes < self._settings.bytes
 
 
+def _held_bytes(exchange: EntryExchange) -> int:
+    held_bytes = exchange.head_bytes
+    if exchange.caller is not None:
+        held_bytes += len(exchange.caller.request.body)
+    if exchange.response is not None:
+        held_bytes += len(exchange.response.body)
+        held_bytes += headers_cost(exchange.response.headers)
+    return held_bytes
+
+
 def _has_room(exchange: EntryExchange) -> bool:
     return exchange.room is None or not exchange.room.is_waiting
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/frame_handshake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/frame_handshake.py
@@ -28,6 +28,10 @@
 """Time in which a peer that has connected must send its handshake."""
 
 READ_LIMIT_BYTES = 64 * 1024
+
+MAX_HANDSHAKE_BYTES = 16 * 1024
+"""Longest handshake of a peer; those of nodes take under 1 KB."""
+
 KEY_BYTES = 16
 _ACCEPT_SUFFIX = b'258EAFA5-E914-47DA-95CA-C5AB0DC85B11'
 
@@ -160,6 +164,7 @@
         self._parser = HttpRequestParser(
             self, loop, READ_LIMIT_BYTES, auto_decompress=False
         )
+        self._received = 0
         self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._time_out)
 
     def data_received(self, data: bytes) -> None:
@@ -170,6 +175,7 @@
             self._refuse(HTTPStatus.BAD_REQUEST)
             return
         if not messages:
+            self._count(len(data))
             return
         message = messages[0][0]
         refusal = self._refusal(message, upgraded=upgraded)
@@ -209,6 +215,12 @@
         if rest:
             socket.data_received(rest)
 
+    def _count(self, size: int) -> None:
+        self._received += size
+        if self._received > MAX_HANDSHAKE_BYTES:
+            log.info('Handshake too long.')
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def _refuse(self, status: HTTPStatus) -> None:
         if self.transport is not None:
             headers = {hdrs.CONTENT_LENGTH: '0', hdrs.CONNECTION: 'close'}
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -6,6 +6,9 @@
 from gentianmill.retry_budget import RetryBudgetSettings
 from gentianmill_mesh.wire_names import WireNames
 
+MAX_HEADER_LINES = 4096
+"""Default limit on header lines: as many of the shortest lines fit into 16,384 bytes."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -38,7 +41,10 @@
     """Requests without a response."""
 
     bytes: int = 1024 * 1024
-    """Bytes of the bodies of these requests, and of responses that wait for others."""
+    """Bytes of these requests, and of responses that wait for others."""
+
+    header_lines: int = MAX_HEADER_LINES
+    """Header lines and trailers of a request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
@@ -14,6 +14,7 @@
 from gentianmill_mesh.call_upload import CallUpload
 from gentianmill_mesh.frame_socket import FrameSocket
 from gentianmill_mesh.guard_call import GuardReply
+from gentianmill_mesh.head_room import HeadRoom, headers_cost
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.part_sender import PartSender
 from gentianmill_mesh.relay_codec import RelayFrame, encode
@@ -64,6 +65,8 @@
         """Body of the answer if it does not fit into the frame."""
 
         self._budget = budget
+        self._head_room = HeadRoom(budget)
+        self._has_head_room = self._head_room.resize(headers_cost(frame.headers))
         self._room: CallUpload | None = None
         self._kept_bytes = 0
 
@@ -72,6 +75,11 @@
         """Return the number of the call."""
         return self.frame.key
 
+    @property
+    def has_head_room(self) -> bool:
+        """Return whether there was room for the headers of the request."""
+        return self._has_head_room
+
     @property
     def deadline_ms(self) -> float:
         """Return the time in ms until which its sender waits."""
@@ -96,14 +104,17 @@
         """Drop what is needed only until the call is answered."""
         self.frame.headers = []
         self.frame.target = b''
+        self._head_room.release()
 
     def keep(self, response: HttpResponse | None) -> None:
-        """Keep the body of the answer until ``drop_response``."""
-        if self.answer is None or response is None or response.stream is not None:
+        """Keep the answer until ``drop_response``; a body that arrives is not kept."""
+        if self.answer is None or response is None:
             return
-        if self.answer.body_bytes:
-            self.body = response.body
-        self._kept_bytes = len(response.body)
+        self._kept_bytes = headers_cost(response.headers)
+        if response.stream is None:
+            if self.answer.body_bytes:
+                self.body = response.body
+            self._kept_bytes += len(response.body)
         self._budget.hold(HeldKind.kept, self._kept_bytes)
 
     def drop_response(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
@@ -9,12 +9,17 @@
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from gentianmill.byte_budget import ByteBudget, HeldKind
 from gentianmill.route_rules import RequestLimits
 from gentianmill_mesh.body_buffer import Body, BodyBuffer
 from gentianmill_mesh.entry_exchange import EntryExchange
 from gentianmill_mesh.exchange_queue import ExchangeQueue
 from gentianmill_mesh.forwarder import CallerRequest
+from gentianmill_mesh.head_room import HeadRoom, ParserRoom, head_cost
+from gentianmill_mesh.head_splitter import END
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse
+from gentianmill_mesh.mesh_settings import ReadAheadSettings
+from gentianmill_mesh.request_extent import RequestExtent
 from gentianmill_mesh.request_room import RequestRoom
 from gentianmill_mesh.wire_names import WireNames
 from gentianmill_node.logs import component
@@ -28,16 +33,20 @@
 """Buffer limit of the parser. Bodies have a lower limit of their own, so it must never
 pause."""
 
-MAX_FIELDS = 32_768
-"""Headers of a request; their bytes are limited by the rules."""
+FIELD_OVERHEAD_BYTES = 3
+"""Fewest separators of a header: a colon and the end of the line."""
 
-FIELD_OVERHEAD_BYTES = 4
-"""Separators of a header."""
+LAST_CHUNK = b'\r\n0'
+"""Begin of the last chunk of a body, behind which trailers come."""
+
+TOO_MANY_LINES = 'Too many headers received'
+"""Message of the parser's error."""
 
 STATUS_BAD_REQUEST = 400
 STATUS_HEAD_TOO_LARGE = 431
 STATUS_TOO_LARGE = 413
 STATUS_EXPECTATION_FAILED = 417
+STATUS_UNAVAILABLE = 503
 
 log = component('entry')
 
@@ -49,6 +58,8 @@
         self,
         exchanges: ExchangeQueue,
         names: WireNames,
+        settings: ReadAheadSettings,
+        budget: ByteBudget,
         limits: Callable[[], RequestLimits],
         new_room: Callable[[], RequestRoom],
     ) -> None:
@@ -57,6 +68,8 @@
         Args:
             exchanges: Receives each request, as soon as its head is complete.
             names: Header names of the deployment.
+            settings: Bounds on what is read.
+            budget: Limits what the node holds.
             limits: Returns the bounds on requests.
             new_room: Returns the room for a body.
         """
@@ -64,18 +77,13 @@
         self._names = names
         self._limits = limits
         self._new_room = new_room
-        loop = asyncio.get_running_loop()
-        # It stops after each message, so that an error in one spares those before it.
-        self._parser = HttpRequestParser(
-            _Unpausable(loop),
-            loop,
-            READ_LIMIT_BYTES,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            max_headers=MAX_FIELDS,
-            auto_decompress=False,
-            max_msg_queue_size=1,
-        )
+        self._settings = settings
+        self._budget = budget
+        self._parser = self._new_parser()
+        self._parser_room = ParserRoom(budget)
+        self._extent = RequestExtent()
+        self._body_bytes = 0
+        self._bytes_since_body = 0
         self._incomplete: tuple[EntryExchange, RawRequestMessage, StreamReader] | None
         self._incomplete = None
         self._body = BodyBuffer()
@@ -112,6 +120,9 @@
         self._ended = True
         self._incomplete = None
         self._body = BodyBuffer()
+        # The parser keeps the last head.
+        self._parser = self._new_parser()
+        self._parser_room.clear()
 
     def feed(self, data: bytes, arrived_ms: float) -> bool:
         """Parse bytes up to the end of one request.
@@ -125,6 +136,7 @@
         """
         self._arrived_ms = arrived_ms
         self._head_bytes += len(data)
+        self._extent.add(data)
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError) as error:
@@ -132,11 +144,14 @@
             return False
         for message, payload in messages:
             self._receive(message, payload)
-        has_request_ended = self._complete_body()
+        has_request_ended = self._complete_body(data)
+        if not (self._ended or has_request_ended):
+            self._count(data, is_head_complete=bool(messages))
         is_in_body = self._incomplete is not None
         self._is_in_head = bool(data) and not (messages or has_request_ended)
         self._is_in_head &= not is_in_body
-        if self._is_in_head and self._head_bytes > self._limits().header_bytes:
+        is_long = self._head_bytes > self._limits().header_bytes
+        if self._is_in_head and is_long and not self._ended:
             self._refuse_head()
         if upgraded:
             self._ended = True
@@ -152,7 +167,7 @@
             self._exchanges.append(EntryExchange.ended_by(response))
         else:
             exchange = self._incomplete[0]
-            exchange.release_request()
+            exchange.release()
             exchange.keeps_alive = False
             exchange.awaits_continue = False
             exchange.response = response
@@ -175,6 +190,9 @@
         if is_long and _head_bytes(message) > limits.header_bytes:
             self._refuse_head()
             return
+        if not self._hold_head(exchange, len(message.raw_headers)):
+            self._refuse_for_memory()
+            return
         self._head_bytes = 0
         length = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
         if length > limits.body_bytes:
@@ -194,7 +212,79 @@
         log.info('Head too long.', bytes=self._head_bytes)
         self.refuse(HttpResponse(STATUS_HEAD_TOO_LARGE, [], b'the head is too large\n'))
 
-    def _complete_body(self) -> bool:
+    def _refuse_for_memory(self) -> None:
+        log.info('No room for a head.', held=self._budget.held_of(HeldKind.head))
+        retry = [[b'Retry-After', b'1']]
+        self.refuse(HttpResponse(STATUS_UNAVAILABLE, retry, b'not run\n'))
+
+    def _hold_head(self, exchange: EntryExchange, lines: int) -> bool:
+        """Count a complete head, and return whether there is room for it."""
+        size = self._extent.head_size
+        size = size or min(self._head_bytes, self._limits().header_bytes)
+        exchange.head_room = HeadRoom(self._budget)
+        self._body_bytes = 0
+        self._bytes_since_body = 0
+        is_parsed = self._parser_room.set_head(lines, size)
+        return is_parsed and exchange.head_room.resize(head_cost(lines, size))
+
+    def _count(self, data: bytes, *, is_head_complete: bool) -> None:
+        """Count what the parser holds of a request that has not ended."""
+        room = self._parser_room
+        if self._incomplete is None:
+            has_room = room.add_to_head(data) if data else room.begin_next_head()
+        else:
+            has_room = self._count_trailers(data, is_head_complete=is_head_complete)
+        if self._bytes_since_body > self._limits().header_bytes:
+            self._refuse_head()
+        elif has_room:
+            return
+        else:
+            self._refuse_for_memory()
+
+    def _count_trailers(self, data: bytes, *, is_head_complete: bool) -> bool:
+        """Count bytes behind the last chunk, and return whether there is room."""
+        _, message, payload = self._incomplete
+        if not message.chunked:
+            return True
+        has_grown = payload.total_bytes > self._body_bytes
+        self._body_bytes = payload.total_bytes
+        if has_grown or is_head_complete:
+            self._bytes_since_body = 0
+            start = data.find(LAST_CHUNK)
+            return self._parser_room.set_trailers(data[start:] if start >= 0 else b'')
+        self._bytes_since_body += len(data)
+        return self._parser_room.add_to_trailers(data)
+
+    def _go_on(
+        self, exchange: EntryExchange, message: RawRequestMessage, data: bytes
+    ) -> None:
+        """Free the head that the parser keeps, or count it while it is kept."""
+        length = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
+        if not message.chunked and self._extent.is_exact(length):
+            self._parser = self._new_parser()
+            self._parser_room.clear()
+            self._extent.begin()
+            return
+        self._extent.lose()
+        if not self._parser_room.keep(data, END):
+            exchange.keeps_alive = False
+            self.end()
+
+    def _new_parser(self) -> HttpRequestParser:
+        loop = asyncio.get_running_loop()
+        # It stops after each message, so that an error in one spares those before it.
+        return HttpRequestParser(
+            _Unpausable(loop),
+            loop,
+            READ_LIMIT_BYTES,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            max_headers=self._settings.header_lines,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
+
+    def _complete_body(self, data: bytes) -> bool:
         """Take the body that is being received, and return whether it has ended."""
         if self._incomplete is None:
             return False
@@ -217,7 +307,10 @@
         exchange.caller = self._caller_request(exchange, message, body)
         exchange.awaits_continue = False
         self._incomplete = None
-        self._ended = not exchange.keeps_alive
+        if exchange.keeps_alive:
+            self._go_on(exchange, message, data)
+        else:
+            self.end()
         return True
 
     def _caller_request(
@@ -239,6 +332,9 @@
         )
 
     def _reject(self, error: BaseException) -> None:
+        if TOO_MANY_LINES in str(error):
+            self._refuse_head()
+            return
         log.info('Request not readable.', error=repr(error))
         self.refuse(HttpResponse(STATUS_BAD_REQUEST, [], b'the request is malformed\n'))
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -13,6 +13,7 @@
 from gentianmill_mesh.head_splitter import END, HeadSplitter
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse, header
 from gentianmill_mesh.response_body import ResponseBody
+from gentianmill_mesh.response_head import ResponseHead
 from gentianmill_mesh.response_identity import ResponseIdentity
 from gentianmill_mesh.response_memory import (
     MAX_BUFFERED_BYTES,
@@ -25,9 +26,6 @@
 READ_LIMIT_BYTES = 256 * 1024 * 1024
 """Buffer limit of the parser. Responses are read completely, so it must never pause."""
 
-MAX_HEAD_BYTES = 256 * 1024
-"""Longest head of a response; an unbounded one would fill the memory."""
-
 MAX_SKIPPED_RESPONSES = 16
 """Interim responses and responses to other requests before the expected one; an
 unbounded number of them would keep the node busy."""
@@ -114,7 +112,7 @@
         self._memory = memory
         self._body = ResponseBody(memory)
         self._head_splitter = HeadSplitter()
-        self._head_bytes = 0
+        self._head = ResponseHead()
         self._body_bytes = 0
         self._skipped = 0
         self._parses_bodies = False
@@ -157,7 +155,7 @@
         self._body = ResponseBody(self._memory)
         self._is_receiving = True
         self._head_splitter = HeadSplitter()
-        self._head_bytes = 0
+        self._head = ResponseHead()
         self._body_bytes = 0
         self._skipped = 0
         self._waiter = self._loop.create_future()
@@ -238,12 +236,11 @@
             )
             return
         self._messages.extend(messages)
-        # Counts as part of a body or of an incomplete head.
-        self._head_bytes = 0 if self._messages else self._head_bytes + len(piece)
-        if self._head_bytes > MAX_HEAD_BYTES:
+        cost = self._head.count(piece, self._messages[0][1] if self._messages else None)
+        if self._head.is_too_long:
             self._fail(LossKind.bad_answer, 'the head of the response is too long')
         elif self._body.stream is None:
-            self._memory.add(self, len(piece))
+            self._memory.add(self, cost)
         if upgraded or tail:
             self._reusable = False
         self._process_messages()
@@ -257,6 +254,9 @@
             self._timer.cancel()
         self._memory.release(self)
         self._waiter = None
+        if self._head.is_large:
+            # The parser keeps the last head.
+            self._parser = None
 
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -337,6 +337,7 @@
         """Drop an interim response or the response to another request."""
         self._messages.pop(0)
         self._memory.release(self)
+        self._head.begin()
         self._body_bytes = 0
         self._skipped += 1
         if self._skipped > MAX_SKIPPED_RESPONSES:
--- a/packages/gentianmill/src/gentianmill/byte_budget.py
+++ b/packages/gentianmill/src/gentianmill/byte_budget.py
@@ -3,7 +3,9 @@
 Everything that a node holds for callers, upstreams and other nodes counts: requests being
 read, responses being collected or waiting for a slow reader, and answers kept for a
 sender that lost its link. Small messages are only counted. Large requests reserve their
-size before they are read, and wait in order while there is no room.
+size before they are read, and wait in order while there is no room. Heads count with the
+memory that they take, which is many times their bytes if their lines are short; one for
+which there is no room is refused.
 """
 
 import enum
@@ -19,6 +21,20 @@
 """Part of the limit that large requests may reserve together; the rest is for responses
 and for small messages, which thus pass while uploads wait."""
 
+HEAD_SHARE = 0.25
+"""Part of the limit that heads may take together."""
+
+FREE_SHARE = 0.5
+"""Part of that up to which heads are taken whatever their size."""
+
+HEAD_RESERVE = 8
+"""Above it a head is taken while there is room for this many of its size, so that few
+large ones leave room for many small ones."""
+
+ORDINARY_HEADS_SHARE = 0.05
+"""Part of the limit that heads take without taking it from bodies, so that a body as long
+as the limit has room beside its own head."""
+
 SCARCE_SHARE = 0.5
 """Part of the limit above which answers that are only kept are dropped."""
 
@@ -27,6 +43,7 @@
     """What bytes are held for."""
 
     request = 'request'
+    head = 'head'
     response = 'response'
     kept = 'kept'
     """Answers that were sent, and are kept for a sender that asks again."""
@@ -127,6 +144,19 @@
         """Return whether a request of a size can ever get its room."""
         return count <= self._limit
 
+    def has_room_for_head(self, count: int, held: int = 0) -> bool:
+        """Return whether a head may be held.
+
+        Args:
+            count: Bytes that it takes.
+            held: Bytes that are held for it so far.
+        """
+        share = self._limit * HEAD_SHARE
+        others = self._held[HeldKind.head] - held
+        if others + count <= share * FREE_SHARE:
+            return True
+        return count * HEAD_RESERVE <= share - others
+
     def hold(self, kind: HeldKind, count: int) -> None:
         """Count bytes that are held from now on."""
         self._held[kind] += count
@@ -167,4 +197,6 @@
         reserved = self._held[HeldKind.request]
         if reserved and reserved + count > self._limit * REQUEST_SHARE:
             return False
-        return self.held + count <= self._limit
+        heads = self._held[HeldKind.head]
+        ordinary = min(heads, self._limit * ORDINARY_HEADS_SHARE)
+        return self.held - ordinary + count <= self._limit
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -10,6 +10,8 @@
 from gentianmill_mesh.entry_connection import EntryConnection, EntryHandler
 from gentianmill_mesh.http_message import HttpResponse
 from gentianmill_mesh.mesh_settings import ReadAheadSettings
+from hypothesis import given
+from hypothesis import strategies as st
 from mesh_upstream import NAMES
 
 HEADER_BYTES = 8000
@@ -270,3 +272,89 @@
         return bench.transport.is_reset
 
     assert _run(scenario) is not second
+
+
+def _short_lines(count: int, end: bytes = b'\r\n') -> bytes:
+    return b'GET / HTTP/1.1\r\nHost: h\r\n' + b'ab:c\r\n' * count + end
+
+
+def test_header_lines_are_limited():
+    """Guards against heads with more lines than the setting allows."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench()
+        settings = ReadAheadSettings(header_lines=100)
+        bench.connection = EntryConnection(bench.handler, NAMES, settings, bench.clock)
+        bench.connection.connection_made(bench.transport)
+        bench.connection.data_received(_short_lines(99))
+        bench.connection.data_received(_short_lines(100))
+        return bench.statuses
+
+    assert _run(scenario) == [b'200', b'431']
+
+
+@pytest.mark.parametrize('end', [b'', b'\r\n'])
+def test_head_without_room_is_refused_as_not_run(end: bytes):
+    """Guards against heads that take more memory than the node may hold."""
+
+    async def scenario() -> tuple[list[bytes], int, int]:
+        bench = _Bench(budget_bytes=1_000_000)
+        bench.connection.data_received(_short_lines(1000, end))
+        held = bench.handler.budget.held
+        bench.connection.connection_lost(None)
+        return bench.statuses, len(bench.handler.callers), held
+
+    assert _run(scenario) == ([b'503'], 0, 0)
+
+
+@pytest.mark.parametrize('piece', [b'ab:c\r\n' * 50, b'x' * 400])
+def test_trailers_are_limited(piece: bytes):
+    """Guards against trailers without end, which a parser keeps."""
+
+    async def scenario() -> tuple[list[bytes], int]:
+        bench = _Bench()
+        head = _head('Transfer-Encoding: chunked', method='POST')
+        bench.connection.data_received(head + b'1\r\nx\r\n0\r\nT: ')
+        for _ in range(200):
+            bench.connection.data_received(piece)
+        return bench.statuses, bench.handler.budget.held
+
+    assert _run(scenario) == ([b'431'], 0)
+
+
+BODIES = (
+    b'',
+    b'Content-Length: 5\r\n\r\na\r\n\r\n',
+    b'Content-Length: 9\r\n\r\n\r\n0\r\n\r\nab',
+    b'Transfer-Encoding: chunked\r\n\r\n4\r\n\r\n\r\n\r\n0\r\n\r\n',
+    b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nT: v\r\n\r\n',
+)
+
+
+@given(
+    st.lists(st.integers(0, len(BODIES) - 1), min_size=1, max_size=6),
+    st.lists(st.integers(1, 120), max_size=12),
+    st.sampled_from([b'', b'\r\n']),
+)
+def test_parser_is_replaced_only_between_requests(
+    kinds: list[int], sizes: list[int], between: bytes
+):
+    """Guards against bytes of a request that are lost with the parser of the last one."""
+    requests = [
+        b'POST /%d HTTP/1.1\r\nHost: h\r\n%b' % (number, BODIES[kind] or b'\r\n')
+        for number, kind in enumerate(kinds)
+    ]
+    stream = between.join(requests)
+
+    async def scenario() -> tuple[list[bytes], list[bytes]]:
+        bench = _Bench()
+        left = stream
+        for size in (*sizes, len(stream)):
+            bench.connection.data_received(left[:size])
+            left = left[size:]
+        return bench.statuses, [call.request.target for call in bench.handler.callers]
+
+    statuses, targets = _run(scenario)
+    assert len(statuses) == len(requests)
+    assert set(statuses) == {b'200'}
+    assert targets == [b'/%d' % number for number in range(len(requests))]
