--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -8,6 +8,9 @@
 from gentianmill.zone_traffic import TrafficSettings
 from gentianmill_mesh.wire_names import WireNames
 
+MAX_HEADER_LINES = 4096
+"""Default limit on header lines: as many of the shortest lines fit into 16,384 bytes."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -40,7 +43,10 @@
     """Requests without a response."""
 
     bytes: int = 1024 * 1024
-    """Bytes of the bodies of these requests, and of responses that wait for others."""
+    """Bytes of these requests, and of responses that wait for others."""
+
+    header_lines: int = MAX_HEADER_LINES
+    """Header lines and trailers of a request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
