--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -166,20 +166,29 @@
             sender.send(RelayCredit(job.key, upload.received, limit))
 
     def _run_soon(self, sender: RelaySender, job: RelayJob) -> None:
-        job.task = spawn(self._run(sender, job), 'run call')
+        call = _guard_call(job)
+        job.task = spawn(self._run(sender, job, call), 'run call')
         # A task that is cancelled before its first step never runs.
-        job.task.add_done_callback(lambda _: self._end(sender, job))
+        job.task.add_done_callback(lambda _: self._end_unanswered(sender, job, call))
 
-    async def _run(self, sender: RelaySender, job: RelayJob) -> None:
+    def _end_unanswered(
+        self, sender: RelaySender, job: RelayJob, call: GuardCall
+    ) -> None:
+        """End a call without a reply; it has not run if the upstream never got it."""
+        if job.reply is None and not call.may_have_run:
+            job.reply = GuardReply.not_run('deadline')
+        self._end(sender, job)
+
+    async def _run(self, sender: RelaySender, job: RelayJob, call: GuardCall) -> None:
         try:
-            job.reply = await self._guard.run(_guard_call(job))
+            job.reply = await self._guard.run(call)
             if sender.protocol < PROTOCOL:
                 job.reply = await _whole_reply(job.reply)
         except asyncio.CancelledError:
             log.debug('Call cancelled.', key=job.key)
         except Exception:
             log.exception('Call failed with an internal error.', key=job.key)
-        self._end(sender, job)
+        self._end_unanswered(sender, job, call)
 
     def _end(self, sender: RelaySender, job: RelayJob) -> None:
         if job.answer is not None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_call.py
@@ -24,6 +24,9 @@
     cause: Cause
     """Why the request is sent to the upstream."""
 
+    may_have_run: bool = False
+    """Whether the guard has given the request to the upstream."""
+
 
 @dataclasses.dataclass(slots=True)
 class GuardReply:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -36,6 +36,9 @@
 """Pause between attempts to reach the node that has a request which may run only
 once."""
 
+CANCEL_GRACE_S = 0.012
+"""Time for the answer to a cancellation; the caller waits for 20 ms beyond the deadline."""
+
 MS_PER_S = 1000
 
 
@@ -58,7 +61,13 @@
     body: Body | None = None
     """Body that does not fit into the frame."""
 
-    sent: bool = False
+    sends: int = 0
+    """How often it was sent; again after its connection was lost."""
+
+    @property
+    def sent(self) -> bool:
+        """Return whether the other node may have received the call."""
+        return bool(self.sends)
 
     def complete(self, reply: GuardReply, load: GuardLoad | None = None) -> None:
         if not self.waiter.done():
@@ -205,8 +214,22 @@
         return self._connection.send(frame)
 
     def _time_out(self, pending: _Pending) -> None:
+        """End a call; what may run only once gets a moment for the guard's last word.
+
+        The guard may have it in its queue still, and answers the cancellation that it has
+        not run.
+        """
+        is_incomplete = pending.sends == 1 and self._parts.is_sending(pending.frame.key)
         self._cancel_remote(pending)
-        pending.fail('deadline')
+        if is_incomplete:
+            # The guard runs a request only when its whole body has arrived.
+            pending.complete(GuardReply.not_run('deadline'))
+        elif pending.sent and not pending.frame.repeatable:
+            asyncio.get_running_loop().call_later(
+                CANCEL_GRACE_S, pending.fail, 'deadline'
+            )
+        else:
+            pending.fail('deadline')
 
     def _start(self, pending: _Pending) -> 'asyncio.Future[None] | None':
         """Send a call immediately, or return the task that connects first."""
@@ -246,7 +269,7 @@
         if pending.body is not None and not has_parts:
             frame = msgspec.structs.replace(frame, body=pending.body, body_bytes=0)
         if self._send(frame):
-            pending.sent = True
+            pending.sends += 1
             if has_parts:
                 body = WholeBody(pending.body)
                 self._parts.add(frame.key, body, 0, limit)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -53,6 +53,9 @@
     """How far a request got before its connection was lost."""
 
     before_send = 'before_send'
+    no_time = 'no_time'
+    """The time was over before any byte was sent."""
+
     after_send = 'after_send'
     bad_answer = 'bad_answer'
     timed_out = 'timed_out'
@@ -152,6 +155,8 @@
         """
         if not self.reusable:
             raise UpstreamLostError(LossKind.before_send, 'the connection was closed')
+        if timeout_s <= 0:
+            raise UpstreamLostError(LossKind.no_time, 'no time was left to send')
         self._identity.begin(request_id)
         self._messages.clear()
         self._body = ResponseBody(self._memory)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -260,6 +260,7 @@
         request_id = header(call.request.headers, self._names.request_id)
         tree_id = (request_id or b'').decode(errors='replace')
         self._tree.start(tree_id, call.rank, call.route, call.cause)
+        call.may_have_run = True
         try:
             response = await self._pool.run(
                 call.request,
@@ -313,6 +314,8 @@
         )
 
     def _reply_to_loss(self, call: GuardCall, error: UpstreamLostError) -> GuardReply:
+        if error.kind is LossKind.no_time:
+            return GuardReply.not_run('deadline')
         if error.kind is LossKind.timed_out:
             return GuardReply.unknown('deadline')
         if error.kind is not LossKind.before_send:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_pool.py
@@ -46,6 +46,9 @@
 """A reused connection that breaks this soon after a request was sent had already been
 closed by the upstream; on the same VM a reset arrives in less than 1 ms."""
 
+NOT_SENT = frozenset((LossKind.before_send, LossKind.no_time))
+"""Losses after which a request has certainly not run on the connection."""
+
 log = component('upstream')
 
 
@@ -134,8 +137,7 @@
                 raise
             if not may_resend():
                 raise
-            fresh = await self._open_after(error)
-        return await self._run_on(fresh, exchange, end_ms)
+            return await self._run_after(error, exchange, end_ms)
 
     async def is_reachable(self) -> bool:
         """Return whether the upstream accepts a connection now."""
@@ -217,12 +219,16 @@
         self._repeatable.discard(connection)
         self._return_to_pool(connection)
 
-    async def _open_after(self, loss: UpstreamLostError) -> UpstreamConnection:
-        """Open a connection, or raise the earlier loss, as the request may have run."""
+    async def _run_after(
+        self, loss: UpstreamLostError, exchange: '_Exchange', end_ms: float
+    ) -> HttpResponse:
+        """Run a request again, or raise the earlier loss, as it may have run before."""
         try:
-            return await self._open()
-        except UpstreamLostError as refused:
-            raise loss from refused
+            return await self._run_on(await self._open(), exchange, end_ms)
+        except UpstreamLostError as second:
+            if second.kind in NOT_SENT:
+                raise loss from second
+            raise
 
     def _was_already_closed(self, error: UpstreamLostError, sent_ms: float) -> bool:
         """Return whether the upstream had closed a connection before it was reused."""
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -28,12 +28,16 @@
         self.runs: list[bytes] = []
         self.gate = asyncio.Event()
         self.gate.set()
+        self.gives_to_upstream = True
+        """Whether calls wait at the upstream, not in the queue."""
+
         self.service = 'back'
         self.reply: Callable[[GuardCall], GuardReply] = _answered
 
     async def run(self, call: GuardCall) -> GuardReply:
         """Run a call."""
         self.runs.append(call.request.target)
+        call.may_have_run = self.gives_to_upstream
         await self.gate.wait()
         return self.reply(call)
 
--- a/tests/test_overdue_resends.py
+++ b/tests/test_overdue_resends.py
@@ -6,8 +6,9 @@
 from gentianmill.byte_budget import ByteBudget
 from gentianmill.clock import ManualClock
 from gentianmill.outcome import Outcome
-from gentianmill.relay_messages import KnownState
+from gentianmill.relay_messages import GuardLoad, KnownState, RelayAnswer, RelayCancel
 from gentianmill_mesh.guard_call import GuardCall
+from gentianmill_mesh.relay_codec import encode
 from gentianmill_mesh.relay_connection import RelayContext
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_link import RelayLink, new_call_keys
@@ -88,3 +89,50 @@
         )
 
     assert asyncio.run(scenario()) == (Outcome.unknown, 0)
+
+
+def test_guard_has_the_last_word_on_a_payment_that_timed_out():
+    """Guards against a 504 for a payment that waited in a queue until its deadline."""
+
+    async def scenario() -> Outcome:
+        clock = ManualClock()
+        link, connection = _link(clock)
+        running = asyncio.ensure_future(link.call(_call()))
+        await asyncio.sleep(0)
+        clock.advance(DEADLINE_MS)
+        link.end_overdue_calls()
+        assert isinstance(connection.sent[-1], RelayCancel)
+        link.on_message(encode(_refusal(connection.sent[0].key)))
+        return (await running).reply.outcome
+
+    assert asyncio.run(scenario()) is Outcome.not_run
+
+
+def test_payment_without_a_last_word_may_have_run():
+    """Guards against a 503 for a payment whose guard does not answer in time."""
+
+    async def scenario() -> Outcome:
+        clock = ManualClock()
+        link, _ = _link(clock)
+        running = asyncio.ensure_future(link.call(_call()))
+        await asyncio.sleep(0)
+        clock.advance(DEADLINE_MS)
+        link.end_overdue_calls()
+        return (await running).reply.outcome
+
+    assert asyncio.run(scenario()) is Outcome.unknown
+
+
+def _refusal(key: int) -> RelayAnswer:
+    return RelayAnswer(
+        key=key,
+        outcome=Outcome.not_run.value,
+        status=0,
+        headers=[],
+        body=b'',
+        reason='deadline',
+        framed=True,
+        rules_version=0,
+        load=GuardLoad(running=0, limit=1, queued=0),
+        spent_ms=0,
+    )
--- a/tests/test_relay_resends.py
+++ b/tests/test_relay_resends.py
@@ -123,3 +123,33 @@
         return bench.server.busy, len(bench.guard.runs)
 
     assert asyncio.run(scenario()) == (False, 0)
+
+
+@pytest.mark.parametrize('is_at_upstream', [False, True])
+def test_cancelled_call_that_never_reached_the_upstream_has_not_run(
+    is_at_upstream: bool,
+):
+    """Guards against a 504 for a payment whose time passed in the queue of its guard."""
+
+    async def scenario() -> str:
+        bench = RelayBench()
+        bench.guard.gate.clear()
+        bench.guard.gives_to_upstream = is_at_upstream
+        sender = bench.connect()
+        await sender.send(call(1))
+        answers = await sender.send(RelayCancel(1))
+        return answers[0].outcome
+
+    expected = Outcome.unknown if is_at_upstream else Outcome.not_run
+    assert asyncio.run(scenario()) == expected.value
+
+
+def test_call_that_is_cancelled_before_its_task_began_has_not_run():
+    """Guards against an unknown outcome of a call that was cancelled in the same read."""
+
+    async def scenario() -> str:
+        bench = RelayBench()
+        answers = await bench.connect().send(call(1), RelayCancel(1))
+        return answers[0].outcome
+
+    assert asyncio.run(scenario()) == Outcome.not_run.value
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -165,3 +165,15 @@
         return lost.kind if isinstance(lost, UpstreamLostError) else None
 
     assert _run_scenario(scenario) is LossKind.after_send
+
+
+def test_request_without_time_left_is_not_sent():
+    """Guards against a payment that is sent after its deadline and counts as unknown."""
+
+    async def scenario() -> tuple[LossKind, int]:
+        async with ScriptedUpstream(Script([OK_RESPONSE])) as upstream:
+            with pytest.raises(UpstreamLostError) as lost:
+                await upstream.pool().run(request(), None, [], False, 0, bool)
+            return lost.value.kind, len(upstream.heads)
+
+    assert _run_scenario(scenario) == (LossKind.no_time, 0)
