--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_shares.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_shares.py
@@ -72,7 +72,7 @@
         if load.running + load.queued >= load.limit:
             return
         if self._rejections.is_rejecting:
-            share = self._rejections.completable_share(self._gate.earned_per_s)
+            share = self._rejections.completable_share(self._gate.sustained_per_s)
             load.tree_shares[self._service] = int(share * SHARE_SCALE)
             load.shares[self._service] = int(self._share.load_share * SHARE_SCALE)
         elif self._rejections.has_ended_within(REPORT_LIFETIME_MS, now_ms):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
@@ -37,9 +37,9 @@
         return self._budget.credit(self._clock.now_ms())
 
     @property
-    def earned_per_s(self) -> float:
-        """Return how many duplicate attempts are earned in a second now."""
-        return self._budget.earned_per_s(self._clock.now_ms())
+    def sustained_per_s(self) -> float:
+        """Return how many duplicate attempts may be planned for a second now."""
+        return self._budget.sustained_per_s(self._clock.now_ms())
 
     def share_slack(self, guards: int) -> None:
         """Set the number of guards of the service, which share the slack."""
--- a/packages/gentianmill/src/gentianmill/rejection_gauge.py
+++ b/packages/gentianmill/src/gentianmill/rejection_gauge.py
@@ -2,8 +2,9 @@
 
 import math
 
-RATE_DECAY_MS = 400.0
-"""Time constant with which accepted and rejected calls are forgotten."""
+RATE_DECAY_MS = 1500.0
+"""Time constant with which accepted and rejected calls are forgotten. At 400 ms the share
+of a guard with 160 calls/s varies so much that important routes are refused at times."""
 
 USUAL_DECAY_MS = 20_000.0
 """Time constant of the usual rate of first attempts, which is kept while calls are
@@ -52,6 +53,9 @@
     def on_response(self, accepted: bool, now_ms: float) -> None:
         """Record whether the upstream accepted a call or rejected it."""
         kept = math.exp((self._counted_ms - now_ms) / RATE_DECAY_MS)
+        if not accepted and self._streak >= ACCEPTED_STREAK:
+            # Calls accepted before the rejections began say nothing about them.
+            kept = 0
         self._counted_ms = now_ms
         self._accepted = self._accepted * kept + accepted
         self._rejected = self._rejected * kept + (not accepted)
@@ -74,7 +78,7 @@
         """Return the share of the usual calls that a budget of retries completes.
 
         Args:
-            retries_per_s: Retries that the guard earns in a second.
+            retries_per_s: Retries that the guard has in a second.
         """
         total = self._accepted + self._rejected
         usual_per_s = self._usual / max(self._usual_weight, 1) * MS_PER_S
--- a/packages/gentianmill/src/gentianmill/retry_budget.py
+++ b/packages/gentianmill/src/gentianmill/retry_budget.py
@@ -49,6 +49,10 @@
 ORDINARY_RESERVED_SHARE = 0.03
 """Further fraction that ordinary work leaves to the most important priority."""
 
+MIN_USE = 0.9
+"""Part of the earned credit that is planned to be used when none is left; with a full
+credit, it is 1 more, as what is not used expires."""
+
 MS_PER_S = 1000
 
 EXPIRY_SLOTS = 10
@@ -117,6 +121,16 @@
         self._update(now_ms)
         return self._earned_credit / self._credit_lifetime_ms * MS_PER_S
 
+    def sustained_per_s(self, now_ms: float) -> float:
+        """Return the duplicate attempts in a second that keep some credit in reserve.
+
+        They are fewer than are earned while the credit is low, so that waiting calls are
+        served, and more while much of it would expire.
+        """
+        earned_per_s = self.earned_per_s(now_ms)
+        level = min(self._credit / max(self._max_credit, 1), 1)
+        return earned_per_s * (MIN_USE + level)
+
     def permits(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
         """Return whether an attempt is a first one or within the budget.
 
--- a/packages/gentianmill/src/gentianmill/tree_budget.py
+++ b/packages/gentianmill/src/gentianmill/tree_budget.py
@@ -21,10 +21,6 @@
 """Time constant of the usual rates of requests, which are kept while services reject, as
 refused callers come back and would look like demand."""
 
-SAFETY_SHARE = 0.9
-"""Part of the completable calls that is admitted. A guard that ran out of budget fails
-trees on which work was done."""
-
 MAX_BURST = 2.0
 """Requests of a route that may be admitted at once after a pause."""
 
@@ -195,7 +191,7 @@
         self._is_dividing = True
         for service, share in shares.items():
             demands = self._demands(calls_to(service))
-            for name, part in divide(demands, share * SAFETY_SHARE).items():
+            for name, part in divide(demands, share).items():
                 self._routes[name].part = min(self._routes[name].part, part)
 
     def _demands(self, calls: Mapping[str, float]) -> list[TreeDemand]:
