Order revisions by the store's era, and write rows again in a new one

Cause: a store that is restored from an older copy gives versions out again. Nodes compared them with those from before: they skipped rows, refused records as old, took lost rows as deleted, and never wrote their own again.

Change: a revision holds the era in front of the version, so that all places that order or match revisions are of one era; without the header it is the version as before. A node learns an era from any response and from records that others pass on, writes its row again, and reads the tables anew.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -156,7 +156,7 @@
             random.Random(),  # noqa: S311
         )
         self._gossip = NodeGossip(
-            self._table, self._links, peers, registry.own_record_seen
+            self._table, self._links, peers, registry.records_seen
         )
         rules.on_change(
             RulesGossip(peers, self._links, settings.region, self._following).announce
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/node_gossip.py
@@ -40,7 +40,7 @@
         table: NodeTable,
         links: RelayLinks,
         peers: RandomPeers,
-        on_own_record: Callable[[NodeRecord], None] | None = None,
+        on_records: Callable[[Sequence[NodeRecord]], None] | None = None,
     ) -> None:
         """Create a gossip that has sent nothing yet.
 
@@ -48,9 +48,9 @@
             table: Node records known to this node.
             links: Links to the other nodes.
             peers: Chooses the receivers.
-            on_own_record: Called with each record of this node that another one sends.
+            on_records: Called with the records that another node sends.
         """
-        self._on_own_record = on_own_record
+        self._on_records = on_records
         self._table = table
         self._links = links
         self._peers = peers
@@ -83,10 +83,8 @@
                 service=record.service,
                 revision=record.revision,
             )
-        if self._on_own_record is not None:
-            for told in records:
-                if told.name == self._peers.own_name:
-                    self._on_own_record(told)
+        if self._on_records is not None:
+            self._on_records(records)
         if changed:
             self._send(changed, NEXT_FANOUT)
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -2,7 +2,7 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
@@ -84,14 +84,14 @@
         """
 
     @abc.abstractmethod
-    def own_record_seen(self, record: NodeRecord) -> None:
-        """Check a record of this node that another node has passed on.
+    def records_seen(self, records: Sequence[NodeRecord]) -> None:
+        """Check records that another node has passed on.
 
-        If an earlier process of this node has replaced what this one stored, it is
-        stored again.
+        If one tells that an earlier process of this node has replaced what this one
+        stored, or that the registry was restored from a copy, it is stored again.
 
         Args:
-            record: The record, with the registry's version of it.
+            records: The records, with the registry's revisions of them.
         """
 
     @abc.abstractmethod
--- a/packages/gentianmill/src/gentianmill/node_table.py
+++ b/packages/gentianmill/src/gentianmill/node_table.py
@@ -5,8 +5,9 @@
 import itertools
 from collections.abc import Callable, Iterable
 
-from gentianmill.departures import Departure
+from gentianmill.departures import MAX_DEPARTURES, Departure
 from gentianmill.rendezvous import hash_text
+from gentianmill.revisions import era_of
 
 MAX_TOMBSTONES = 1024
 """Tombstones to keep, enough for four days at the design size. A record that arrives
@@ -29,8 +30,8 @@
     """Start time of the process as Unix time in ms."""
 
     revision: int
-    """The registry's version of the record, which increases with each change and across
-    restarts. The incarnation can't order records, as the clock may be set back."""
+    """The registry's era and version of the record (``gentianmill.revisions``), which
+    increase with each change and across restarts. The incarnation can't order records, as the clock may be set back."""
 
     host: str
     relay_port: int
@@ -59,6 +60,7 @@
         self._is_connected: Callable[[NodeRecord], bool] | None = None
         self._digest = 0
         self._complete_revision = -1
+        self._era = 0
 
     def __len__(self) -> int:
         """Return the number of nodes."""
@@ -73,7 +75,8 @@
     def digest(self) -> int:
         """Return a digest of the records; that of an empty table is 0.
 
-        Tables with the same nodes and revisions have the same digest.
+        Tables with the same nodes and revisions have the same digest. Records of an
+        earlier era don't count, as nodes may keep different ones of them.
         """
         return self._digest
 
@@ -100,9 +103,11 @@
         """
         changed = [record for record in records if self._is_new(record)]
         for record in changed:
+            self._begin_era(era_of(record.revision))
+            known = self._records.get(record.name)
             self._drop(record.name)
-            self._records[record.name] = record
-            self._digest ^= _record_hash(record)
+            self._records[record.name] = _across_eras(record, known)
+            self._digest ^= self._record_hash(record)
         if changed:
             self._rebuild_index()
         return changed
@@ -143,8 +148,12 @@
             revision: The registry's version of the snapshot; newer records stay.
         """
         present = set(names)
+        era = era_of(revision)
+        self._begin_era(era)
         for record in self.records:
-            if record.name not in present and record.revision < revision:
+            # A restored registry lacks what was written after its copy was made.
+            is_known = era_of(record.revision) == era
+            if record.name not in present and is_known and record.revision < revision:
                 self.remove(record.name, revision)
         self._complete_revision = max(self._complete_revision, revision)
 
@@ -164,7 +173,7 @@
     def _drop(self, name: str) -> None:
         known = self._records.pop(name, None)
         if known is not None:
-            self._digest ^= _record_hash(known)
+            self._digest ^= self._record_hash(known)
 
     def _is_new(self, record: NodeRecord) -> bool:
         if record.revision < self._tombstones.get(record.name, 0):
@@ -175,6 +184,17 @@
             return record.revision > self._complete_revision
         return record.is_newer_than(current)
 
+    def _begin_era(self, era: int) -> None:
+        """Count only records of a new era in the digest."""
+        if era > self._era:
+            self._era = era
+            self._digest = 0
+
+    def _record_hash(self, record: NodeRecord) -> int:
+        if era_of(record.revision) != self._era:
+            return 0
+        return hash_text(f'{record.name} {record.revision}')
+
     def _rebuild_index(self) -> None:
         self._by_service = {}
         for record in self._records.values():
@@ -182,5 +202,15 @@
                 self._by_service.setdefault(record.service, []).append(record)
 
 
-def _record_hash(record: NodeRecord) -> int:
-    return hash_text(f'{record.name} {record.revision}')
+def _across_eras(record: NodeRecord, known: NodeRecord | None) -> NodeRecord:
+    """Return what to keep of a record that follows one of an earlier era.
+
+    A restored registry may hold an earlier process's record, or one without departures
+    that were acknowledged since. The node writes its record again.
+    """
+    if known is None or era_of(known.revision) == era_of(record.revision):
+        return record
+    newer = known if known.incarnation > record.incarnation else record
+    lost = set(known.departures) - set(record.departures)
+    departures = (*record.departures, *sorted(lost, key=str))[-MAX_DEPARTURES:]
+    return dataclasses.replace(newer, revision=record.revision, departures=departures)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import aiohttp
 import yarl
@@ -120,7 +120,7 @@
         stored.set_result(None)
         return stored
 
-    def own_record_seen(self, record: NodeRecord) -> None:
+    def records_seen(self, records: Sequence[NodeRecord]) -> None:
         """Do nothing; the tables have no other writer."""
 
     def refresh(self) -> None:
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -47,6 +47,9 @@
         self.compacted_version = 0
         """Version up to which the change history is discarded."""
 
+        self.era: int | None = None
+        """Era that all responses tell, or None if they tell none."""
+
         self.page_rows = 500
         self.before_page: Callable[[], None] | None = None
         """Called before each page of a read except the first."""
@@ -93,6 +96,15 @@
         """Return the present content and its version, for ``stale_reads``."""
         return dict(self._rows), self.version
 
+    def restore(self, copy: tuple[dict[tuple[str, str], _Row], int]) -> None:
+        """Go back to an earlier ``snapshot``, in a new era; versions are reissued."""
+        rows, version = copy
+        self.version = version
+        self._rows = dict(rows)
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def content(self, table: str, key: str) -> bytes | None:
         """Return the content of a row, or None if it does not exist."""
         row = self._rows.get((table, key))
@@ -121,7 +133,10 @@
         self.calls += 1
         if self.failing_status is not None:
             return web.Response(status=self.failing_status)
-        return await handler(request)
+        response = await handler(request)
+        if self.era is not None:
+            response.headers['Store-Era'] = str(self.era)
+        return response
 
     async def _get(self, request: web.Request) -> web.Response:
         start = request.query.get('from', '')
@@ -137,7 +152,7 @@
 
     async def _feed(self, request: web.Request) -> web.Response:
         after = int(request.query['after'])
-        if after < self.compacted_version:
+        if after < self.compacted_version or after > self.version:
             return web.Response(status=410)
         changed = self._changed
         if not self._after(request.query['table'], after):
@@ -146,6 +161,8 @@
                 await asyncio.wait_for(changed.wait(), wait_s)
             except TimeoutError:
                 return self._page([], self.version)
+        if after > self.version:
+            return web.Response(status=410)
         rows = self._after(request.query['table'], after)
         return self._page(rows, self.version)
 
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -21,6 +21,7 @@
 from gentianmill_platform.config_decoder import ConfigDecoder
 from gentianmill_platform.store import Store
 from gentianmill_platform.store_adapters import StoreNodes, StoreRules
+from gentianmill_platform.store_era import StoreEra
 from mesh_upstream import NAMES
 from platform_store import FakeStore
 from standins.processes import HOST, free_ports
@@ -121,7 +122,8 @@
         await self.store_proxy.start()
         await self.relay_proxy.start()
         address = Address(HOST, self.store_proxy.port)
-        rules_store, nodes_store = Store(address), Store(address)
+        era = StoreEra()
+        rules_store, nodes_store = Store(address, era), Store(address, era)
         self._stores = [rules_store, nodes_store]
         for store in self._stores:
             await store.start()
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -131,7 +131,7 @@
         await running.registry.publish(LATER)
         store.put('nodes', 'own', encode_record(EARLIER))
         told = dataclasses.replace(EARLIER, revision=store.version)
-        running.registry.own_record_seen(told)
+        running.registry.records_seen([told])
         await _until(lambda: _holds(store, LATER))
         await running.registry.close()
 
