--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -27,7 +27,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.relay_server import RelayServer, StateExchange
-from gentianmill_mesh.rules_gossip import RulesGossip
+from gentianmill_mesh.rules_gossip import FirstRules, RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.service_listener import (
     Respond,
@@ -161,6 +161,10 @@
         rules.on_change(
             RulesGossip(peers, self._links, settings.region, self._following).announce
         )
+        if not settings.first_start:
+            rules.check_first(
+                FirstRules(peers, self._links, rules, self._following).check
+            )
         self._table.keep_deleted_if(self._links.is_connected)
         self._reaper = NodeReaper(
             settings.node, self._table, self._links, registry, self._clock
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -1,9 +1,10 @@
 """The routing rules in force on a node."""
 
 import abc
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from gentianmill.route_rules import RuleSet
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 log = component('rules')
@@ -34,6 +35,11 @@
         self._rules: RuleSet | None = None
         self._document = b''
         self._listeners: list[Callable[[RuleSet], None]] = []
+        self._check: Callable[[int], Awaitable[None]] | None = None
+        # Rules of the source that wait for the check, and their version.
+        self._unchecked = b''
+        self._unchecked_version = -1
+        self._is_checking = False
 
     @property
     def rules(self) -> RuleSet | None:
@@ -54,6 +60,39 @@
         """Register a function to be called with each new version."""
         self._listeners.append(listener)
 
+    def check_first(self, check: Callable[[int], Awaitable[None]]) -> None:
+        """Check the first rules with other nodes if the source can't be trusted alone.
+
+        Args:
+            check: Returns when other nodes have offered newer rules than a version, or
+                have none.
+        """
+        self._check = check
+
+    def offer_unconfirmed(self, document: bytes, source: str) -> None:
+        """Apply rules of a source that may have been restored from an older copy.
+
+        Later versions need no check, as an older one never replaces those in force.
+
+        Args:
+            document: The rules in the format of the platform.
+            source: Where the rules come from, for the log.
+        """
+        if self._check is None or self._rules is not None:
+            self.offer(document, source)
+            return
+        try:
+            version = self._decoder.decode(document).version
+        except ValueError as error:
+            log.error('Rules not readable.', source=source, error=str(error))
+            return
+        if version > self._unchecked_version:
+            self._unchecked = document
+            self._unchecked_version = version
+        if not self._is_checking:
+            self._is_checking = True
+            spawn(self._offer_checked(self._check, source), 'check first rules')
+
     def offer(self, document: bytes, source: str) -> bool:
         """Apply rules if they are newer than those in force.
 
@@ -84,6 +123,14 @@
             self._notify(listener, rules)
         return True
 
+    async def _offer_checked(
+        self, check: Callable[[int], Awaitable[None]], source: str
+    ) -> None:
+        try:
+            await check(self._unchecked_version)
+        finally:
+            self.offer(self._unchecked, source)
+
     def _notify(self, listener: Callable[[RuleSet], None], rules: RuleSet) -> None:
         try:
             listener(rules)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -89,6 +89,7 @@
         self._clock = clock
         self._choice = FollowerChoice(own.name)
         self._silent = SilentFollowers()
+        self._answers = 0
         self._asked: set[str] = set()
         self._confirmed_rules = Confirmed()
         self._rules_from_others = Confirmed()
@@ -98,12 +99,13 @@
         self._chosen_ms = -math.inf
         self._rules_turns = _Turns(
             turns_within(apply_within_ms),
+            own.name,
             self,
             self.rules_freshness,
             self._confirmed_rules,
         )
         self._nodes_turns = _Turns(
-            NODES_TURNS, self, self.nodes_freshness, self._confirmed_nodes
+            NODES_TURNS, own.name, self, self.nodes_freshness, self._confirmed_nodes
         )
 
     @property
@@ -137,6 +139,11 @@
         """Return the time since the rules were known to be the newest, in ms."""
         return self._confirmed_rules.age_ms(self.now_ms)
 
+    @property
+    def answers(self) -> int:
+        """Return how many statuses of nodes that have rules were received."""
+        return self._answers
+
     @property
     def now_ms(self) -> float:
         """Return the current time."""
@@ -159,6 +166,7 @@
             status: What it knows.
             sent_ms: A time, by the clock of this node, before which it was not sent.
         """
+        self._answers += status.rules_version >= 0
         if status.rules_age_ms >= 0:
             as_of_ms = sent_ms - status.rules_age_ms
             if status.rules_version == self._rules.version:
@@ -217,19 +225,6 @@
             self._silent.mark(names, self.now_ms)
             self._chosen_ms = -math.inf
 
-    def slot_wait_ms(self, longest_ms: float) -> float:
-        """Return how long a poll of this node should wait for a change.
-
-        Args:
-            longest_ms: Longest wait.
-        """
-        names = [record.name for record in self.chosen_followers]
-        if self._own.name not in names:
-            return longest_ms
-        unix_ms = time.time_ns() / NS_PER_MS
-        rank = names.index(self._own.name)
-        return slot_wait_ms(unix_ms, rank, len(names), longest_ms)
-
     def check(self) -> None:
         """End the waits for polls that are due; call it regularly."""
         self._rules_turns.check()
@@ -257,11 +252,13 @@
     def __init__(
         self,
         settings: TurnSettings,
+        own_name: str,
         following: StoreFollowing,
         freshness: Callable[[], Freshness],
         confirmed: Confirmed,
     ) -> None:
         self._turn = PollTurn(settings, random.Random())  # noqa: S311
+        self._own_name = own_name
         self._poll = OpenPoll(settings)
         self._was_follower = False
         self._following = following
@@ -284,7 +281,12 @@
         is_new = self._was_follower and not was_follower
         if is_new or self.is_urgent:
             return 0
-        return int(self._following.slot_wait_ms(longest_ms))
+        names = [record.name for record in self._following.chosen_followers]
+        if self._own_name not in names:
+            return longest_ms
+        rank = names.index(self._own_name)
+        unix_ms = time.time_ns() / NS_PER_MS
+        return int(slot_wait_ms(unix_ms, rank, len(names), longest_ms))
 
     async def until_due(self) -> None:
         """Wait until this node must poll."""
--- a/tests/poll_turns.py
+++ b/tests/poll_turns.py
@@ -19,5 +19,17 @@
         await asyncio.sleep(PAUSE_S)
 
 
+class RequestedTurns(PollTurns):
+    """Let a node poll only when it asks for it."""
+
+    def wait_ms(self, longest_ms: int) -> int:
+        """Return that a poll may wait for a change."""
+        return longest_ms
+
+    async def until_due(self) -> None:
+        """Wait for ever."""
+        await asyncio.Event().wait()
+
+
 def ignore_confirmation(_as_of_ms: float) -> None:
     """Do nothing."""
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -174,12 +174,20 @@
 
     store: FakeStore
     nodes: list[FollowingNode]
+    upstream_port: int
 
     def put(self, version: int, prefixes: Sequence[str] = ('/read/',)) -> None:
         """Write a configuration as the operator does."""
         document = json.dumps(config(version, prefixes)).encode()
         self.store.put('op', 'config', document)
 
+    async def add_node(self, name: str) -> FollowingNode:
+        """Start another node, and return it."""
+        node = FollowingNode(name, self.store.port, self.upstream_port)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
     async def followers(self) -> list[FollowingNode]:
         """Return the nodes that ask the store on behalf of others."""
         return [
@@ -228,7 +236,7 @@
             FollowingNode(f'node-{number}', store.port, upstream_port)
             for number in range(count)
         ]
-        deployment = RulesDeployment(store, nodes)
+        deployment = RulesDeployment(store, nodes, upstream_port)
         deployment.put(1)
         try:
             for node in nodes:
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -146,11 +146,13 @@
             'retryBudgetRatio=0.1',
             'retryBudgetSlack=49',
             'budgetWindow=5s',
+            'configApply=2500ms',
         ],
         'unknown': 1,
     }
     settings = parse_boot_settings(json.dumps(boot).encode())
     assert settings.mesh.stop_within_ms == 6000
+    assert settings.mesh.config_apply_ms == 2500
     budget = settings.mesh.retry_budget
     assert (budget.ratio, budget.window_ms, budget.slack) == (0.1, 5000, 49)
     assert settings.mesh.relay.port == 7620
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -9,13 +9,14 @@
 from gentianmill.node_record_codec import encode_record
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.revisions import era_of, to_revision
+from gentianmill_mesh.ports import PollTurns
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_platform.store_adapters import StoreNodes, StoreRules
 from mesh_deployment import JsonRules, rules_document
 from node_records import node_record
 from platform_store import FakeStore
-from poll_turns import ImmediateTurns, ignore_confirmation
-from rules_deployment import RulesDeployment, rules_deployment
+from poll_turns import ImmediateTurns, RequestedTurns, ignore_confirmation
+from rules_deployment import FollowingNode, RulesDeployment, rules_deployment
 
 TIMEOUT_S = 10
 """Ends a scenario that hangs."""
@@ -32,13 +33,15 @@
         await asyncio.sleep(0.01)
 
 
-async def _follow(store: FakeStore) -> tuple[StoreNodes, NodeTable]:
+async def _follow(
+    store: FakeStore, turns: PollTurns | None = None
+) -> tuple[StoreNodes, NodeTable]:
     registry = StoreNodes(store.client, BootClock())
     table = NodeTable()
     await registry.start(
         table,
         lambda record: table.merge([record]),
-        ImmediateTurns(),
+        turns or ImmediateTurns(),
         ignore_confirmation,
     )
     await registry.poll_now()
@@ -115,8 +118,9 @@
 
     async def scenario(store: FakeStore) -> None:
         copy = store.snapshot()
-        registry, _ = await _follow(store)
+        registry, table = await _follow(store, RequestedTurns())
         await registry.publish(OWN)
+        await _until(lambda: table.find('own') is not None)
         store.restore(copy)
         told = node_record('peer', revision=to_revision(2, 1))
         registry.records_seen([told])
@@ -126,6 +130,20 @@
     _run(scenario)
 
 
+def test_era_that_the_store_does_not_tell_is_not_believed():
+    """Guards against a faulty record that makes a node refuse all responses."""
+
+    async def scenario(store: FakeStore) -> None:
+        registry, table = await _follow(store)
+        registry.records_seen([node_record('odd', revision=to_revision(900, 1))])
+        store.put('nodes', 'late', encode_record(node_record('late')))
+        await _until(lambda: table.find('late') is not None)
+        await registry.publish(OWN)
+        await registry.close()
+
+    _run(scenario)
+
+
 def test_row_of_a_dead_node_is_restored_and_not_forgotten():
     """Guards against a node whose acknowledged departures nobody knows at its start."""
     dead = node_record('dead', departures=(LEFT,))
@@ -248,3 +266,40 @@
                 assert node.versions == [1, 2, 3]
 
     asyncio.run(asyncio.wait_for(scenario(), DEPLOYMENT_LIMIT_S))
+
+
+async def _start_during_a_restoration(deployment: RulesDeployment) -> FollowingNode:
+    """Start a node after a restoration to a copy without version 2, and return it."""
+    store = deployment.store
+    store.era = 1
+    copy = store.snapshot()
+    deployment.put(2)
+    await deployment.until_all(2)
+    store.restore(copy)
+    return await deployment.add_node('late')
+
+
+def test_node_that_starts_after_a_restoration_finds_the_others_and_their_rules():
+    """Guards against a start that ends with what the copy holds."""
+
+    async def scenario() -> None:
+        async with rules_deployment(3) as deployment:
+            await _start_during_a_restoration(deployment)
+            await deployment.until_all(2)
+            await deployment.until_acquainted()
+            await _all_rows(deployment)
+
+    asyncio.run(asyncio.wait_for(scenario(), DEPLOYMENT_LIMIT_S))
+
+
+def test_node_that_starts_after_a_restoration_never_uses_the_older_rules():
+    """Guards against requests handled by a configuration that was replaced."""
+
+    async def scenario() -> list[int]:
+        async with rules_deployment(3) as deployment:
+            late = await _start_during_a_restoration(deployment)
+            await deployment.until_all(2)
+            return late.versions
+
+    versions = asyncio.run(asyncio.wait_for(scenario(), DEPLOYMENT_LIMIT_S))
+    assert versions == [2]
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -12,7 +12,7 @@
 from gentianmill_platform.store_adapters import StoreNodes
 from node_records import node_record
 from platform_store import FakeStore
-from poll_turns import ImmediateTurns, ignore_confirmation
+from poll_turns import ImmediateTurns, RequestedTurns, ignore_confirmation
 
 TIMEOUT_S = 10
 """Ends a scenario that hangs."""
@@ -29,18 +29,6 @@
     table: NodeTable
 
 
-class _OneTurn(PollTurns):
-    """Let a node poll only when it asks for it."""
-
-    def wait_ms(self, longest_ms: int) -> int:
-        """Return that a poll may wait for a change."""
-        return longest_ms
-
-    async def until_due(self) -> None:
-        """Wait for ever."""
-        await asyncio.Event().wait()
-
-
 async def _start(store: FakeStore, turns: PollTurns | None = None) -> _Process:
     registry = StoreNodes(store.client, BootClock())
     table = NodeTable()
@@ -127,7 +115,7 @@
     """Guards against waiting for the next poll, which most nodes make rarely."""
 
     async def scenario(store: FakeStore) -> None:
-        running = await _start(store, _OneTurn())
+        running = await _start(store, RequestedTurns())
         await running.registry.publish(LATER)
         store.put('nodes', 'own', encode_record(EARLIER))
         told = dataclasses.replace(EARLIER, revision=store.version)
@@ -274,7 +262,7 @@
 
     async def scenario(store: FakeStore) -> None:
         store.put('nodes', 'own', encode_record(EARLIER))
-        watcher = await _start(store, _OneTurn())
+        watcher = await _start(store, RequestedTurns())
         await _until(lambda: watcher.table.find('own') is not None)
         store.put('nodes', 'own', encode_record(LATER))
         assert not await watcher.registry.delete(watcher.table.find('own'))
