Merge store eras, and serve by unconfirmed rules after 4 s

With teams, a node that nothing confirms served nothing for as long as the store was away; it serves after 4 s, in which other nodes have passed on newer rules.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -27,7 +27,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.relay_server import RelayServer, StateExchange
-from gentianmill_mesh.rules_gossip import RulesGossip
+from gentianmill_mesh.rules_gossip import FirstRules, RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.service_listener import (
     Respond,
@@ -77,6 +77,10 @@
 FORGET_TICKS = 240
 """Ticks between two cleanups of removed nodes: 1 min; 230 are replaced a day."""
 
+WITHHOLD_TICKS = 16
+"""Ticks after which rules with teams are served though nothing has confirmed them: 4 s. By
+then other nodes have passed on newer ones, and a silent store must not end the service."""
+
 STATUS_OK = 200
 STATUS_NOT_READY = 503
 STATUS_NOT_FOUND = 404
@@ -151,11 +155,15 @@
         )
         peers = RandomPeers(settings.node, self._table, self._links)
         self._gossip = NodeGossip(
-            self._table, self._links, peers, registry.own_record_seen
+            self._table, self._links, peers, registry.records_seen
         )
         rules.on_change(
             RulesGossip(peers, self._links, settings.region, self._following).announce
         )
+        if not settings.first_start:
+            rules.check_first(
+                FirstRules(peers, self._links, rules, self._following).check
+            )
         self._table.keep_deleted_if(self._links.is_connected)
         self._reaper = NodeReaper(
             settings.node, self._table, self._links, registry, self._clock
@@ -223,6 +231,7 @@
         self._metrics_listener = self.service_listener('metrics', self._serve_metrics)
         self._stopping = False
         self._ticks = 0
+        self._withheld_ticks = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -387,6 +396,11 @@
         self._suspension.check()
         self._guard.check()
         self._relay.check()
+        self._withheld_ticks = (
+            self._withheld_ticks + 1 if self._rules.is_withheld else 0
+        )
+        if self._withheld_ticks > WITHHOLD_TICKS:
+            self._rules.serve_unconfirmed()
         if not self._ticks % ARRIVAL_LOG_TICKS:
             self._arrival_log.write()
             guards = self._table.of_service(self._settings.service)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/rules_holder.py
@@ -1,10 +1,11 @@
 """The routing rules in force on a node."""
 
 import abc
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from gentianmill.route_rules import RuleSet
 from gentianmill.teams import Team
+from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
 log = component('rules')
@@ -37,6 +38,11 @@
         self._listeners: list[Callable[[RuleSet], None]] = []
         self._rejected = b''
         self._is_confirmed = False
+        self._check: Callable[[int], Awaitable[None]] | None = None
+        # Rules of the source that wait for the check, and their version.
+        self._unchecked = b''
+        self._unchecked_version = -1
+        self._is_checking = False
 
     @property
     def served(self) -> RuleSet | None:
@@ -83,6 +89,39 @@
         """Register a function to be called with each new version."""
         self._listeners.append(listener)
 
+    def check_first(self, check: Callable[[int], Awaitable[None]]) -> None:
+        """Check the first rules with other nodes if the source can't be trusted alone.
+
+        Args:
+            check: Returns when other nodes have offered newer rules than a version, or
+                have none.
+        """
+        self._check = check
+
+    def offer_unconfirmed(self, document: bytes, source: str) -> None:
+        """Apply rules of a source that may have been restored from an older copy.
+
+        Later versions need no check, as an older one never replaces those in force.
+
+        Args:
+            document: The rules in the format of the platform.
+            source: Where the rules come from, for the log.
+        """
+        if self._check is None or self._rules is not None:
+            self.offer(document, source)
+            return
+        try:
+            version = self._decoder.decode(document).version
+        except ValueError as error:
+            log.error('Rules not readable.', source=source, error=str(error))
+            return
+        if version > self._unchecked_version:
+            self._unchecked = document
+            self._unchecked_version = version
+        if not self._is_checking:
+            self._is_checking = True
+            spawn(self._offer_checked(self._check, source), 'check first rules')
+
     def offer(self, document: bytes, source: str) -> bool:
         """Apply rules if they are newer than those in force.
 
@@ -123,6 +162,20 @@
             self._is_confirmed = True
             log.info('Rules confirmed as the newest.', version=self.version)
 
+    def serve_unconfirmed(self) -> None:
+        """Serve by rules that nothing has confirmed, as the source stays silent."""
+        if self.is_withheld:
+            self._is_confirmed = True
+            log.warning('Rules served unconfirmed.', version=self.version)
+
+    async def _offer_checked(
+        self, check: Callable[[int], Awaitable[None]], source: str
+    ) -> None:
+        try:
+            await check(self._unchecked_version)
+        finally:
+            self.offer(self._unchecked, source)
+
     def _notify(self, listener: Callable[[RuleSet], None], rules: RuleSet) -> None:
         try:
             listener(rules)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -141,7 +141,7 @@
         stored.set_result(None)
         return stored
 
-    def own_record_seen(self, record: NodeRecord) -> None:
+    def records_seen(self, records: Sequence[NodeRecord]) -> None:
         """Do nothing; the tables have no other writer."""
 
     def refresh(self) -> None:
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -21,6 +21,7 @@
 from gentianmill_platform.config_decoder import ConfigDecoder
 from gentianmill_platform.store import Store
 from gentianmill_platform.store_adapters import StoreNodes, StoreRules
+from gentianmill_platform.store_era import StoreEra
 from mesh_upstream import NAMES
 from platform_store import FakeStore
 from standins.processes import HOST, free_ports
@@ -121,7 +122,8 @@
         await self.store_proxy.start()
         await self.relay_proxy.start()
         address = Address(HOST, self.store_proxy.port)
-        rules_store, nodes_store = Store(address), Store(address)
+        era = StoreEra()
+        rules_store, nodes_store = Store(address, era), Store(address, era)
         self._stores = [rules_store, nodes_store]
         for store in self._stores:
             await store.start()
@@ -172,12 +174,20 @@
 
     store: FakeStore
     nodes: list[FollowingNode]
+    upstream_port: int
 
     def put(self, version: int, prefixes: Sequence[str] = ('/read/',)) -> None:
         """Write a configuration as the operator does."""
         document = json.dumps(config(version, prefixes)).encode()
         self.store.put('op', 'config', document)
 
+    async def add_node(self, name: str) -> FollowingNode:
+        """Start another node, and return it."""
+        node = FollowingNode(name, self.store.port, self.upstream_port)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
     async def followers(self) -> list[FollowingNode]:
         """Return the nodes that ask the store on behalf of others."""
         return [
@@ -226,7 +236,7 @@
             FollowingNode(f'node-{number}', store.port, upstream_port)
             for number in range(count)
         ]
-        deployment = RulesDeployment(store, nodes)
+        deployment = RulesDeployment(store, nodes, upstream_port)
         deployment.put(1)
         try:
             for node in nodes:
