--- a/packages/gentianmill-mesh/src/gentianmill_mesh/key_check.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/key_check.py
@@ -70,7 +70,7 @@
                 'Teams in force.',
                 version=rules.version,
                 teams=len(rules.teams.teams),
-                withdrawn=Counter(withdrawn.values()),
+                withdrawn=dict(Counter(withdrawn.values())),
             )
         self._teams = rules.teams
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -190,6 +190,9 @@
         """End the waits for polls that are due; call it regularly."""
         self._rules_turns.check()
         self._nodes_turns.check()
+        if self._rules.is_withheld:
+            # A follower asks nobody else, and would serve nothing while the store is away.
+            self.ask_follower()
 
     def _on_nodes(self, digest: int, as_of_ms: float) -> None:
         if digest == self._table.digest:
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -12,6 +12,7 @@
 from standins.processes import HOST, free_ports
 
 MS_PER_S = 1000
+STATUS_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass
@@ -31,6 +32,9 @@
         self.version = 0
         self.calls = 0
         self.failing_status: int | None = None
+        self.fails: Callable[[web.Request], bool] = lambda _request: False
+        """Tells whether a call fails."""
+
         self.unanswered_writes = 0
         """Number of further writes that are applied but get no response."""
 
@@ -105,6 +109,8 @@
         self.calls += 1
         if self.failing_status is not None:
             return web.Response(status=self.failing_status)
+        if self.fails(request):
+            return web.Response(status=STATUS_UNAVAILABLE)
         return await handler(request)
 
     async def _get(self, request: web.Request) -> web.Response:
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -28,6 +28,7 @@
 CALLER_HOST = 'till.example'
 SERVICE = 'back'
 HEARTBEAT_S = 0.3
+FOLLOWERS = 2
 
 
 def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
@@ -94,7 +95,7 @@
         self.metrics = f'http://{HOST}:{ports[3]}/metrics'
         self.rules = RulesHolder(ConfigDecoder())
         self.rules.on_change(lambda rules: self.versions.append(rules.version))
-        self._upstream_port = upstream_port
+        self.upstream_port = upstream_port
         self._settings = MeshSettings(
             node=name,
             zone='a',
@@ -153,7 +154,7 @@
             upstream_id=f'u-{self.name}',
             service=SERVICE,
             host=HOST,
-            port=self._upstream_port,
+            port=self.upstream_port,
             zone='a',
             slots=4,
             draining=False,
@@ -170,9 +171,11 @@
     store: FakeStore
     nodes: list[FollowingNode]
 
-    def put(self, version: int, prefixes: Sequence[str] = ('/read/',)) -> None:
-        """Write a configuration as the operator does."""
-        document = json.dumps(config(version, prefixes)).encode()
+    def put(
+        self, version: int, prefixes: Sequence[str] = ('/read/',), **changes: object
+    ) -> None:
+        """Write a configuration, with changed fields, as the operator does."""
+        document = json.dumps(config(version, prefixes) | changes).encode()
         self.store.put('op', 'config', document)
 
     def silence(self) -> None:
@@ -197,17 +200,42 @@
             while f'gentianmill_nodes {len(self.nodes)}' not in await _get(node):
                 await asyncio.sleep(0.05)
 
-    async def status(self, node: FollowingNode, path: str) -> int:
+    async def number_of_no_follower(self) -> int:
+        """Return the number of a node that asks other nodes before the store."""
+        while True:
+            pages = [await _get(node) for node in self.nodes]
+            numbers = [
+                number
+                for number, page in enumerate(pages)
+                if 'gentianmill_follower 0' in page
+            ]
+            # Nodes that know few others choose themselves.
+            if numbers and len(numbers) == len(self.nodes) - FOLLOWERS:
+                return numbers[0]
+            await asyncio.sleep(0.05)
+
+    async def restart(self, number: int) -> FollowingNode:
+        """Replace a node by a new process of the same name, and return it."""
+        former = self.nodes[number]
+        await former.close()
+        node = FollowingNode(former.name, self.store.port, former.upstream_port)
+        self.nodes[number] = node
+        await node.start()
+        return node
+
+    async def status(self, node: FollowingNode, path: str, **sent: str) -> int:
         """Send a request to a node and return the status of the response."""
-        headers = {'Host': CALLER_HOST}
+        headers = {'Host': CALLER_HOST, **sent}
         async with aiohttp.ClientSession() as session:
             async with session.get(node.entry + path, headers=headers) as response:
                 return response.status
 
 
 @contextlib.asynccontextmanager
-async def rules_deployment(count: int = 3) -> AsyncIterator[RulesDeployment]:
-    """Run nodes that know each other, with version 1 in force."""
+async def rules_deployment(
+    count: int = 3, **changes: object
+) -> AsyncIterator[RulesDeployment]:
+    """Run nodes that know each other, with version 1 in force, maybe changed."""
     web_server = WebServer()
     upstream_port = free_ports(1)[0]
     server = direct_server(_serve, 1_000_000, decompress=False)
@@ -218,7 +246,7 @@
             for number in range(count)
         ]
         deployment = RulesDeployment(store, nodes)
-        deployment.put(1)
+        deployment.put(1, **changes)
         try:
             for node in nodes:
                 await node.start()
