--- a/tests/test_team_withdrawal.py
+++ b/tests/test_team_withdrawal.py
@@ -158,9 +158,13 @@
     return json.dumps(config(version) | {'tenants': tenants}).encode()
 
 
-async def _follow(store: FakeStore, holder: RulesHolder) -> StoreRules:
+async def _follow(
+    store: FakeStore,
+    holder: RulesHolder,
+    on_confirmed: Callable[[float], None] = ignore_confirmation,
+) -> StoreRules:
     source = StoreRules(store.client, BootClock())
-    await source.start(holder, ImmediateTurns(), ignore_confirmation)
+    await source.start(holder, ImmediateTurns(), on_confirmed)
     return source
 
 
@@ -198,9 +202,10 @@
         invalid = _offered(5, [KEPT, KEPT])
         store.put('op', 'config', invalid)
         holder.offer(_offered(3, WITH_KEY), 'another node')
-        source = await _follow(store, holder)
-        await until(lambda: holder.rejected == invalid)
-        await asyncio.sleep(OBSERVED_S)
+        polls: list[float] = []
+        source = await _follow(store, holder, polls.append)
+        await until(lambda: len(polls) > 1)
+        assert holder.rejected == invalid
         assert holder.served is None
         store.put('op', 'config', _offered(6, WITHOUT_KEY))
         await until(lambda: holder.served is not None)
