--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -31,6 +31,7 @@
 HEARTBEAT_S = 0.3
 APPLY_MS = 2500
 """Time in which a change must be in force, the strictest of the deployments."""
+FOLLOWERS = 2
 
 
 def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
@@ -97,7 +98,7 @@
         self.metrics = f'http://{HOST}:{ports[3]}/metrics'
         self.rules = RulesHolder(ConfigDecoder())
         self.rules.on_change(lambda rules: self.versions.append(rules.version))
-        self._upstream_port = upstream_port
+        self.upstream_port = upstream_port
         self._settings = MeshSettings(
             node=name,
             zone='a',
@@ -158,7 +159,7 @@
             upstream_id=f'u-{self.name}',
             service=SERVICE,
             host=HOST,
-            port=self._upstream_port,
+            port=self.upstream_port,
             zone='a',
             slots=4,
             draining=False,
@@ -176,9 +177,11 @@
     nodes: list[FollowingNode]
     upstream_port: int
 
-    def put(self, version: int, prefixes: Sequence[str] = ('/read/',)) -> None:
-        """Write a configuration as the operator does."""
-        document = json.dumps(config(version, prefixes)).encode()
+    def put(
+        self, version: int, prefixes: Sequence[str] = ('/read/',), **changes: object
+    ) -> None:
+        """Write a configuration, with changed fields, as the operator does."""
+        document = json.dumps(config(version, prefixes) | changes).encode()
         self.store.put('op', 'config', document)
 
     async def add_node(self, name: str) -> FollowingNode:
@@ -216,17 +219,42 @@
             while f'gentianmill_nodes {len(self.nodes)}' not in await _get(node):
                 await asyncio.sleep(0.05)
 
-    async def status(self, node: FollowingNode, path: str) -> int:
+    async def number_of_no_follower(self) -> int:
+        """Return the number of a node that asks other nodes before the store."""
+        while True:
+            pages = [await _get(node) for node in self.nodes]
+            numbers = [
+                number
+                for number, page in enumerate(pages)
+                if 'gentianmill_follower 0' in page
+            ]
+            # Nodes that know few others choose themselves.
+            if numbers and len(numbers) == len(self.nodes) - FOLLOWERS:
+                return numbers[0]
+            await asyncio.sleep(0.05)
+
+    async def restart(self, number: int) -> FollowingNode:
+        """Replace a node by a new process of the same name, and return it."""
+        former = self.nodes[number]
+        await former.close()
+        node = FollowingNode(former.name, self.store.port, former.upstream_port)
+        self.nodes[number] = node
+        await node.start()
+        return node
+
+    async def status(self, node: FollowingNode, path: str, **sent: str) -> int:
         """Send a request to a node and return the status of the response."""
-        headers = {'Host': CALLER_HOST}
+        headers = {'Host': CALLER_HOST, **sent}
         async with aiohttp.ClientSession() as session:
             async with session.get(node.entry + path, headers=headers) as response:
                 return response.status
 
 
 @contextlib.asynccontextmanager
-async def rules_deployment(count: int = 3) -> AsyncIterator[RulesDeployment]:
-    """Run nodes that know each other, with version 1 in force."""
+async def rules_deployment(
+    count: int = 3, **changes: object
+) -> AsyncIterator[RulesDeployment]:
+    """Run nodes that know each other, with version 1 in force, maybe changed."""
     web_server = WebServer()
     upstream_port = free_ports(1)[0]
     server = direct_server(_serve, 1_000_000, decompress=False)
@@ -237,7 +265,7 @@
             for number in range(count)
         ]
         deployment = RulesDeployment(store, nodes, upstream_port)
-        deployment.put(1)
+        deployment.put(1, **changes)
         try:
             for node in nodes:
                 await node.start()
