--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -19,6 +19,7 @@
     RelayCredit,
     RelayPart,
 )
+from gentianmill.response_status import is_final_status
 from gentianmill.round_trip import RoundTrip
 from gentianmill_mesh.body_buffer import Body
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
@@ -196,8 +197,10 @@
         total_ms = self._context.clock.now_ms() - pending.started_ms
         self._round_trip.observe(total_ms, frame.spent_ms)
         self._context.on_status(_status(frame), pending.started_ms + frame.spent_ms)
-        reply = _reply(frame, pending.frame, self._context.names.request_id)
-        if frame.body_bytes and reply.response is not None:
+        reply = reply_of(frame, pending.frame, self._context.names.request_id)
+        if frame.body_bytes and reply.response is None:
+            self._send(RelayCancel(frame.key))
+        elif frame.body_bytes:
             reply.response.stream = self._incoming.begin(frame.key, frame.body_bytes)
         pending.complete(reply, frame.load)
 
@@ -299,10 +302,20 @@
     return _Pending(frame, call.deadline_ms, waiter, now_ms, body)
 
 
-def _reply(frame: RelayAnswer, call: RelayCall, request_id: bytes) -> GuardReply:
+def reply_of(frame: RelayAnswer, call: RelayCall, request_id: bytes) -> GuardReply:
+    """Return the reply that a frame carries.
+
+    Args:
+        frame: The frame.
+        call: The call that it ends.
+        request_id: Name of the header that upstreams echo.
+    """
     outcome = Outcome(frame.outcome)
     if outcome is not Outcome.answered:
         return GuardReply(outcome, reason=frame.reason)
+    if not is_final_status(frame.status):
+        # Earlier versions passed on whatever an upstream sent.
+        return GuardReply.unknown('upstream_lost')
     headers = restore_headers(frame.headers, call.headers, request_id)
     response = HttpResponse(frame.status, headers, frame.body, framed=frame.framed)
     return GuardReply(outcome, response, frame.reason)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_connection.py
@@ -9,6 +9,7 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from gentianmill.response_status import is_final_status, is_interim_status
 from gentianmill_mesh.connection_reset import was_reset
 from gentianmill_mesh.head_splitter import END, HeadSplitter
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse, header
@@ -34,7 +35,6 @@
 """Longest status line or header of a response."""
 
 MS_PER_S = 1000
-FIRST_FINAL_STATUS = 200
 
 EXIT_GRACE_S = 0.05
 """Delay before a check whether an upstream is there, as its process may be exiting."""
@@ -291,9 +291,13 @@
     def _process_messages(self) -> None:
         while self._messages:
             message, payload = self._messages[0]
-            if message.code < FIRST_FINAL_STATUS:
+            if is_interim_status(message.code):
                 self._skip()
                 continue
+            if not is_final_status(message.code):
+                reason = f'{message.code} is not the status of a response'
+                self._fail(LossKind.bad_answer, reason)
+                return
             is_other = self._identity.is_other(message)
             if not self._receive_body(message, payload, is_other=is_other):
                 return
--- a/packages/gentianmill-node/src/gentianmill_node/peer_client.py
+++ b/packages/gentianmill-node/src/gentianmill_node/peer_client.py
@@ -18,6 +18,7 @@
     StrikeFrame,
 )
 from gentianmill.outcome import Outcome
+from gentianmill.response_status import is_final_status
 
 from gentianmill_node.call import Call, CallResult
 from gentianmill_node.frames import AnyFrame, decode, encode
@@ -78,7 +79,7 @@
         now_ms = self._clock.now_ms()
         timeout_s = (call.deadline_ms - now_ms) / MS_PER_S
         reply = await self._exchange(call_id, call.to_frame(call_id, now_ms), timeout_s)
-        if not isinstance(reply, AnswerFrame):
+        if not (isinstance(reply, AnswerFrame) and is_final_status(reply.status)):
             raise self._connection_lost('the reply is not an answer')
         return CallResult.from_frame(reply, self._node_id)
 
--- a/packages/gentianmill-node/src/gentianmill_node/upstream_request.py
+++ b/packages/gentianmill-node/src/gentianmill_node/upstream_request.py
@@ -13,6 +13,7 @@
 import yarl
 from aiohttp.connector import Connection
 from gentianmill.outcome import Outcome
+from gentianmill.response_status import is_final_status
 from multidict import CIMultiDict
 
 from gentianmill_node.headers import OUTCOME
@@ -72,7 +73,8 @@
         """Return the response, whose body has not been read.
 
         Raises:
-            aiohttp.ClientError: If the connection could not be made or broke.
+            aiohttp.ClientError: If the connection could not be made or broke, or if the
+                status is not that of a response.
             TimeoutError: If the timeout expires.
         """
         await self._timeout.__aenter__()
@@ -118,6 +120,11 @@
         except BaseException:
             connection.close()
             raise
+        if not is_final_status(response.status):
+            # The connection may be back in the pool already.
+            protocol.close()
+            message = f'{response.status} is not the status of a response'
+            raise aiohttp.ClientConnectionError(message)
         if is_refusal(response):
             # A duplicate refusal would be read as the response to the next request.
             protocol.close()
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -183,6 +183,22 @@
         report = _report(self._upstream_port, self._sequence)
         self.nodes['back'].apply_report(report)
 
+    async def add_guard(self, name: str, upstream_id: str) -> None:
+        """Start another node whose upstream, of the same service, is ready.
+
+        Args:
+            name: Name of the node.
+            upstream_id: Id of its upstream, which has the same handler.
+        """
+        port = self._upstream_port
+        await self._start_node(name, 'back', free_ports(4), port, None)
+        report = _report(port, 1)
+        self.nodes[name].apply_report(
+            dataclasses.replace(report, upstream_id=upstream_id)
+        )
+        while any(table.find(name) is None for table in self._tables):
+            await asyncio.sleep(0)
+
     @property
     def table(self) -> NodeTable:
         """Return the node table of the entry."""
