--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
@@ -1,6 +1,7 @@
 """Reads the requests on a connection of a caller."""
 
 import asyncio
+import re
 from collections.abc import Callable
 
 from aiohttp import hdrs
@@ -36,8 +37,9 @@
 FIELD_OVERHEAD_BYTES = 3
 """Fewest separators of a header: a colon and the end of the line."""
 
-LAST_CHUNK = b'\r\n0'
-"""Begin of the last chunk of a body, behind which trailers come."""
+LAST_CHUNK = re.compile(rb'\r\n0+[ \t;\r]')
+"""Size of the last chunk of a body, behind which trailers come. If it arrives in parts,
+the bytes behind it come without bytes of the body, and count as trailers for that."""
 
 TOO_MANY_LINES = 'Too many headers received'
 """Message of the parser's error."""
@@ -250,8 +252,9 @@
         self._body_bytes = payload.total_bytes
         if has_grown or is_head_complete:
             self._bytes_since_body = 0
-            start = data.find(LAST_CHUNK)
-            return self._parser_room.set_trailers(data[start:] if start >= 0 else b'')
+            last = LAST_CHUNK.search(data)
+            trailers = data[last.start() :] if last else b''
+            return self._parser_room.set_trailers(trailers)
         self._bytes_since_body += len(data)
         return self._parser_room.add_to_trailers(data)
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -322,6 +322,23 @@
     assert _run(scenario) == ([b'431'], 0)
 
 
+def test_lines_of_a_chunked_body_are_no_trailers():
+    """Guards against an upload of many short lines that is refused for its memory."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench(budget_bytes=2_000_000)
+        bench.connection.data_received(
+            _head('Transfer-Encoding: chunked', method='POST')
+        )
+        lines = b'\r\n0,1' * 4000
+        for _ in range(10):
+            bench.connection.data_received(b'%x\r\n%b\r\n' % (len(lines), lines))
+        bench.connection.data_received(b'0\r\n\r\n')
+        return bench.statuses
+
+    assert _run(scenario) == [b'200']
+
+
 BODIES = (
     b'',
     b'Content-Length: 5\r\n\r\na\r\n\r\n',
