--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -220,9 +220,10 @@
         # Followers chosen since the question may have news.
         names = sorted(others & self._asked)
         if names:
-            age_ms = min(age_ms, MAX_AGE_MS)
-            log.info('Followers without news.', followers=names, age_ms=round(age_ms))
-            self._silent.mark(names, self.now_ms)
+            # One line for each outage, in which followers are replaced again and again.
+            if self._silent.mark(names, self.now_ms):
+                age_ms = min(age_ms, MAX_AGE_MS)
+                log.info('Followers without news.', names=names, age_ms=round(age_ms))
             self._chosen_ms = -math.inf
 
     def check(self) -> None:
--- a/packages/gentianmill/src/gentianmill/followers.py
+++ b/packages/gentianmill/src/gentianmill/followers.py
@@ -33,18 +33,23 @@
         """Start with none."""
         self._until_ms: dict[str, float] = {}
 
-    def mark(self, names: Iterable[str], now_ms: float) -> None:
+    def mark(self, names: Iterable[str], now_ms: float) -> bool:
         """Leave out followers for a while.
 
         Args:
             names: Names of the followers.
             now_ms: Current time.
+
+        Returns:
+            Whether none was left out before.
         """
+        is_first = all(until_ms <= now_ms for until_ms in self._until_ms.values())
         for name in names:
             self._until_ms.pop(name, None)
             self._until_ms[name] = now_ms + SILENT_MS
         while len(self._until_ms) > MAX_SILENT:
             self._until_ms.pop(next(iter(self._until_ms)))
+        return is_first
 
     def has(self, name: str, now_ms: float) -> bool:
         """Return whether a follower is left out now."""
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -144,6 +144,26 @@
     _run(scenario)
 
 
+def test_first_era_costs_no_call():
+    """Guards against calls of each start, as each call is billed."""
+
+    async def calls(store: FakeStore, era: int | None) -> int:
+        store.era = era
+        before = store.calls
+        registry, _ = await _follow(store, RequestedTurns())
+        await registry.publish(OWN)
+        await asyncio.sleep(0.3)
+        await registry.close()
+        return store.calls - before
+
+    async def scenario(store: FakeStore) -> None:
+        without = await calls(store, None)
+        async with FakeStore() as other:
+            assert await calls(other, 1) == without
+
+    _run(scenario)
+
+
 def test_row_of_a_dead_node_is_restored_and_not_forgotten():
     """Guards against a node whose acknowledged departures nobody knows at its start."""
     dead = node_record('dead', departures=(LEFT,))
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -126,6 +126,22 @@
     _run(scenario)
 
 
+def test_faulty_record_in_gossip_does_not_keep_a_node_from_writing():
+    """Guards against a node that gives way to a process that does not exist."""
+    odd = node_record('own', incarnation=9_000, host='elsewhere', revision=999)
+    changed = dataclasses.replace(LATER, state=NodeState.leaving, revision=2)
+
+    async def scenario(store: FakeStore) -> None:
+        running = await _start(store, RequestedTurns())
+        await running.registry.publish(LATER)
+        running.registry.records_seen([odd])
+        await running.registry.publish(changed)
+        assert _holds(store, changed)
+        await running.registry.close()
+
+    _run(scenario)
+
+
 def test_row_of_a_later_process_elsewhere_is_not_replaced():
     """Guards against a replaced VM that comes back and takes the calls of its successor."""
     successor = dataclasses.replace(LATER, host='elsewhere')
