--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -24,6 +24,7 @@
 KEY = b'k-ants'
 LIMITS = RequestLimits(1, 1, 1, 1)
 REQUESTS = 200
+TEAMS = 500
 RULE = RouteRule(
     name='r',
     host='h',
@@ -108,3 +109,25 @@
         withdrawn.record(TeamDirectory().withdrawn_since(former))
     assert withdrawn.team_of(b'k9') == ''
     assert withdrawn.team_of(b'k10') == 'ants'
+
+
+def test_many_teams_are_told_apart_under_load():
+    """Guards against a key that counts for another of 500 teams, as keys rotate."""
+    entries = [
+        TeamEntry(Team(f't{number}'), [f'k{number}', f'next{number}'])
+        for number in range(TEAMS)
+    ]
+    tree = CallTree()
+    check = KeyCheck(NAMES, tree)
+    for version in (1, 2):
+        keys = slice(version - 1, 2)
+        kept = [TeamEntry(entry.team, entry.keys[keys]) for entry in entries]
+        rules = RuleSet(version, [RULE], {}, LIMITS, TeamDirectory(kept))
+        check.set_rules(rules)
+        expected = 'withdrawn_key' if version == 2 else ''
+        for number in range(TEAMS):
+            current = check.identify((b'next%d' % number,), 'new', rules, RULE)
+            assert (current.team, current.refusal) == (f't{number}', '')
+            former = check.identify((b'k%d' % number,), 'new', rules, RULE)
+            assert former.team == f't{number}'
+            assert former.refusal == expected
