--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_extent.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_extent.py
@@ -20,6 +20,11 @@
         self._head_size = 0
         self._is_known = True
 
+    @property
+    def is_at_start(self) -> bool:
+        """Return whether no bytes of the next request have been received."""
+        return self._is_known and not self._received
+
     @property
     def head_size(self) -> int:
         """Return the bytes of the head, or 0 if they are not known."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
@@ -81,9 +81,11 @@
         self._new_room = new_room
         self._settings = settings
         self._budget = budget
+        self._protocol = _Unpausable(asyncio.get_running_loop())
         self._parser = self._new_parser()
         self._parser_room = ParserRoom(budget)
         self._extent = RequestExtent()
+        self._parsed_head = (0, 0)
         self._body_bytes = 0
         self._bytes_since_body = 0
         self._incomplete: tuple[EntryExchange, RawRequestMessage, StreamReader] | None
@@ -136,6 +138,9 @@
         Returns:
             Whether a request ended, so that further ones may follow.
         """
+        if not data and self._extent.is_at_start:
+            # The parser is new.
+            return False
         self._arrived_ms = arrived_ms
         self._head_bytes += len(data)
         self._extent.add(data)
@@ -226,8 +231,8 @@
         exchange.head_room = HeadRoom(self._budget)
         self._body_bytes = 0
         self._bytes_since_body = 0
-        is_parsed = self._parser_room.set_head(lines, size)
-        return is_parsed and exchange.head_room.resize(head_cost(lines, size))
+        self._parsed_head = (lines, size)
+        return exchange.head_room.resize(head_cost(lines, size))
 
     def _count(self, data: bytes, *, is_head_complete: bool) -> None:
         """Count what the parser holds of a request that has not ended."""
@@ -246,8 +251,11 @@
     def _count_trailers(self, data: bytes, *, is_head_complete: bool) -> bool:
         """Count bytes behind the last chunk, and return whether there is room."""
         _, message, payload = self._incomplete
-        if not message.chunked:
-            return True
+        has_room = True
+        if is_head_complete:
+            has_room = self._parser_room.set_head(*self._parsed_head)
+        if not (has_room and message.chunked):
+            return has_room
         has_grown = payload.total_bytes > self._body_bytes
         self._body_bytes = payload.total_bytes
         if has_grown or is_head_complete:
@@ -269,16 +277,16 @@
             self._extent.begin()
             return
         self._extent.lose()
+        self._parser_room.set_head(*self._parsed_head)
         if not self._parser_room.keep(data, END):
             exchange.keeps_alive = False
             self.end()
 
     def _new_parser(self) -> HttpRequestParser:
-        loop = asyncio.get_running_loop()
         # It stops after each message, so that an error in one spares those before it.
         return HttpRequestParser(
-            _Unpausable(loop),
-            loop,
+            self._protocol,
+            self._protocol.loop,
             READ_LIMIT_BYTES,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
@@ -345,6 +353,11 @@
 class _Unpausable(BaseProtocol):
     """Keeps the parser going, as bodies are read completely."""
 
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """Return the event loop."""
+        return self._loop
+
     def pause_reading(self) -> None:
         """Do nothing."""
 
