Ask others only while a poll is under way

Cause: a node whose source never polls was taken as one whose poll gets no answer, and asked its followers for ever, so that idle links did not close (test_mesh_nodes.py::test_link_without_calls_is_closed_and_opened_again failed).

Change: a poll is under way from the question for its wait to the next turn. The test of a poll without an answer begins one now, as the feed does.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -262,6 +262,7 @@
         self._own_name = own_name
         self._poll = OpenPoll(settings)
         self._was_follower = False
+        self._is_polling = False
         self._following = following
         self._freshness = freshness
         self._confirmed = confirmed
@@ -277,6 +278,7 @@
 
         The first poll of a new follower does not wait, as others need a confirmation.
         """
+        self._is_polling = True
         was_follower = self._was_follower
         self._was_follower = self._following.is_follower
         is_new = self._was_follower and not was_follower
@@ -291,6 +293,7 @@
 
     async def until_due(self) -> None:
         """Wait until this node must poll."""
+        self._is_polling = False
         self._turn.begin(self._following.now_ms)
         self._due = asyncio.get_running_loop().create_future()
         self.check()
@@ -302,10 +305,9 @@
 
     def check(self) -> None:
         """End the wait if the poll is due; ask others while a poll gets no answer."""
-        if self._due is None:
+        if self._is_polling:
             self._check_poll()
-            return
-        if self._due.done():
+        if self._due is None or self._due.done():
             return
         known = self._freshness()
         action = self._turn.decide(self._following.now_ms, known)
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -211,6 +211,7 @@
         links = _Links()
         following, clock, _ = _following(links)
         following.rules_confirmed(clock.now_ms())
+        following.rules_turns.wait_ms(2500)
         clock.advance(9000)
         following.check()
         await asyncio.sleep(0)
