--- a/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/forwarder.py
@@ -165,12 +165,25 @@
         """
         caller, progress = admitted.caller, admitted.progress
         response = await self._dispatcher.run(progress)
+        if progress.was_rejected:
+            self._note_rejections(progress, is_answered=response is not None)
         if response is None:
             response = self._failure(caller, progress)
         spent_ms = self._clock.now_ms() - caller.arrived_ms
         self._metrics.on_request(progress.rule.name, str(response.status), spent_ms)
         return response
 
+    def _note_rejections(self, progress: RequestProgress, *, is_answered: bool) -> None:
+        rejections = progress.retry.rejections
+        self._metrics.on_rejections(progress.service, rejections)
+        log.info(
+            'Call was rejected by upstreams.',
+            request_id=progress.request_id,
+            route=progress.rule.name,
+            rejections=rejections,
+            is_answered=is_answered,
+        )
+
     def _refusal(
         self, caller: CallerRequest, reason: str, share: float = 1
     ) -> HttpResponse:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -62,6 +62,10 @@
         """Record a decision, such as ``refused`` for the reason ``overloaded``."""
         self._decided[kind, reason] += 1
 
+    def on_rejections(self, service: str, count: int) -> None:
+        """Record how often upstreams of a service rejected a call that has ended."""
+        self._decided['rejected', service] += count
+
     def on_arrivals(self, total: Mapping[str, int]) -> None:
         """Set the total arrivals at the upstream, by cause."""
         for cause, count in total.items():
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from gentianmill.admission_share import ShareTable
+from gentianmill.admission_share import SHARE_SCALE, ShareTable
 from gentianmill.clock import NS_PER_MS, Clock
 from gentianmill.node_table import NodeTable
 from gentianmill.upstream_status import UpstreamReport
@@ -415,6 +415,11 @@
                 'Share of new requests in thousandths.',
                 load.shares[self._guard.service],
             ),
+            (
+                'tree_share',
+                'Completable share of usual calls, in thousandths, while rejecting.',
+                load.tree_shares.get(self._guard.service, SHARE_SCALE),
+            ),
             ('nodes', 'Nodes known.', len(self._table)),
             (
                 'repeats_refused',
