--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -145,6 +145,7 @@
             'grace=6s',
             'retryBudgetRatio=0.1',
             'retryBudgetSlack=49',
+            'retryBudgetPrevious=0.5',
             'budgetWindow=5s',
         ],
         'unknown': 1,
@@ -153,5 +154,6 @@
     assert settings.mesh.stop_within_ms == 6000
     budget = settings.mesh.retry_budget
     assert (budget.ratio, budget.window_ms, budget.slack) == (0.1, 5000, 49)
+    assert budget.previous_share == 0.5
     assert settings.mesh.relay.port == 7620
     assert settings.store.port == 9
