--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_metrics.py
@@ -130,6 +130,10 @@
             self._quotas.set({'team': label, 'kind': kind}, total)
         self._owned.set({'team': label}, share)
 
+    def on_rejections(self, service: str, count: int) -> None:
+        """Record how often upstreams of a service rejected a call that has ended."""
+        self._decided['rejected', service] += count
+
     def on_arrivals(self, total: Mapping[str, int]) -> None:
         """Set the total arrivals at the upstream, by cause."""
         for cause, count in total.items():
