--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
@@ -168,7 +168,7 @@
         """Update the members; return whether they are known well enough to be an owner."""
         if self._digest != self._table.digest:
             self._digest = self._table.digest
-            self._members.update(self._serving_nodes())
+            self._members.update(self._serving_nodes(), self._clock.now_ms())
         if self._has_read_registry:
             return True
         return self._clock.now_ms() - self._started_ms >= TRUST_VIEW_MS
--- a/packages/gentianmill/src/gentianmill/quota_members.py
+++ b/packages/gentianmill/src/gentianmill/quota_members.py
@@ -18,6 +18,10 @@
 """Nodes of a region that support owners. A voter that some nodes do not know yet adds an
 eleventh of the region's rate until they do."""
 
+RECENT_MS = 6000.0
+"""Time for which a node of the region counts as a voter after it was last known or asked for
+support: the time in which nodes learn of each other, and a window."""
+
 MAX_CANDIDATES = 3
 """Nodes of a region that may own a domain, the first and two successors."""
 
@@ -45,6 +49,7 @@
         self._region_of: dict[str, str] = {own: region}
         self._ranked: dict[tuple[int, str], tuple[str, ...]] = {}
         self._voters: tuple[str, ...] | None = None
+        self._recent: dict[str, float] = {}
 
     @property
     def own(self) -> str:
@@ -81,13 +86,31 @@
             self._voters = tuple(ranked[:MAX_VOTERS])
         return self._voters
 
-    def update(self, region_of: Mapping[str, str]) -> None:
+    def note(self, name: str, now_ms: float) -> None:
+        """Count a node of the region that other nodes may know, although this one does not."""
+        self._recent[name] = now_ms
+
+    def voter_count(self, now_ms: float) -> int:
+        """Return by how many voters the region's rate is divided.
+
+        Nodes that this one has ceased to know, or knows only by their requests, count for a
+        while, as others may rely on their support.
+        """
+        for name, at_ms in tuple(self._recent.items()):
+            if now_ms - at_ms >= RECENT_MS:
+                self._recent.pop(name)
+        return min(len({*self.voters, *self._recent}), MAX_VOTERS)
+
+    def update(self, region_of: Mapping[str, str], now_ms: float) -> None:
         """Set the nodes that serve.
 
         Args:
             region_of: Their regions by name, with this node if it serves.
+            now_ms: Current time.
         """
         if region_of != self._region_of:
+            for name in self._names_in(self._region):
+                self.note(name, now_ms)
             self._region_of = dict(region_of)
             self._ranked.clear()
             self._voters = None
--- a/packages/gentianmill/src/gentianmill/quota_support.py
+++ b/packages/gentianmill/src/gentianmill/quota_support.py
@@ -81,6 +81,7 @@
             request: The request.
             now_ms: Current time.
         """
+        self._members.note(asker, now_ms)
         domains = [
             domain
             for domain in _decode(request.team)
@@ -103,10 +104,9 @@
         return now_ms - self._started_ms < SUPPORT_MS
 
     def _part(self, now_ms: float) -> int:
-        voters = self._members.voters
-        if self._members.own not in voters:
+        if self._members.own not in self._members.voters:
             return 0
-        part = WHOLE / len(voters)
+        part = WHOLE / self._members.voter_count(now_ms)
         return int(part * YOUNG_SHARE if self._is_young(now_ms) else part)
 
     def _unused_ms(self, domain: int, now_ms: float) -> float:
@@ -232,7 +232,7 @@
         if asked is None or asked.voter != voter or voter not in voters:
             return {}
         until_ms = asked.sent_ms + min(answer.lifetime_ms, SUPPORT_MS)
-        part = min(answer.granted / WHOLE, 1 / len(voters))
+        part = min(answer.granted / WHOLE, 1 / self._members.voter_count(now_ms))
         if part <= 0 or until_ms <= now_ms:
             return {}
         supported: dict[int, float] = {}
--- a/tests/quota_network.py
+++ b/tests/quota_network.py
@@ -36,7 +36,7 @@
         region = network.region_of[name]
         now_ms = network.now_ms
         self.members = QuotaMembers(name, region, network.regions)
-        self.members.update(network.view_of(name))
+        self.members.update(network.view_of(name), now_ms)
         self.keys = new_keys()
         self.own = Asker(name, self.process)
         self.owner = QuotaOwner(
--- a/tests/test_quota_bound.py
+++ b/tests/test_quota_bound.py
@@ -99,7 +99,7 @@
             name for name in self.all if self.network.region_of[name] == region
         ]
         ranked = QuotaMembers('', region)
-        ranked.update({name: region for name in in_region})
+        ranked.update({name: region for name in in_region}, 0)
         first = ranked.candidates(domain_of('t'), region)[0]
         rng = random.Random(seed)
         for name in self.all:
@@ -242,7 +242,7 @@
     def _update(self, name):
         node = self.network.nodes.get(name)
         if node is not None:
-            node.members.update(self.network.view_of(name))
+            node.members.update(self.network.view_of(name), self.network.now_ms)
 
     @rule(number=names)
     def give_back(self, number):
--- a/tests/test_quota_credit.py
+++ b/tests/test_quota_credit.py
@@ -77,7 +77,7 @@
 def test_a_silent_owner_is_followed_by_its_successor_and_other_regions():
     """Guards against a team that waits for an owner that is gone."""
     members = QuotaMembers('a', 'r', 2)
-    members.update({'a': 'r', 'b': 'r', 'z': 'q'})
+    members.update({'a': 'r', 'b': 'r', 'z': 'q'}, 0)
     choice = OwnerChoice(members)
     first = choice.choose('t', 0)
     choice.on_silent(first, 0)
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -17,7 +17,7 @@
 
 def _members(own: str, names: tuple[str, ...] = NAMES) -> QuotaMembers:
     members = QuotaMembers(own, 'r', 1)
-    members.update(dict.fromkeys(names, 'r') | {ELSEWHERE: 'q'})
+    members.update(dict.fromkeys(names, 'r') | {ELSEWHERE: 'q'}, 0)
     return members
 
 
@@ -233,3 +233,13 @@
         lent.append(bench.grants[-1].granted)
     assert lent[0] <= 15
     assert sum(lent) <= 30
+
+
+def test_voters_that_a_node_does_not_know_count_for_a_while():
+    """Guards against a node of a small region that issues the whole rate beside others."""
+    members = _members(OTHER)
+    members.update({OTHER: 'r'}, OLD_MS)
+    assert members.voter_count(OLD_MS + 5000) == len(NAMES)
+    assert members.voter_count(OLD_MS + 6000) == 1
+    voter = QuotaVoter(members, 0)
+    assert _ask_voter(voter, FIRST, OLD_MS + 6000).granted == WHOLE // 2
