--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -149,6 +149,7 @@
             'budgetWindow=5s',
             'configApply=2500ms',
         ],
+        'zones': {'a': 'r1', 'b': 'r1', 'c': 'r2'},
         'unknown': 1,
     }
     settings = parse_boot_settings(json.dumps(boot).encode())
@@ -157,5 +158,6 @@
     budget = settings.mesh.retry_budget
     assert (budget.ratio, budget.window_ms, budget.slack) == (0.1, 5000, 49)
     assert budget.previous_share == 0.5
+    assert set(settings.mesh.zones.values()) == {'r1', 'r2'}
     assert settings.mesh.relay.port == 7620
     assert settings.store.port == 9
