--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -9,6 +9,7 @@
 from gentianmill.clock import ManualClock
 from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
 from gentianmill.teams import (
+from gentianmill.tree_costs import TreeCosts
     MAX_WITHDRAWN,
     Team,
     TeamDirectory,
@@ -83,7 +84,7 @@
     clock = ManualClock(100_000)
     shares = ShareTable()
     shares.record(RULE.name, {'s': SHARE_SCALE // 2}, clock.now_ms())
-    admission = EntryAdmission(shares, clock)
+    admission = EntryAdmission(shares, TreeCosts(), clock)
     admission.set_rules(_rules(0))
     random.seed(1)
 
