--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -9,13 +9,13 @@
 from gentianmill.clock import ManualClock
 from gentianmill.route_rules import Destination, RequestLimits, RouteRule, RuleSet
 from gentianmill.teams import (
-from gentianmill.tree_costs import TreeCosts
     MAX_WITHDRAWN,
     Team,
     TeamDirectory,
     TeamEntry,
     WithdrawnKeys,
 )
+from gentianmill.tree_costs import TreeCosts
 from gentianmill_mesh.entry_admission import EntryAdmission
 from gentianmill_mesh.forwarder import CallerRequest
 from gentianmill_mesh.http_message import HttpRequest
