--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -84,7 +84,7 @@
     clock = ManualClock(100_000)
     shares = ShareTable()
     shares.record(RULE.name, {'s': SHARE_SCALE // 2}, clock.now_ms())
-    admission = EntryAdmission(shares, TreeCosts(), clock)
+    admission = EntryAdmission(shares, TreeCosts(random.Random(1)), clock)
     admission.set_rules(_rules(0))
     random.seed(1)
 
