--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -147,7 +147,7 @@
         A call of a running tree goes to the nodes that rejected it again, once all others
         were tried.
         """
-        if not progress.was_rejected:
+        if not progress.is_rejection_retry:
             return self._choose(progress)
         retry = progress.retry
         node = None if retry.is_round_over else self._choose(progress)
@@ -233,7 +233,7 @@
     ) -> GuardReply:
         progress.tried.add(node.name)
         cause = duplicate_cause if progress.was_sent else progress.origin.cause
-        is_throttled = cause.is_duplicate and not progress.was_rejected
+        is_throttled = cause.is_duplicate and not progress.is_rejection_retry
         progress.runs += 1
         started_ms = self._clock.now_ms()
         self._placement.record_start(node.name)
@@ -356,14 +356,15 @@
             return False
         if _is_late(progress, self._clock.now_ms()) or reply.reason == CRASH_SUSPECT:
             return False
-        if _reached_upstream(reply):
+        if _reached_upstream(reply) and progress.outlasts_rejections:
             return progress.retry.may_retry(is_inner=progress.origin.is_inner)
         if not _may_have_arrived(reply):
             return progress.redirects <= MAX_REDIRECTS
-        if not progress.rule.repeatable or progress.sends_left <= 0:
+        may_have_run = reply.outcome is not Outcome.not_run
+        if may_have_run and not progress.rule.repeatable or progress.sends_left <= 0:
             return False
         throttle = self._throttle(progress.service)
-        return progress.was_rejected or throttle.permits(self._clock.now_ms())
+        return progress.is_rejection_retry or throttle.permits(self._clock.now_ms())
 
 
 def _record_refusal(
@@ -371,7 +372,7 @@
 ) -> None:
     if _reached_upstream(reply):
         progress.retry.on_rejection(node.name)
-    elif reply.reason == RETRY_BUDGET and progress.was_rejected:
+    elif reply.reason == RETRY_BUDGET and progress.is_rejection_retry:
         progress.retry.on_budget_refusal(node.name)
 
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_progress.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_progress.py
@@ -48,11 +48,25 @@
         """Return whether an upstream has rejected the request."""
         return bool(self.retry.rejections)
 
+    @property
+    def outlasts_rejections(self) -> bool:
+        """Return whether rejections leave the request its attempts.
+
+        The requests of a team use up its quota, also if a call of their tree is rejected.
+        Without teams, a rejection counts as an attempt of the route.
+        """
+        return bool(self.team)
+
+    @property
+    def is_rejection_retry(self) -> bool:
+        """Return whether the next attempt is one that rejections do not use up."""
+        return self.was_rejected and self.outlasts_rejections
+
     @property
     def stays_in_region(self) -> bool:
         """Return whether the next attempt goes to the region of this node, if it can."""
-        is_retry = 0 < self.retry.rejections <= MAX_REJECTIONS_IN_REGION
-        return is_retry and self.origin.is_inner
+        is_early = self.retry.rejections <= MAX_REJECTIONS_IN_REGION
+        return self.is_rejection_retry and is_early and self.origin.is_inner
 
     @property
     def was_sent(self) -> bool:
@@ -67,12 +81,12 @@
     @property
     def redirects(self) -> int:
         """Return the nodes that were tried, without those that may be tried again."""
+        if not self.outlasts_rejections:
+            return len(self.tried)
         return len(self.tried - self.retry.retry_nodes)
 
     @property
     def sends_left(self) -> int:
-        """Return how many more upstreams may run the request by its rule.
-
-        An upstream that rejected it has not run it, and does not count.
-        """
-        return self.rule.max_attempts - self.runs
+        """Return how many more upstreams may get the request by its rule."""
+        left = self.rule.max_attempts - self.runs
+        return left if self.outlasts_rejections else left - self.retry.rejections
--- a/tests/call_fleet.py
+++ b/tests/call_fleet.py
@@ -58,6 +58,7 @@
         continues_after_disconnect: bool = False,
         rejection: Fault = _no_rejection,
         budget: RetryBudgetSettings | None = None,
+        team: str = '',
     ):
         """Create the nodes; must be called in the running loop.
 
@@ -69,7 +70,9 @@
                 while the upstream continues to run the request.
             rejection: The share of requests that an upstream rejects without running them.
             budget: Retry budget of each service.
+            team: Team of all requests, or empty.
         """
+        self.team = team
         self.rejection = rejection
         self.budget = budget or RetryBudgetSettings()
         self.rng = rng
@@ -183,6 +186,7 @@
             service=service,
             origin=self.guard.tree.origin(request_id, 1),
             deadline_ms=self._clock.now_ms() + TIMEOUT_MS,
+            team=self._fleet.team,
         )
         return await self._dispatcher.run(attempt)
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -40,6 +40,9 @@
 SUSPECT = GuardReply.not_run(CRASH_SUSPECT)
 
 
+TEAM = 'ants'
+
+
 def _rejections(count: int) -> list[GuardReply]:
     return [FULL for _ in range(count)]
 
@@ -99,7 +102,11 @@
 
 
 def _attempt(
-    *, repeatable: bool, left_ms: float = 2000, parent_route: str | None = None
+    *,
+    repeatable: bool,
+    left_ms: float = 2000,
+    parent_route: str | None = None,
+    team: str = '',
 ) -> RequestProgress:
     return RequestProgress(
         request=HttpRequest('GET', b'/', [], b''),
@@ -107,6 +114,7 @@
         rule=_rule(repeatable=repeatable),
         service='back',
         origin=CallOrigin(0, parent_route),
+        team=team if parent_route is None else TEAM,
         deadline_ms=MonotonicClock().now_ms() + left_ms,
     )
 
@@ -120,6 +128,7 @@
     before: Sequence[Sequence[GuardReply]] = (),
     parent_route: str | None = None,
     nodes: Sequence[NodeRecord] = (),
+    team: str = '',
 ) -> tuple[HttpResponse | None, int, RequestProgress]:
     """Return the response, the number of nodes called and the attempt.
 
@@ -131,6 +140,7 @@
         before: Scripts of earlier calls.
         parent_route: Route of the running request that makes the call, if any.
         nodes: Nodes of the service; three of the own zone if empty.
+        team: Team of the call; calls of a running request have one anyway.
     """
 
     async def scenario() -> tuple[HttpResponse | None, int, RequestProgress]:
@@ -160,7 +170,10 @@
         links.sent.clear()
         links.script = list(script)
         attempt = _attempt(
-            repeatable=repeatable, left_ms=left_ms, parent_route=parent_route
+            repeatable=repeatable,
+            left_ms=left_ms,
+            parent_route=parent_route,
+            team=team,
         )
         response = await dispatcher.run(attempt)
         return response, len(set(links.sent)), attempt
@@ -286,7 +299,7 @@
 
 def test_new_request_that_all_upstreams_reject_is_returned():
     """Guards against a new request that goes round while it could be refused."""
-    response, sends, attempt = _run(_rejections(10), repeatable=True)
+    response, sends, attempt = _run(_rejections(10), repeatable=True, team=TEAM)
     assert (response, sends, attempt.runs) == (None, 3, 0)
     assert attempt.retry.rejections == 3
 
@@ -306,3 +319,10 @@
     )
     assert response is not None
     assert sends == called
+
+
+def test_rejections_use_up_the_attempts_where_there_are_no_teams():
+    """Guards against other retries in deployments that have no teams."""
+    response, sends, attempt = _run(_rejections(10), repeatable=True)
+    assert (response, sends) == (None, 2)
+    assert attempt.retry.rejections == 2
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -48,6 +48,7 @@
             random.Random(1),
             rejection=_rejection,
             budget=budget,
+            team='ants',
         )
         self.refusals: list[tuple[float, str]] = []
         self.late_shares: list[dict[str, float]] = []
