--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -266,7 +266,9 @@
         link = self._links.to(node)
         relayed = await link.call(call)
         if node.zone != self._own.zone:
-            self._placement.record_round_trip(node.name, link.round_trip_ms)
+            self._placement.record_round_trip(
+                node, link.latest_round_trip_ms, self._clock.now_ms()
+            )
         return relayed
 
     def _guard_call(
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_link.py
@@ -116,6 +116,11 @@
         """Return the estimate of the network round trip, 0 before the first response."""
         return self._round_trip.ms
 
+    @property
+    def latest_round_trip_ms(self) -> float:
+        """Return the network round trip of the last response, 0 before the first."""
+        return self._round_trip.latest_ms
+
     async def call(self, call: GuardCall) -> RelayReply:
         """Run a call on the other node.
 
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -78,7 +78,6 @@
     failed_ms: float = -math.inf
     paused_until_ms: float = -math.inf
     pause_ms: float = FIRST_PAUSE_MS
-    round_trip_ms: float | None = None
 
     def calls(self, now_ms: float) -> float:
         """Return the estimated number of calls that run or wait there."""
@@ -149,7 +148,7 @@
                 continue
             cost_ms += distance_ms[node.region == self._region]
             if self._traffic.settings.is_adaptive:
-                cost_ms += self._extra_round_trip_ms(node)
+                cost_ms += self._extra_round_trip_ms(node, now_ms)
             if cost_ms < away_ms:
                 away, away_ms = node, cost_ms
         pays = away_ms < near_ms and self._pays(near, away, route, now_ms)
@@ -208,7 +207,7 @@
         return (
             route_ms * relative
             + view.failure_share(now_ms) * FAILURE_COST_MS
-            + self._distance_cost_ms(node, size_kib)
+            + self._distance_cost_ms(node, size_kib, now_ms)
         )
 
     def _load_cost_ms(self, node: NodeRecord, route_ms: float, now_ms: float) -> float:
@@ -322,23 +321,28 @@
             self._views[node.name] = view
         return view
 
-    def record_round_trip(self, name: str, round_trip_ms: float) -> None:
-        """Record the network round trip to a node.
+    def record_round_trip(
+        self, node: NodeRecord, round_trip_ms: float, now_ms: float
+    ) -> None:
+        """Record the network round trip of a response from another availability zone.
 
         Args:
-            name: The node.
-            round_trip_ms: Its estimate in ms.
+            node: The node that responded.
+            round_trip_ms: Time from sending the call to the response, without the time
+                that the node spent on it.
+            now_ms: Current time.
         """
-        self._views.setdefault(name, _NodeView()).round_trip_ms = round_trip_ms
+        if self._traffic.settings.is_adaptive:
+            self._traffic.observe_round_trip(node.zone, round_trip_ms, now_ms)
 
-    def _extra_round_trip_ms(self, node: NodeRecord) -> float:
-        distance = self._traffic.distance(node.zone, node.region)
-        return self._traffic.extra_ms(distance, self._view(node).round_trip_ms)
+    def _extra_round_trip_ms(self, node: NodeRecord, now_ms: float) -> float:
+        return self._traffic.extra_ms(node.zone, node.region, now_ms)
 
-    def _distance_cost_ms(self, node: NodeRecord, size_kib: float) -> float:
+    def _distance_cost_ms(
+        self, node: NodeRecord, size_kib: float, now_ms: float
+    ) -> float:
         if node.zone == self._zone:
             return 0
         is_near = node.region == self._region
-        return self._traffic.costs_ms(size_kib)[is_near] + self._extra_round_trip_ms(
-            node
-        )
+        cost_ms = self._traffic.costs_ms(size_kib)[is_near]
+        return cost_ms + self._extra_round_trip_ms(node, now_ms)
--- a/packages/gentianmill/src/gentianmill/round_trip.py
+++ b/packages/gentianmill/src/gentianmill/round_trip.py
@@ -15,6 +15,12 @@
     def __init__(self) -> None:
         """Start without samples; the estimate is 0 until the first response."""
         self._ms: float | None = None
+        self._latest_ms = float(0)
+
+    @property
+    def latest_ms(self) -> float:
+        """Return the last sample in ms, which includes the time in queues of links."""
+        return self._latest_ms
 
     @property
     def ms(self) -> float:
@@ -29,6 +35,7 @@
             spent_ms: Part of it that the other node spent on the call.
         """
         sample_ms = max(total_ms - spent_ms, 0)
+        self._latest_ms = sample_ms
         if self._ms is None or sample_ms < self._ms:
             self._ms = sample_ms
             return
--- a/packages/gentianmill/src/gentianmill/zone_traffic.py
+++ b/packages/gentianmill/src/gentianmill/zone_traffic.py
@@ -16,6 +16,8 @@
 from collections import Counter
 from types import MappingProxyType
 
+from gentianmill.round_trip import RoundTrip
+
 __all__ = ('Distance', 'TrafficSettings', 'ZoneTraffic')
 
 RISE_PER_S = 2.0
@@ -28,6 +30,17 @@
 WANTED_WEIGHT = 0.1
 """Weight of a call in the share of calls for which leaving pays."""
 
+ROUND_TRIP_DECAY_MS = 250.0
+"""Time constant of the round trip to a zone. All nodes there are behind the same links,
+so one estimate per zone follows a link that fills within a few responses."""
+
+MAX_ROUND_TRIP_WEIGHT = 0.5
+"""Largest weight of a response, as a single one may have waited for a busy process."""
+
+LINK_WAIT_LIFETIME_MS = 2000.0
+"""Time without a response from a zone after which no wait on its links is assumed; with
+nothing sent, it would never be corrected."""
+
 MS_PER_S = 1000
 
 MAX_KINDS = 256
@@ -102,6 +115,29 @@
         return True
 
 
+class _ZoneRoundTrip:
+    """The round trip to a zone: that of the path, and the present wait on its links."""
+
+    def __init__(self, now_ms: float) -> None:
+        self._path = RoundTrip()
+        self._recent_ms = float(0)
+        self._updated_ms = now_ms
+
+    def observe(self, sample_ms: float, now_ms: float) -> None:
+        """Apply a response."""
+        self._path.observe(sample_ms, 0)
+        weight = 1 - math.exp((self._updated_ms - now_ms) / ROUND_TRIP_DECAY_MS)
+        weight = min(weight, MAX_ROUND_TRIP_WEIGHT)
+        self._recent_ms += weight * (sample_ms - self._recent_ms)
+        self._updated_ms = now_ms
+
+    def estimate_ms(self, now_ms: float) -> float:
+        """Return the estimate; the wait on the links fades without responses."""
+        wait_ms = max(self._recent_ms - self._path.ms, 0)
+        age = (now_ms - self._updated_ms) / LINK_WAIT_LIFETIME_MS
+        return self._path.ms + wait_ms * max(1 - age, 0)
+
+
 class ZoneTraffic:
     """Bound how fast work moves to other zones, and count what left and why."""
 
@@ -117,6 +153,7 @@
         self._region = region
         self._settings = settings
         self._shares: dict[tuple[str, Distance], _LeavingShare] = {}
+        self._round_trips: dict[str, _ZoneRoundTrip] = {}
         self._calls: Counter[tuple[str, str]] = Counter()
 
     @property
@@ -154,16 +191,39 @@
             costs.same_region_ms + size_kib * costs.same_region_kib_ms,
         )
 
-    def extra_ms(self, distance: Distance, round_trip_ms: float | None) -> float:
-        """Return by how much a network path is longer than the costs assume, in ms.
+    def observe_round_trip(
+        self, zone: str, round_trip_ms: float, now_ms: float
+    ) -> None:
+        """Record the network round trip of a response from another zone.
 
         Args:
-            distance: Distance of the upstream.
-            round_trip_ms: Measured network round trip, or None if there is none.
+            zone: Its availability zone.
+            round_trip_ms: Time on the way, in both directions.
+            now_ms: Current time.
         """
-        if round_trip_ms is None or not self._settings.is_adaptive:
+        trip = self._round_trips.get(zone)
+        if trip is None:
+            if len(self._round_trips) >= MAX_KINDS:
+                self._round_trips.clear()
+            trip = _ZoneRoundTrip(now_ms)
+            self._round_trips[zone] = trip
+        trip.observe(round_trip_ms, now_ms)
+
+    def extra_ms(self, zone: str, region: str, now_ms: float) -> float:
+        """Return by how much the way to a zone is longer than the costs assume, in ms.
+
+        Args:
+            zone: The availability zone.
+            region: Its region.
+            now_ms: Current time.
+        """
+        trip = self._round_trips.get(zone)
+        if trip is None or not self._settings.is_adaptive:
             return 0
-        return round_trip_ms - NOMINAL_ROUND_TRIP_MS[distance]
+        return (
+            trip.estimate_ms(now_ms)
+            - NOMINAL_ROUND_TRIP_MS[self.distance(zone, region)]
+        )
 
     def may_leave(
         self, kind: str, distance: Distance, now_ms: float, *, pays: bool
--- a/tests/test_zone_traffic.py
+++ b/tests/test_zone_traffic.py
@@ -7,6 +7,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from collections import Counter
 
@@ -23,6 +24,7 @@
 UPSTREAMS = 4
 ENTRIES = 10
 ADAPTIVE = TrafficSettings(is_adaptive=True)
+STAYING = TrafficSettings(same_region_ms=1e6)
 
 
 @dataclasses.dataclass
@@ -35,8 +37,16 @@
 class _Zones:
     """Two zones of a region, each with entries and upstreams."""
 
-    def __init__(self, settings: TrafficSettings, one_way_ms: float = 1.0) -> None:
+    def __init__(
+        self,
+        settings: TrafficSettings,
+        one_way_ms: float = 1.0,
+        link_per_s: float = math.inf,
+    ) -> None:
         self.one_way_ms = one_way_ms
+        self.link_per_s = link_per_s
+        self.lost_zone = ''
+        self._link_free_ms = 0.0
         self.nodes = [
             node_record(f'{zone}{number}', zone=zone, region='r', slots=SLOTS)
             for zone in 'ab'
@@ -57,8 +67,9 @@
 
     def play(self, rates, until_ms):
         """Play arrivals; ``rates`` returns the calls a second of a zone at a time."""
-        for zone in 'ab':
-            self._at(0, self._arrive, zone, rates)
+        if not self._events:
+            for zone in 'ab':
+                self._at(0, self._arrive, zone, rates)
         while self._events and self._events[0][0] <= until_ms:
             now_ms, _, act, arguments = heapq.heappop(self._events)
             act(now_ms, *arguments)
@@ -83,7 +94,8 @@
             now_ms + self._rng.expovariate(rate_per_s) * 1000, self._arrive, zone, rates
         )
         entry = (zone, self._rng.randrange(ENTRIES))
-        node = self.entries[entry].choose(self.nodes, ROUTE, now_ms)
+        nodes = [node for node in self.nodes if node.zone != self.lost_zone]
+        node = self.entries[entry].choose(nodes, ROUTE, now_ms)
         self.entries[entry].record_start(node.name)
         self.away[zone, int(now_ms / 1000), 'all'] += 1
         self.away[zone, int(now_ms / 1000)] += node.zone != zone
@@ -108,15 +120,24 @@
         if self.waiting[name]:
             self._reach(now_ms, self.waiting[name].pop(0))
         load = self.running[name] + len(self.waiting[name])
-        self._at(now_ms + self._way_ms(call.entry, call.node), self._answer, call, load)
+        way_ms = self._way_ms(call.entry, call.node)
+        if call.node.zone != call.entry[0]:
+            way_ms += self._link_wait_ms(now_ms)
+        self._at(now_ms + way_ms, self._answer, call, load, way_ms)
+
+    def _link_wait_ms(self, now_ms):
+        """Return how long an answer waits for the link, which sends one after another."""
+        begin_ms = max(now_ms, self._link_free_ms)
+        self._link_free_ms = begin_ms + 1000 / self.link_per_s
+        return self._link_free_ms - now_ms
 
-    def _answer(self, now_ms, call, load):
+    def _answer(self, now_ms, call, load, way_ms):
         entry = self.entries[call.entry]
         entry.record_end(call.node.name)
         entry.record_response(call.node.name, ROUTE, now_ms - call.sent_ms)
         entry.record_load(call.node.name, load, SLOTS, now_ms)
         if call.node.zone != call.entry[0]:
-            entry.record_round_trip(call.node.name, 2 * self.one_way_ms)
+            entry.record_round_trip(call.node, self.one_way_ms + way_ms, now_ms)
         self.latencies[call.entry[0]].append((call.sent_ms, now_ms - call.sent_ms))
 
 
@@ -187,6 +208,43 @@
     assert _share_that_leaves(150.0) < _share_that_leaves(1.0) / 2
 
 
+def test_a_link_that_narrows_is_not_filled():
+    """Guards against callers that wait for a link longer than they would for their zone.
+
+    The link takes a tenth of what the overloaded zone can run, and that zone has 0.05 more
+    calls than it can run.
+    """
+    adaptive, fixed, staying = (
+        _Zones(settings, link_per_s=0.1 * CAPACITY_PER_S)
+        for settings in (ADAPTIVE, TrafficSettings(), STAYING)
+    )
+    for zones in (adaptive, fixed, staying):
+        zones.play(_slight_overload, 12_000)
+    mean_ms = adaptive.mean_ms('a', 0, 10_000)
+    assert mean_ms < staying.mean_ms('a', 0, 10_000)
+    assert mean_ms < fixed.mean_ms('a', 0, 10_000)
+    assert adaptive.mean_ms('b', 0, 10_000) < 1.25 * SERVICE_MS
+
+
+def _slight_overload(zone: str, now_ms: float) -> float:
+    return {'a': 1.05, 'b': 0.4}[zone] * CAPACITY_PER_S
+
+
+def test_the_callers_of_a_zone_that_loses_its_upstreams_are_served():
+    """Guards against calls that wait for a bounded step while a zone is lost, and against
+    work that does not come back after it."""
+    zones = _Zones(ADAPTIVE)
+    zones.play(_two_fifths, 3000)
+    zones.lost_zone = 'a'
+    zones.play(_two_fifths, 6000)
+    zones.lost_zone = ''
+    zones.play(_two_fifths, 12_000)
+    assert zones.away_share('a', 3000, 6000) == 1
+    assert zones.mean_ms('a', 3000, 6000) < 1.25 * SERVICE_MS
+    assert zones.mean_ms('b', 3000, 6000) < 1.25 * SERVICE_MS
+    assert zones.away_share('a', 10_000, 12_000) < 0.05
+
+
 def _near_capacity(zone: str, now_ms: float) -> float:
     return {'a': 0.95, 'b': 0.4}[zone] * CAPACITY_PER_S
 
@@ -214,7 +272,8 @@
     """Guards against other costs for deployments that ask for nothing."""
     traffic = ZoneTraffic('a', 'r', TrafficSettings())
     assert traffic.costs_ms(2) == (240, 26)
-    assert traffic.extra_ms(distance, 500) == 0
+    traffic.observe_round_trip('b', 500, 0)
+    assert traffic.extra_ms('b', 'r', 0) == 0
     assert traffic.may_leave(ROUTE, distance, 0, pays=True)
     assert not traffic.may_leave(ROUTE, distance, 0, pays=False)
 
