--- a/packages/gentianmill-mesh/src/gentianmill_mesh/head_room.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/head_room.py
@@ -100,19 +100,18 @@
         self._trailer_bytes += parsed_cost(piece)
         return self._update()
 
-    def keep(self, piece: bytes, end: bytes) -> bool:
-        """Keep the last head, and what may follow it in the bytes that were read.
+    def keep(self, unparsed_bytes: int, next_head: bytes) -> bool:
+        """Keep the last head, and what follows its message in the bytes that were read.
 
         Args:
-            piece: The last bytes, or none if they are known.
-            end: The end of a head.
+            unparsed_bytes: Bytes that follow, at most.
+            next_head: Those of them that begin an incomplete head.
 
         Returns:
             Whether there is room for it on a connection that may be idle.
         """
-        if piece:
-            self._tail_bytes = len(piece)
-            self._next_head_bytes = parsed_cost(piece.rpartition(end)[2])
+        self._tail_bytes = unparsed_bytes
+        self._next_head_bytes = parsed_cost(next_head)
         return self._room.may_take(self._total * IDLE_RESERVE) and self._update()
 
     def begin_next_head(self) -> bool:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_extent.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_extent.py
@@ -8,9 +8,9 @@
 
 
 class RequestExtent:
-    """Tell whether a parser holds nothing behind a request that has ended.
+    """Tell what a parser holds behind a request that has ended.
 
-    Such a parser may be replaced, which frees the head that it keeps.
+    One that holds nothing may be replaced, which frees the head that it keeps.
     """
 
     def __init__(self) -> None:
@@ -48,17 +48,15 @@
                 self._head_size = start + found + len(END)
         self._received += len(piece)
 
-    def is_exact(self, length: int) -> bool:
-        """Return whether the bytes end with the request.
+    def bytes_behind(self, length: int) -> int | None:
+        """Return how many bytes follow the request, or None if that is not known.
 
         Args:
             length: Bytes of its body, which is not chunked.
         """
-        return (
-            self._is_known
-            and self._head_size > 0
-            and self._received == self._head_size + length
-        )
+        if not (self._is_known and self._head_size):
+            return None
+        return self._received - self._head_size - length
 
     def begin(self) -> None:
         """Begin the next request with the next bytes."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/request_reader.py
@@ -16,8 +16,8 @@
 from gentianmill_mesh.entry_exchange import EntryExchange
 from gentianmill_mesh.exchange_queue import ExchangeQueue
 from gentianmill_mesh.forwarder import CallerRequest
+from gentianmill_mesh.head_count import HeadCount
 from gentianmill_mesh.head_room import HeadRoom, ParserRoom, head_cost
-from gentianmill_mesh.head_splitter import END
 from gentianmill_mesh.http_message import HttpRequest, HttpResponse
 from gentianmill_mesh.mesh_settings import ReadAheadSettings
 from gentianmill_mesh.request_extent import RequestExtent
@@ -91,7 +91,7 @@
         self._incomplete: tuple[EntryExchange, RawRequestMessage, StreamReader] | None
         self._incomplete = None
         self._body = BodyBuffer()
-        self._head_bytes = 0
+        self._head_count = HeadCount()
         self._arrived_ms = float(0)
         self._ended = False
         self._is_in_head = False
@@ -142,7 +142,12 @@
             # The parser is new.
             return False
         self._arrived_ms = arrived_ms
-        self._head_bytes += len(data)
+        body_begin = 0
+        if self._incomplete is None:
+            self._head_count.add(data)
+        else:
+            body_begin = self._incomplete[2].total_bytes
+            self._head_count.add_to_body(data)
         self._extent.add(data)
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -151,13 +156,13 @@
             return False
         for message, payload in messages:
             self._receive(message, payload)
-        has_request_ended = self._complete_body(data)
+        has_request_ended = self._complete_body(body_begin, has_head=bool(messages))
         if not (self._ended or has_request_ended):
             self._count(data, is_head_complete=bool(messages))
         is_in_body = self._incomplete is not None
         self._is_in_head = bool(data) and not (messages or has_request_ended)
         self._is_in_head &= not is_in_body
-        is_long = self._head_bytes > self._limits().header_bytes
+        is_long = self._head_count.count > self._limits().header_bytes
         if self._is_in_head and is_long and not self._ended:
             self._refuse_head()
         if upgraded:
@@ -193,14 +198,14 @@
         self._exchanges.append(exchange)
         self._incomplete = (exchange, message, payload)
         limits = self._limits()
-        is_long = self._head_bytes > limits.header_bytes
+        is_long = self._head_count.upper_bound > limits.header_bytes
         if is_long and _head_bytes(message) > limits.header_bytes:
             self._refuse_head()
             return
-        if not self._hold_head(exchange, len(message.raw_headers)):
+        if not self._hold_head(exchange, message):
             self._refuse_for_memory()
             return
-        self._head_bytes = 0
+        self._head_count.end_head()
         length = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
         if length > limits.body_bytes:
             self.refuse(HttpResponse(STATUS_TOO_LARGE, [], b'the body is too large\n'))
@@ -216,7 +221,7 @@
             exchange.room.reserve(length)
 
     def _refuse_head(self) -> None:
-        log.info('Head too long.', bytes=self._head_bytes)
+        log.info('Head too long.', bytes=self._head_count.count)
         self.refuse(HttpResponse(STATUS_HEAD_TOO_LARGE, [], b'the head is too large\n'))
 
     def _refuse_for_memory(self) -> None:
@@ -224,10 +229,10 @@
         retry = [[b'Retry-After', b'1']]
         self.refuse(HttpResponse(STATUS_UNAVAILABLE, retry, b'not run\n'))
 
-    def _hold_head(self, exchange: EntryExchange, lines: int) -> bool:
+    def _hold_head(self, exchange: EntryExchange, message: RawRequestMessage) -> bool:
         """Count a complete head, and return whether there is room for it."""
-        size = self._extent.head_size
-        size = size or min(self._head_bytes, self._limits().header_bytes)
+        lines = len(message.raw_headers)
+        size = self._extent.head_size or _head_bytes(message)
         exchange.head_room = HeadRoom(self._budget)
         self._body_bytes = 0
         self._bytes_since_body = 0
@@ -267,18 +272,30 @@
         return self._parser_room.add_to_trailers(data)
 
     def _go_on(
-        self, exchange: EntryExchange, message: RawRequestMessage, data: bytes
+        self,
+        exchange: EntryExchange,
+        message: RawRequestMessage,
+        body_bytes: int,
+        *,
+        has_head: bool,
     ) -> None:
         """Free the head that the parser keeps, or count it while it is kept."""
-        length = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
-        if not message.chunked and self._extent.is_exact(length):
+        behind = None
+        if message.chunked:
+            self._head_count.end_chunked_message(body_bytes)
+        else:
+            length = int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
+            behind = self._extent.bytes_behind(length)
+            self._head_count.end_message(body_bytes, behind, has_head=has_head)
+        if behind == 0:
             self._parser = self._new_parser()
             self._parser_room.clear()
             self._extent.begin()
             return
         self._extent.lose()
         self._parser_room.set_head(*self._parsed_head)
-        if not self._parser_room.keep(data, END):
+        count = self._head_count
+        if not self._parser_room.keep(count.unparsed_bound, count.begun):
             exchange.keeps_alive = False
             self.end()
 
@@ -295,8 +312,13 @@
             max_msg_queue_size=1,
         )
 
-    def _complete_body(self, data: bytes) -> bool:
-        """Take the body that is being received, and return whether it has ended."""
+    def _complete_body(self, body_begin: int, *, has_head: bool) -> bool:
+        """Take the body that is being received, and return whether it has ended.
+
+        Args:
+            body_begin: Bytes of the body that earlier pieces held.
+            has_head: Whether the head ended in the last piece.
+        """
         if self._incomplete is None:
             return False
         exchange, message, payload = self._incomplete
@@ -319,7 +341,8 @@
         exchange.awaits_continue = False
         self._incomplete = None
         if exchange.keeps_alive:
-            self._go_on(exchange, message, data)
+            body_bytes = payload.total_bytes - body_begin
+            self._go_on(exchange, message, body_bytes, has_head=has_head)
         else:
             self.end()
         return True
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -375,3 +375,101 @@
     assert len(statuses) == len(requests)
     assert set(statuses) == {b'200'}
     assert targets == [b'/%d' % number for number in range(len(requests))]
+
+
+LONG_BODIES = (
+    b'x' * 40_000,
+    b'\n' * 3000,
+    b'a\r\n\r\n' * 4000,
+)
+"""Longer than the limit of a head; with bytes that cost most as header lines, and with
+bytes that look like the end of a head."""
+
+
+def _post(body: bytes, *, chunked: bool) -> bytes:
+    if chunked:
+        framed = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+        return _head('Transfer-Encoding: chunked', method='POST') + framed
+    return _head(f'Content-Length: {len(body)}', method='POST') + body
+
+
+@pytest.mark.parametrize('body', LONG_BODIES, ids=['plain', 'lines', 'ends'])
+@pytest.mark.parametrize('chunked', [False, True])
+@pytest.mark.parametrize('begun_in_body', [False, True])
+@pytest.mark.parametrize('cut', [70, 30_000])
+def test_head_in_pieces_behind_a_long_body_is_served(
+    body: bytes, chunked: bool, begun_in_body: bool, cut: int
+):
+    """Guards against a 431 or 503 by counting bytes of a body as the next head."""
+
+    async def scenario() -> tuple[list[bytes], int]:
+        bench = _Bench(budget_bytes=1_000_000)
+        first = _post(body, chunked=chunked)
+        for _ in range(3):
+            next_head = _head('A: b')
+            begun = len(next_head) // 2
+            pieces = [first[cut:], next_head[:begun]]
+            if begun_in_body:
+                pieces = [b''.join(pieces)]
+            pieces = [first[:cut], *pieces, next_head[begun:]]
+            for piece in filter(None, pieces):
+                bench.connection.data_received(piece)
+        held = bench.handler.budget.held
+        bench.connection.connection_lost(None)
+        return bench.statuses, held
+
+    statuses, held = _run(scenario)
+    assert len(statuses) == 6
+    assert set(statuses) == {b'200'}
+    assert held < len(body)
+
+
+@pytest.mark.parametrize('body', LONG_BODIES, ids=['plain', 'lines', 'ends'])
+@pytest.mark.parametrize('chunked', [False, True])
+@pytest.mark.parametrize('ends', [False, True])
+def test_long_head_behind_a_long_body_is_refused(
+    body: bytes, chunked: bool, ends: bool
+):
+    """Guards against heads without a limit, as they are not counted behind a body."""
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench()
+        head = _head('A: ' + 'b' * HEADER_BYTES)[: None if ends else -4]
+        first = _post(body, chunked=chunked)
+        bench.connection.data_received(first + head[:100])
+        bench.connection.data_received(head[100:5000])
+        bench.connection.data_received(head[5000:])
+        return bench.statuses
+
+    assert _run(scenario) == [b'200', b'431']
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.booleans(), st.integers(0, 3000)),
+        min_size=1,
+        max_size=5,
+    ),
+    st.lists(st.integers(1, 20_000), max_size=12),
+)
+def test_heads_within_the_limit_are_served_wherever_the_bytes_are_cut(
+    requests: list[tuple[int, bool, int]], sizes: list[int]
+):
+    """Guards against a counter that goes on across the boundary of two messages."""
+    stream = b''.join(
+        _post(LONG_BODIES[kind], chunked=chunked)
+        + _head('A: ' + 'b' * padding, method='GET')
+        for kind, chunked, padding in requests
+    )
+
+    async def scenario() -> list[bytes]:
+        bench = _Bench(budget_bytes=1_000_000_000)
+        left = stream
+        for size in (*sizes, len(stream)):
+            bench.connection.data_received(left[:size])
+            left = left[size:]
+        return bench.statuses
+
+    statuses = _run(scenario)
+    assert len(statuses) == 2 * len(requests)
+    assert set(statuses) == {b'200'}
