--- a/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/call_intake.py
@@ -84,10 +84,10 @@
 
     def cancel(self, sender: RelaySender, frame: RelayCancel) -> None:
         """Stop a call, as nobody waits for its answer."""
+        sender.parts.remove(frame.key)
         job = sender.calls.find(frame.key)
         if job is None:
             return
-        sender.parts.remove(frame.key)
         if job.task is not None:
             job.task.cancel()
         elif job.upload is not None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/frame_socket.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/frame_socket.py
@@ -77,6 +77,11 @@
         """Return whether nothing can be sent any more."""
         return self._closed or self._transport.is_closing()
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether frames wait for the network."""
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def writable(self) -> bool:
         """Return whether large messages may be sent now."""
@@ -114,6 +119,16 @@
         self._closed = True
         self._transport.close()
 
+    def finish(self) -> None:
+        """Send nothing more, and let the peer close when it has received everything.
+
+        A connection that is closed with unread bytes, or that gets some after its close,
+        is reset, which destroys what the peer has not received.
+        """
+        if not self.closed:
+            self._write(FrameKind.close, CLOSE_CODE)
+        self._closed = True
+
     def abort(self) -> None:
         """Close the connection immediately, as its peer does not respond."""
         self._closed = True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -357,6 +357,7 @@
         self._entry.refuse_new()
         await self._drain_callers(deadline_ms)
         await self._wait_until_idle(deadline_ms)
+        await self._relay.finish()
         log.info('Stopped.', requests=self._entry.running)
         await self.close()
 
@@ -375,11 +376,12 @@
         self._pool.close()
 
     async def _wait_until_idle(self, deadline_ms: float) -> None:
-        """Wait until the calls of other nodes have ended."""
+        """Wait until no call runs, and other nodes have received their answers."""
         while self._clock.now_ms() < deadline_ms:
             if not (self._guard.busy or self._relay.busy):
                 return
             await asyncio.sleep(IDLE_POLL_S)
+        log.warning('Responses are cut.', to_nodes=self._relay.busy)
 
     async def _drain_callers(self, deadline_ms: float) -> None:
         """Accept no more connections, and close each one after its current request.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/part_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/part_sender.py
@@ -109,6 +109,7 @@
         self._send = send
         self._may_send = may_send
         self._bodies: dict[int, _Outgoing] = {}
+        self._unconfirmed: dict[int, int] = {}
         self._is_pumping = False
 
     @property
@@ -116,6 +117,11 @@
         """Return an upper bound of what was sent ahead of what the receiver took."""
         return len(self._bodies) * WINDOW_BYTES
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a receiver may not have all of a body."""
+        return bool(self._bodies or self._unconfirmed)
+
     def add(self, key: int, source: PartSource, offset: int, limit: int) -> None:
         """Send a body.
 
@@ -140,6 +146,8 @@
         """
         outgoing = self._bodies.get(key)
         if outgoing is None:
+            if received >= self._unconfirmed.get(key, 0):
+                self._unconfirmed.pop(key, None)
             return False
         if outgoing.is_resuming:
             outgoing.is_resuming = False
@@ -154,6 +162,7 @@
 
     def remove(self, key: int) -> None:
         """Stop sending a body, as nobody takes the rest."""
+        self._unconfirmed.pop(key, None)
         outgoing = self._bodies.pop(key, None)
         if outgoing is not None:
             outgoing.source.close()
@@ -162,6 +171,7 @@
         """Stop sending, as the connection is lost."""
         for key in tuple(self._bodies):
             self.remove(key)
+        self._unconfirmed.clear()
 
     def pump(self) -> None:
         """Send what may be sent."""
@@ -196,5 +206,7 @@
             return False
         if end is not StreamEnd.none:
             self._bodies.pop(key, None)
+        if end is StreamEnd.complete:
+            self._unconfirmed[key] = outgoing.offset
         self._send(RelayPart(key, offset, content, end.value))
         return True
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_sender.py
@@ -170,6 +170,7 @@
         self.parts = PartSender(self.send, self._may_send)
         self._answered: deque[tuple[float, RelayJob]] = deque()
         self._detached_ms = float(0)
+        self._resume_until_ms = float(0)
         self._expiry: asyncio.TimerHandle | None = None
 
     def attach(self, socket: FrameSocket) -> None:
@@ -185,12 +186,20 @@
         if self.socket is not socket:
             return
         self.socket = None
+        if self.parts.busy:
+            # The node asks for the rest of its bodies on a new connection.
+            self._resume_until_ms = now_ms + REATTACH_TIMEOUT_MS
         self.parts.close()
         self._detached_ms = now_ms
         self._expiry = asyncio.get_running_loop().call_later(
             REATTACH_TIMEOUT_MS / MS_PER_S, self._stop_repeatable
         )
 
+    def is_busy(self, now_ms: float) -> bool:
+        """Return whether the node still waits for an answer, or for bytes of one."""
+        is_resuming = now_ms < self._resume_until_ms
+        return bool(self.running) or self.parts.busy or is_resuming
+
     def send(self, frame: RelayFrame) -> None:
         """Send a frame, if there is a connection."""
         if self.socket is None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/relay_server.py
@@ -48,6 +48,12 @@
 """Time without frames after which a sender that awaits nothing counts as lost: it would
 have closed the link after 60 s without use."""
 
+FINISH_TIMEOUT_S = 0.2
+"""Time for other nodes to close their links at a stop: three round trips between
+regions; a silent node must not hold it up."""
+
+FINISH_POLL_S = 0.005
+
 RELAY_PATH = '/relay'
 
 log = component('relay')
@@ -138,8 +144,12 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a call of another node has not ended."""
-        return any(sender.running for sender in self._senders.values())
+        """Return whether another node waits for an answer, or for bytes of one."""
+        now_ms = self._clock.now_ms()
+        is_sending = any(socket.is_sending for socket in self._sockets)
+        return is_sending or any(
+            sender.is_busy(now_ms) for sender in self._senders.values()
+        )
 
     @property
     def response_headers(self) -> Mapping[str, str]:
@@ -210,7 +220,8 @@
             sender.forget_expired(now_ms)
             if self._budget.is_scarce:
                 sender.shed_answers()
-            timeout_ms = SENDER_TIMEOUT_MS if sender.running else IDLE_SENDER_TIMEOUT_MS
+            is_busy = sender.is_busy(now_ms)
+            timeout_ms = SENDER_TIMEOUT_MS if is_busy else IDLE_SENDER_TIMEOUT_MS
             if sender.socket is None or now_ms - sender.last_received_ms < timeout_ms:
                 continue
             log.info('Sender silent.', peer=identity.name, running=sender.running)
@@ -218,6 +229,17 @@
             sender.detach(silent, now_ms)
             silent.abort()
 
+    async def finish(self) -> None:
+        """Accept no more links, and let the other nodes close those that are open."""
+        if self._server is not None:
+            self._server.close()
+        for socket in tuple(self._sockets):
+            socket.finish()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FINISH_TIMEOUT_S
+        while self._sockets and loop.time() < end_s:
+            await asyncio.sleep(FINISH_POLL_S)
+
     def close(self) -> None:
         """Close all links, and accept no more."""
         if self._server is not None:
--- a/tests/test_body_parts.py
+++ b/tests/test_body_parts.py
@@ -141,6 +141,32 @@
     assert wire.budget.held == 0
 
 
+@pytest.mark.parametrize('streamed', [False, True])
+def test_sender_is_busy_until_its_receiver_has_all(streamed: bool):
+    """Guards against a process that ends while bytes of a body are under way."""
+    wire = _Wire()
+    body = stream_of(BODY, wire.budget) if streamed else BODY
+    source = StreamedBody(body) if streamed else WholeBody(body)
+    stream = wire.incoming.begin(KEY, LENGTH)
+    wire.sender.add(KEY, source, 0, LENGTH)
+    assert not wire.sender.is_sending(KEY)
+    assert wire.sender.busy
+    assert _drain(wire, stream) == BODY
+    assert not wire.sender.busy
+
+
+def test_sender_is_not_busy_after_its_receiver_has_left():
+    """Guards against a stop that waits for a receiver that wants nothing more."""
+    wire = _Wire()
+    for key, limit in ((KEY, LENGTH), (KEY + 1, WINDOW_BYTES)):
+        stream = wire.incoming.begin(key, LENGTH)
+        wire.sender.add(key, WholeBody(BODY), 0, limit)
+        stream.cancel()
+    assert wire.sender.busy
+    wire.deliver()
+    assert not wire.sender.busy
+
+
 def test_cut_is_passed_on():
     """Guards against a body that was cut and looks complete."""
     wire = _Wire()
--- a/tests/test_frame_socket.py
+++ b/tests/test_frame_socket.py
@@ -227,3 +227,28 @@
         await server.close()
 
     asyncio.run(asyncio.wait_for(scenario(), LIMIT_S))
+
+
+def test_peer_that_is_slow_gets_all_messages_of_a_side_that_finishes():
+    """Guards against a reset, by what the peer still sends, that destroys messages."""
+
+    async def scenario(acceptor: _Acceptor, port: int) -> None:
+        client, server = await _connected(acceptor, port)
+        transport = client.socket._transport  # noqa: SLF001
+        transport.pause_reading()
+        for _ in range(5):
+            server.socket.send(LARGE)
+        assert server.socket.is_sending
+        server.socket.finish()
+        with pytest.raises(ConnectionError):
+            server.socket.send(b'late')
+        for _ in range(5):
+            client.socket.send(LARGE)
+            await asyncio.sleep(0.02)
+        transport.resume_reading()
+        received = [await client.messages.get() for _ in range(5)]
+        assert received == [LARGE, LARGE, LARGE, LARGE, LARGE]
+        await server.closed.wait()
+        assert server.messages.empty()
+
+    _run(scenario)
