--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 from collections.abc import Callable
 
@@ -162,11 +163,9 @@
             return web.Response(status=410)
         changed = self._changed
         if not self._after(request.query['table'], after):
-            try:
-                wait_s = int(request.query['waitMs']) / MS_PER_S
+            wait_s = int(request.query['waitMs']) / MS_PER_S
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_s)
-            except TimeoutError:
-                return self._page([], self.version)
         if after > self.version:
             return web.Response(status=410)
         rows = self._after(request.query['table'], after)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -274,3 +274,25 @@
         assert b'second' in {row.content for row in changes.rows}
 
     _run_scenario(scenario)
+
+
+def test_row_written_as_a_poll_ends_is_told():
+    """Guards against a fake store that tells the version of a row, but not the row.
+
+    A test that waits for the row then waits until its limit.
+    """
+
+    async def scenario() -> list[str]:
+        async with FakeStore() as store:
+            loop = asyncio.get_running_loop()
+
+            def write_in_the_next_step(_request: object) -> bool:
+                loop.call_soon(store.put, 'nodes', 'late', b'')
+                return False
+
+            store.fails = write_in_the_next_step
+            changes = await store.client.changes('nodes', 0, 0)
+            assert changes.version == 1
+            return [row.key for row in changes.rows]
+
+    assert asyncio.run(scenario()) == ['late']
