--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Make the helpers of the tests importable and share the running deployments."""
 
+import contextlib
 import sys
 from pathlib import Path
 
@@ -15,9 +16,18 @@
     context.deployments = SharedDeployments()
 
 
+def before_scenario(context, _):
+    """Limit the time of a scenario; one that exceeds it ends the run as failed."""
+    from case_timeout import LIMIT_S, limited
+
+    context.limit = contextlib.ExitStack()
+    context.limit.enter_context(limited(LIMIT_S, sys.__stderr__.fileno()))
+
+
 def after_scenario(context, _):
     """Undo the faults of a scenario, so that the next one starts healthy."""
-    context.deployments.restore()
+    with context.limit:
+        context.deployments.restore()
 
 
 def after_all(context):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import pytest
 from deployed_node import build_tree
 
+pytest_plugins = ('case_timeout',)
+
 
 @pytest.fixture(scope='session')
 def tree(tmp_path_factory) -> Path:
--- a/tests/test_table_feed.py
+++ b/tests/test_table_feed.py
@@ -3,14 +3,22 @@
 import asyncio
 
 import structlog
+from gentianmill.clock import BootClock
 from gentianmill.errors import ErrorCode, GentianmillError
 from gentianmill_mesh.mesh_settings import Address
 from gentianmill_platform.store import Snapshot, Store, StoredRow
 from gentianmill_platform.table_feed import PollTiming, TableFeed
+from platform_store import FakeStore
+from poll_turns import ImmediateTurns
 from virtual_time import LoopClock, run_virtual
 
 TIMING = PollTiming(wait_ms=1000, min_pause_s=0.1, max_pause_s=0.1)
 OUTAGE_S = 3600
+
+MAX_CALLS = 4
+"""Most calls in 1 s: the first, and one after each pause of 0.15 s or longer, which
+double."""
+
 ROW = StoredRow('config', b'content', deleted=False, version=1)
 
 
@@ -67,3 +75,25 @@
     with structlog.testing.capture_logs() as lines:
         assert run_virtual(scenario()) > 1
     assert 'Feed failed, reading again.' in {line['event'] for line in lines}
+
+
+def test_table_that_is_gone_is_not_read_without_pauses():
+    """Guards against a node that does nothing but read a table that answers 410."""
+
+    async def scenario() -> int:
+        async with FakeStore() as store:
+            store.failing_status = 410
+            feed = TableFeed(
+                store.client,
+                'op',
+                lambda _: None,
+                TIMING,
+                BootClock(),
+                ImmediateTurns(),
+            )
+            feed.start()
+            await asyncio.sleep(1)
+            await feed.close()
+            return store.calls
+
+    assert asyncio.run(scenario()) <= MAX_CALLS
