--- a/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/_actions.py
@@ -19,6 +19,7 @@
     print_error,
     print_result,
 )
+from gentianmill_ctl.route_report import RouteQuestion, route_report
 from gentianmill_ctl.settle import ClaimName, Settlement, Verdict
 from gentianmill_ctl.submit import Submission, new_sheet
 from gentianmill_ctl.table_access import TableAccess
@@ -94,6 +95,18 @@
         return await request(OperatorClient(node, session, key))
 
 
+async def ask_route(node: str, question: RouteQuestion) -> Result:
+    """Ask a node where a request would go; the request is not sent.
+
+    Raises:
+        GentianmillError: With the code that decides the exit code.
+    """
+    if not is_host_port(node):
+        raise _usage_error(node, '--node is not host:port')
+    async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+        return await route_report(node, session, question)
+
+
 @contextlib.asynccontextmanager
 async def _open_table(table: str, key_file: str) -> AsyncIterator[TableAccess]:
     key = _read_key(key_file) if key_file else ''
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/cli.py
@@ -8,13 +8,12 @@
     call_node,
     run_check,
     run_command,
-    run_explain,
     settle_claim,
     submit_file,
 )
 from gentianmill_ctl.check import check_settings_file, check_sheet_file
 from gentianmill_ctl.drain import start_drain
-from gentianmill_ctl.explain import STANDARD_INPUT
+from gentianmill_ctl.explain_commands import explain, explain_route
 from gentianmill_ctl.result import EXIT_CODE_HELP
 from gentianmill_ctl.settle import ClaimName, Verdict
 from gentianmill_ctl.show import (
@@ -151,17 +150,6 @@
     return run_command(call_node(start_drain, node, key_file), json)
 
 
-def explain(request_id: str, *files: str, json: bool = False) -> int:
-    """Show the log lines that concern a request; make no connection.
-
-    Args:
-        request_id: Id of the request as its caller sent it.
-        files: Logs of the nodes; standard input if none are given or for ``-``.
-        json: Print JSON.
-    """
-    return run_command(run_explain(request_id, list(files) or [STANDARD_INPUT]), json)
-
-
 COMMANDS = (
     check_settings,
     check_sheet,
@@ -173,6 +161,7 @@
     drains,
     drain,
     explain,
+    explain_route,
 )
 
 
--- a/packages/gentianmill-ctl/src/gentianmill_ctl/result.py
+++ b/packages/gentianmill-ctl/src/gentianmill_ctl/result.py
@@ -42,6 +42,7 @@
         ErrorCode.settlement_refused: ExitCode.refused,
         ErrorCode.settlement_conflict: ExitCode.conflict,
         ErrorCode.unauthorised: ExitCode.unauthorised,
+        ErrorCode.unknown_operation: ExitCode.refused,
     }
 )
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -125,6 +125,21 @@
             self._guard.tree.call_failed(progress.request_id)
         return response
 
+    def candidates(self, service: str) -> list[NodeRecord]:
+        """Return the nodes that may get calls of a service.
+
+        Args:
+            service: The service.
+        """
+        nodes = [
+            node
+            for node in self._table.of_service(service)
+            if node.name != self._own.name and self._links.reaches(node)
+        ]
+        if service == self._guard.service and self._guard.accepts_calls:
+            nodes.append(self._own)
+        return nodes
+
     def forget_removed_nodes(self) -> None:
         """Delete the measurements of nodes that are no longer known."""
         self._placement.keep({node.name for node in self._table.records})
@@ -162,7 +177,7 @@
         return None if is_late else self._choose(progress)
 
     def _choose(self, progress: RequestProgress) -> NodeRecord | None:
-        candidates = self._candidates(progress.service)
+        candidates = self.candidates(progress.service)
         if progress.stays_in_region:
             region = self._own.region
             near = [node for node in candidates if node.region == region]
@@ -174,16 +189,6 @@
             progress.tried,
         )
 
-    def _candidates(self, service: str) -> list[NodeRecord]:
-        nodes = [
-            node
-            for node in self._table.of_service(service)
-            if node.name != self._own.name and self._links.reaches(node)
-        ]
-        if service == self._guard.service and self._guard.accepts_calls:
-            nodes.append(self._own)
-        return nodes
-
     async def _call_hedged(
         self, progress: RequestProgress, node: NodeRecord
     ) -> GuardReply:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -1,10 +1,9 @@
 """Assembles a node that forwards requests."""
 
 import asyncio
-import time
 
 from gentianmill.admission_share import SHARE_SCALE, ShareTable
-from gentianmill.clock import NS_PER_MS, Clock
+from gentianmill.clock import Clock, unix_ms
 from gentianmill.node_table import NodeTable
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.arrival_log import ArrivalLog
@@ -27,6 +26,7 @@
 from gentianmill_mesh.relay_handshake import NodeIdentity
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.relay_server import RelayServer, StateExchange
+from gentianmill_mesh.route_explainer import RouteExplainer
 from gentianmill_mesh.rules_gossip import FirstRules, RulesGossip
 from gentianmill_mesh.rules_holder import RulesHolder
 from gentianmill_mesh.service_listener import (
@@ -47,6 +47,7 @@
 to unresponsive nodes takes 0.2 s, and processor time is scarce at that moment."""
 
 METRICS_PATH = b'/metrics'
+EXPLAIN_PATH = b'/explain'
 
 STOP_NOTICE_MS = 2600.0
 """Callers poll the readiness path once a second and need two polls to see the stop."""
@@ -115,7 +116,7 @@
         self._clock = clock
         self._table = NodeTable()
         self._metrics = MeshMetrics()
-        self._identity = NodeIdentity(settings.node, time.time_ns() // NS_PER_MS)
+        self._identity = NodeIdentity(settings.node, unix_ms())
         own = own_record(settings, self._identity)
         shares = ShareTable()
         upstream = settings.upstream
@@ -215,11 +216,21 @@
             self._clock,
             policy,
         )
+        admission = EntryAdmission(shares, self._guard.tree.costs, self._clock)
+        self._explainer = RouteExplainer(
+            settings,
+            rules,
+            self._dispatcher,
+            policy.placement,
+            admission,
+            self._following,
+            clock,
+        )
         self._forwarder = Forwarder(
             rules,
             self._guard,
             self._quotas.limit(self._dispatcher),
-            EntryAdmission(shares, self._guard.tree.costs, self._clock),
+            admission,
             self._metrics,
             self._clock,
             settings.names,
@@ -228,7 +239,7 @@
         self._arrival_log = ArrivalLog(self._guard)
         self._suspension = SuspensionWatch(clock, self._renew_waits)
         self._readiness = self.service_listener('readiness', self._serve_readiness)
-        self._metrics_listener = self.service_listener('metrics', self._serve_metrics)
+        self._metrics_listener = self.service_listener('metrics', self._serve_operators)
         self._stopping = False
         self._ticks = 0
         self._withheld_ticks = 0
@@ -330,7 +341,7 @@
             upstream_id: Its id.
             start_unix_ms: Its start as Unix time in ms, or 0 if it is not told.
         """
-        now_unix_ms = time.time_ns() // NS_PER_MS
+        now_unix_ms = unix_ms()
         self._guard.upstream_left(upstream_id, start_unix_ms, now_unix_ms)
         self._own.publish_departures()
 
@@ -436,8 +447,11 @@
             self._recovery.table_read()
             self._own.publish()
 
-    async def _serve_metrics(self, request: HttpRequest) -> HttpResponse:
-        if request.target.partition(b'?')[0] != METRICS_PATH:
+    async def _serve_operators(self, request: HttpRequest) -> HttpResponse:
+        path, _, query = request.target.partition(b'?')
+        if path == EXPLAIN_PATH:
+            return self._explainer.respond(query)
+        if path != METRICS_PATH:
             return plain_response(STATUS_NOT_FOUND)
         load = self._guard.load('')
         gauges = (
--- a/packages/gentianmill/src/gentianmill/clock.py
+++ b/packages/gentianmill/src/gentianmill/clock.py
@@ -61,3 +61,8 @@
         if step_ms < 0:
             raise ValueError(f'the clock cannot go back by {-step_ms} ms')
         self._now_ms += step_ms
+
+
+def unix_ms() -> int:
+    """Return the Unix time in milliseconds, which may be set back."""
+    return time.time_ns() // NS_PER_MS
--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -92,6 +92,31 @@
         return self.failures * math.exp((self.failed_ms - now_ms) / FAILURE_DECAY_MS)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CandidateEstimate:
+    """What is known about a node that may get a call; times in ms."""
+
+    name: str
+    zone: str
+    region: str
+    calls_ahead: float
+    """Estimated calls that run or wait there."""
+
+    limit: int
+    latency_ms: float
+    """Expected latency with the wait, without the cost of distance."""
+
+    distance_ms: float
+    """Cost of the traffic and of a longer way, as latency that leaving must save."""
+
+    failure_share: float
+    paused_ms: float
+    """Remaining pause, as it could not run a call."""
+
+    report_age_ms: float | None
+    """Age of the load report, or None if there is none."""
+
+
 class Placement:
     """Choose the node with the lowest expected latency, plus a cost of distance."""
 
@@ -148,7 +173,7 @@
                 continue
             cost_ms += distance_ms[node.region == self._region]
             if self._traffic.settings.is_adaptive:
-                cost_ms += self._extra_round_trip_ms(node, now_ms)
+                cost_ms += self._traffic.extra_ms(node.zone, node.region, now_ms)
             if cost_ms < away_ms:
                 away, away_ms = node, cost_ms
         pays = away_ms < near_ms and self._pays(near, away, route, now_ms)
@@ -167,6 +192,35 @@
         away_ms = self._completion_ms(away, route, now_ms)
         return away_ms < self._completion_ms(near, route, now_ms)
 
+    def estimate(
+        self, node: NodeRecord, route: str, now_ms: float
+    ) -> CandidateEstimate:
+        """Return what is known about a node.
+
+        Args:
+            node: The node.
+            route: Name of the route.
+            now_ms: Current time.
+        """
+        view = self._view(node)
+        size_kib = self._sizes_kib.get(route, 0)
+        distance_ms = self._distance_cost_ms(node, size_kib, now_ms)
+        failure_share = view.failure_share(now_ms)
+        completion_ms = self._completion_ms(node, route, now_ms)
+        has_report = math.isfinite(view.reported_ms)
+        return CandidateEstimate(
+            name=node.name,
+            zone=node.zone,
+            region=node.region,
+            calls_ahead=view.calls(now_ms),
+            limit=view.limit,
+            latency_ms=completion_ms - distance_ms - failure_share * FAILURE_COST_MS,
+            distance_ms=distance_ms,
+            failure_share=failure_share,
+            paused_ms=max(view.paused_until_ms - now_ms, 0),
+            report_age_ms=now_ms - view.reported_ms if has_report else None,
+        )
+
     @property
     def traffic(self) -> ZoneTraffic:
         """Return what is decided and counted about traffic between zones."""
@@ -335,9 +389,6 @@
         if self._traffic.settings.is_adaptive:
             self._traffic.observe_round_trip(node.zone, round_trip_ms, now_ms)
 
-    def _extra_round_trip_ms(self, node: NodeRecord, now_ms: float) -> float:
-        return self._traffic.extra_ms(node.zone, node.region, now_ms)
-
     def _distance_cost_ms(
         self, node: NodeRecord, size_kib: float, now_ms: float
     ) -> float:
@@ -345,4 +396,4 @@
             return 0
         is_near = node.region == self._region
         cost_ms = self._traffic.costs_ms(size_kib)[is_near]
-        return cost_ms + self._extra_round_trip_ms(node, now_ms)
+        return cost_ms + self._traffic.extra_ms(node.zone, node.region, now_ms)
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -172,7 +172,7 @@
         self._tables: list[NodeTable] = []
         self.entry_port = 0
         self.entry_ports: dict[str, int] = {}
-        self._metrics_ports: dict[str, int] = {}
+        self.metrics_ports: dict[str, int] = {}
         self._session: aiohttp.ClientSession | None = None
         self._upstream_port = 0
         self._sequence = 0
@@ -189,7 +189,7 @@
         await self._start_node('entry', 'front', ports[4:8], ports[8], None)
         self.entry_port = ports[5]
         self.entry_ports = {'back': ports[1], 'entry': ports[5]}
-        self._metrics_ports = {'back': ports[3], 'entry': ports[7]}
+        self.metrics_ports = {'back': ports[3], 'entry': ports[7]}
         self._upstream_port = ports[8]
         self.report()
         # It is published once the node has learned what an earlier process knew.
@@ -252,7 +252,7 @@
 
     async def metrics(self, node: str = 'entry') -> str:
         """Return the metrics of a node."""
-        url = f'http://{HOST}:{self._metrics_ports[node]}/metrics'
+        url = f'http://{HOST}:{self.metrics_ports[node]}/metrics'
         async with self._session.get(url) as response:
             return await response.text()
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -70,7 +70,7 @@
 
 
 class _Link:
-    round_trip_ms = 1.0
+    latest_round_trip_ms = 1.0
 
     def __init__(self, links: _Links, name: str) -> None:
         self._links = links
