--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -1,6 +1,7 @@
 """Tests of the control service and its client over loopback."""
 
 import asyncio
+import contextlib
 
 import pytest
 from member_factory import make_member
@@ -122,8 +123,14 @@
     _run_with_node(tmp_path, scenario)
 
 
+async def _ignore(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read to the end of a connection without an answer."""
+    with contextlib.closing(writer):
+        await reader.read()
+
+
 async def _listen():
-    server = await asyncio.start_server(lambda reader, writer: None, '127.0.0.1', 0)
+    server = await asyncio.start_server(_ignore, '127.0.0.1', 0)
     return server, server.sockets[0].getsockname()[1]
 
 
--- a/tests/test_frame_socket.py
+++ b/tests/test_frame_socket.py
@@ -130,6 +130,8 @@
         await client.closed.wait()
         other.socket.send(b'still here')
         assert await other_server.messages.get() == b'still here'
+        other.socket.close()
+        await other_server.closed.wait()
 
     _run(scenario)
 
--- a/tests/test_member_loop.py
+++ b/tests/test_member_loop.py
@@ -28,6 +28,7 @@
     await node.sheet_loop.close()
     for task in list(node.member_loop._tasks):
         task.cancel()
+    node.member_loop._client.close()
     node.member_loop._server.close()
     await node.member_loop._server.wait_closed()
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -1,6 +1,7 @@
 """Tests of which connections to an upstream are reused."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -124,12 +125,13 @@
     received: list[bytes] = []
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(OK_RESPONSE)
-        await asyncio.sleep(0.2)
-        received.append(await reader.readexactly(len(body)))
-        received.append(await reader.readuntil(b'\r\n\r\n'))
-        writer.write(OK_RESPONSE)
+        with contextlib.closing(writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(OK_RESPONSE)
+            await asyncio.sleep(0.2)
+            received.append(await reader.readexactly(len(body)))
+            received.append(await reader.readuntil(b'\r\n\r\n'))
+            writer.write(OK_RESPONSE)
 
     async def scenario() -> tuple[bytes, bytes]:
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -137,6 +139,7 @@
         pool = UpstreamPool('127.0.0.1', port, NAMES, MonotonicClock())
         first = await run(pool, request(b'/long', 'POST', body))
         second = await run(pool, request(b'/next'))
+        pool.close()
         server.close()
         return first.body, second.body
 
