--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -163,14 +163,19 @@
 
     def _choose(self, progress: RequestProgress) -> NodeRecord | None:
         candidates = self._candidates(progress.service)
-        if progress.stays_in_region:
+        now_ms = self._clock.now_ms()
+        # Retries are earned where calls usually arrive; other regions may have some left.
+        is_refused_near = progress.retry.was_refused and self._shares.rejects_below(
+            progress.rule.name, now_ms
+        )
+        if progress.stays_in_region and not is_refused_near:
             region = self._own.region
             near = [node for node in candidates if node.region == region]
             candidates = near or candidates
         return self._placement.choose(
             candidates,
             progress.rule.name,
-            self._clock.now_ms(),
+            now_ms,
             progress.tried,
         )
 
@@ -215,6 +220,9 @@
             return None
         if self._placement.load_share(node, now_ms) > HEDGE_MAX_LOAD:
             return None
+        if self._shares.rejects_below(progress.rule.name, now_ms):
+            # All calls of a hedged tree would take retries from admitted trees.
+            return None
         if not self._may_hedge(progress):
             return None
         log.info(
@@ -299,7 +307,10 @@
         self._placement.record_load(node.name, calls, load.limit, now_ms)
         self._shares.record(progress.rule.name, load.shares, now_ms)
         self._shares.record_trees(
-            load.tree_shares, now_ms, is_inner=progress.origin.is_inner
+            progress.rule.name,
+            load.tree_shares,
+            now_ms,
+            is_inner=progress.origin.is_inner,
         )
         if progress.origin.parent_route is not None:
             self._shares.add_downstream(progress.origin.parent_route, load.shares)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/entry_admission.py
@@ -1,7 +1,7 @@
 """Decides at the entry whether to admit a new request."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from gentianmill.admission_share import ShareTable, admits
 from gentianmill.clock import Clock
@@ -89,14 +89,29 @@
         now_ms = self._clock.now_ms()
         shares = self._shares.tree_shares(now_ms)
         self._note_rejecting(shares)
+        services = frozenset(one.service for one in rule.destinations)
         admitted = self._trees.admits(
-            rule.name, rule.priority, shares, self._calls_to, now_ms
+            rule.name, rule.priority, services, shares, self._calls_to, now_ms
         )
+        if self._makes_no_calls(rule, shares):
+            return True
         for service, share in shares.items():
             if self._is_uncounted(rule, service) and self._rng.random() >= share:
                 return False
         return admitted
 
+    def _makes_no_calls(self, rule: RouteRule, services: Iterable[str]) -> bool:
+        """Return whether upstreams make no calls to some services for a route.
+
+        If one of these runs its requests itself, a first attempt takes no retry, and no work
+        is lost with a rejected one.
+        """
+        calls = self._costs.calls(rule.name)
+        return not any(
+            calls.get(service) or self._is_uncounted(rule, service)
+            for service in services
+        )
+
     def _note_rejecting(self, shares: Mapping[str, float]) -> None:
         if shares.keys() == self._rejecting:
             return
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_shares.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_shares.py
@@ -61,7 +61,7 @@
         load.shares = self._shares.shares(route, now_ms)
         load.shares[self._service] = int(self._share.share * SHARE_SCALE)
         if self._completes_trees:
-            load.tree_shares = self._shares.forwarded_trees(route, now_ms)
+            load.tree_shares = self._shares.forwarded_trees(now_ms)
             self._report_rejections(load, now_ms)
 
     def _report_rejections(self, load: GuardLoad, now_ms: float) -> None:
@@ -72,7 +72,9 @@
         if load.running + load.queued >= load.limit:
             return
         if self._rejections.is_rejecting(now_ms):
-            share = self._rejections.completable_share(self._gate.sustained_per_s)
+            share = self._rejections.completable_share(
+                self._gate.sustained_per_s, self._gate.counted_per_s
+            )
             load.tree_shares[self._service] = int(share * SHARE_SCALE)
             load.shares[self._service] = int(self._share.load_share * SHARE_SCALE)
         elif self._rejections.has_ended_within(REPORT_LIFETIME_MS, now_ms):
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/retry_budget_gate.py
@@ -41,6 +41,11 @@
         """Return how many duplicate attempts may be planned for a second now."""
         return self._budget.sustained_per_s(self._clock.now_ms())
 
+    @property
+    def counted_per_s(self) -> float:
+        """Return the first attempts in a second that have earned the current credit."""
+        return self._budget.counted_per_s(self._clock.now_ms())
+
     def share_slack(self, guards: int) -> None:
         """Set the number of guards of the service, which share the slack."""
         self._budget.share_slack(guards)
@@ -53,7 +58,9 @@
             rank: Position in the order of the queue.
         """
         now_ms = self._clock.now_ms()
-        if self._budget.permits(cause, now_ms, ordinary=_is_ordinary(rank)):
+        if self._budget.permits(
+            cause, now_ms, ordinary=_is_ordinary(rank), inner=_is_inner(rank)
+        ):
             return False
         self._refused += 1
         return True
@@ -68,7 +75,9 @@
         if self.refuses(cause, rank):
             return False
         now_ms = self._clock.now_ms()
-        self._budget.admit(cause, now_ms, ordinary=_is_ordinary(rank))
+        self._budget.admit(
+            cause, now_ms, ordinary=_is_ordinary(rank), inner=_is_inner(rank)
+        )
         self._arrivals.add(cause)
         return True
 
@@ -76,3 +85,8 @@
 def _is_ordinary(rank: int) -> bool:
     """Return whether a request is below the highest priority."""
     return rank >= RANKS_PER_PRIORITY
+
+
+def _is_inner(rank: int) -> bool:
+    """Return whether an upstream makes a request for a running one."""
+    return rank % RANKS_PER_PRIORITY == 0
--- a/packages/gentianmill/src/gentianmill/admission_share.py
+++ b/packages/gentianmill/src/gentianmill/admission_share.py
@@ -70,7 +70,7 @@
 END_WEIGHT = 0.5
 """Least weight of a report that rejections are over, so that a few of them suffice."""
 
-TREE_REPORT_LIFETIME_MS = 700.0
+TREE_REPORT_LIFETIME_MS = 900.0
 TREE_FORWARD_MS = 200.0
 """Age at which a report of rejections has no effect, and at which it is not passed on; with
 one node between, it ends 0.9 s after its guard sent it. A node with 11 reports/s would be
@@ -194,15 +194,22 @@
             previous.received_ms = now_ms
 
     def record_trees(
-        self, tree_shares: Mapping[str, int], now_ms: float, *, is_inner: bool = False
+        self,
+        route: str,
+        tree_shares: Mapping[str, int],
+        now_ms: float,
+        *,
+        is_inner: bool = False,
     ) -> None:
         """Record the shares of trees that rejecting services complete.
 
-        Only reports in answers to calls of running requests are passed on. Those in
-        answers to new requests came from nodes to which this one may report itself, and
-        would go round between them after the rejections.
+        Only reports in answers to calls of running requests are passed on, and only those
+        of services downstream of the call. Those in answers to new requests came from nodes
+        to which this one may report itself, and would go round between them after the
+        rejections.
 
         Args:
+            route: Route of the request.
             tree_shares: Share in thousandths per service; 1000 after its rejections.
             now_ms: Current time.
             is_inner: Whether the call was made for a running request.
@@ -210,7 +217,7 @@
         for service, thousandths in tree_shares.items():
             share = thousandths / SHARE_SCALE
             _average(self._tree_reports, service, share, now_ms)
-            if is_inner:
+            if is_inner and self.is_downstream(route, service):
                 _average(self._inner_tree_reports, service, share, now_ms)
 
     def tree_shares(self, now_ms: float) -> dict[str, float]:
@@ -222,15 +229,19 @@
             and report.share < MAX_TREE_SHARE
         }
 
-    def forwarded_trees(self, route: str, now_ms: float) -> dict[str, int]:
-        """Return the recent shares of services downstream of a route, in thousandths."""
-        downstream = self._downstream.get(route, ())
+    def forwarded_trees(self, now_ms: float) -> dict[str, int]:
+        """Return the recent shares of services below, in thousandths."""
         return {
             service: int(report.share * SHARE_SCALE)
             for service, report in self._inner_tree_reports.items()
-            if now_ms - report.received_ms < TREE_FORWARD_MS and service in downstream
+            if now_ms - report.received_ms < TREE_FORWARD_MS
         }
 
+    def rejects_below(self, route: str, now_ms: float) -> bool:
+        """Return whether a service that a route needs rejects calls now."""
+        downstream = self._downstream.get(route, ())
+        return any(service in downstream for service in self.tree_shares(now_ms))
+
     def is_downstream(self, route: str, service: str) -> bool:
         """Return whether calls of a route go to a service."""
         return service in self._downstream.get(route, ())
--- a/packages/gentianmill/src/gentianmill/rejection_gauge.py
+++ b/packages/gentianmill/src/gentianmill/rejection_gauge.py
@@ -81,14 +81,19 @@
         self._usual = self._usual * kept + 1
         self._usual_weight = self._usual_weight * kept + gap_ms
 
-    def completable_share(self, retries_per_s: float) -> float:
+    def completable_share(
+        self, retries_per_s: float, counted_per_s: float = 0
+    ) -> float:
         """Return the share of the usual calls that a budget of retries completes.
 
         Args:
             retries_per_s: Retries that the guard has in a second.
+            counted_per_s: First attempts in a second that have earned them. They count as
+                usual: a guard to which load has moved for a while would promise more.
         """
         total = self._accepted + self._rejected
         usual_per_s = self._usual / max(self._usual_weight, 1) * MS_PER_S
+        usual_per_s = max(usual_per_s, counted_per_s)
         if not (total and usual_per_s):
             return 1
         rejected = min(self._rejected / total, MAX_REJECTED_SHARE)
--- a/packages/gentianmill/src/gentianmill/rejection_retry.py
+++ b/packages/gentianmill/src/gentianmill/rejection_retry.py
@@ -47,6 +47,11 @@
         """Return the nodes of the current round that did not run the call."""
         return self._retry_nodes
 
+    @property
+    def was_refused(self) -> bool:
+        """Return whether guards refused the call for their budgets in the last round."""
+        return bool(self._refused_rounds)
+
     @property
     def is_round_over(self) -> bool:
         """Return whether so many guards refused the call that it must pause."""
--- a/packages/gentianmill/src/gentianmill/retry_budget.py
+++ b/packages/gentianmill/src/gentianmill/retry_budget.py
@@ -49,7 +49,12 @@
 ORDINARY_RESERVED_SHARE = 0.03
 """Further fraction that ordinary work leaves to the most important priority."""
 
-MIN_USE = 0.9
+INNER_RESERVED_SHARE = 0.1
+"""Further fraction that retries of running trees leave to those of new requests, if a part
+of the credit is earned later. A running tree waits for its retry, a new request does not."""
+
+MIN_USE = 0.5
+MAX_USE = 1.9
 """Part of the earned credit that is planned to be used when none is left; with a full
 credit, it is 1 more, as what is not used expires."""
 
@@ -121,6 +126,11 @@
         self._update(now_ms)
         return self._earned_credit / self._credit_lifetime_ms * MS_PER_S
 
+    def counted_per_s(self, now_ms: float) -> float:
+        """Return the first attempts in a second that earn the current credit."""
+        earned = self._settings.ratio * EARNED_SHARE
+        return self.earned_per_s(now_ms) / earned if earned else 0
+
     def sustained_per_s(self, now_ms: float) -> float:
         """Return the duplicate attempts in a second that keep some credit in reserve.
 
@@ -129,15 +139,23 @@
         """
         earned_per_s = self.earned_per_s(now_ms)
         level = min(self._credit / max(self._max_credit, 1), 1)
-        return earned_per_s * (MIN_USE + level)
-
-    def permits(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
+        return earned_per_s * (MIN_USE + (MAX_USE - MIN_USE) * level)
+
+    def permits(
+        self,
+        cause: Cause,
+        now_ms: float,
+        *,
+        ordinary: bool = False,
+        inner: bool = False,
+    ) -> bool:
         """Return whether an attempt is a first one or within the budget.
 
         Args:
             cause: Why the request arrives.
             now_ms: Current time.
             ordinary: Whether it is not of the most important priority.
+            inner: Whether an upstream makes it for a running request.
         """
         if not cause.is_duplicate:
             return True
@@ -145,17 +163,27 @@
         reserved_share = RESERVED_SHARES[cause]
         if ordinary and cause is not Cause.inherited:
             reserved_share += ORDINARY_RESERVED_SHARE
+        if inner and cause is Cause.retry and self._settings.previous_share:
+            reserved_share += INNER_RESERVED_SHARE
         return self._credit - 1 >= reserved_share * max(self._max_credit - 1, 0)
 
-    def admit(self, cause: Cause, now_ms: float, *, ordinary: bool = False) -> bool:
+    def admit(
+        self,
+        cause: Cause,
+        now_ms: float,
+        *,
+        ordinary: bool = False,
+        inner: bool = False,
+    ) -> bool:
         """Count an attempt if it is permitted, and return whether it is.
 
         Args:
             cause: Why the request arrives.
             now_ms: Current time.
             ordinary: Whether it is not of the most important priority.
+            inner: Whether an upstream makes it for a running request.
         """
-        if not self.permits(cause, now_ms, ordinary=ordinary):
+        if not self.permits(cause, now_ms, ordinary=ordinary, inner=inner):
             return False
         if cause.is_duplicate:
             self._credit -= 1
--- a/packages/gentianmill/src/gentianmill/tree_budget.py
+++ b/packages/gentianmill/src/gentianmill/tree_budget.py
@@ -6,6 +6,7 @@
 and others, 2020) issues credits that a service can serve.
 """
 
+import bisect
 import dataclasses
 import math
 import random
@@ -21,6 +22,10 @@
 """Time constant of the usual rates of requests, which are kept while services reject, as
 refused callers come back and would look like demand."""
 
+PRIORITY_FACTOR = 1.5
+"""How many times cheaper a tree must be, for each priority between, to go before a more
+important one."""
+
 MAX_BURST = 2.0
 """Requests of a route that may be admitted at once after a pause."""
 
@@ -42,6 +47,8 @@
     priority: int
     per_s: float
     calls: float
+    services: frozenset[str] = frozenset()
+    """Services that run the requests themselves."""
 
 
 def divide(demands: Sequence[TreeDemand], share: float) -> dict[str, float]:
@@ -55,6 +62,7 @@
         demands: All routes, also those that make no calls to the service.
         share: Part of their usual calls that the service completes.
     """
+    demands = order(demands)
     low, high = float(0), min(share, FLOOR_SHARE)
     total_per_s = sum(demand.per_s for demand in demands)
     for _ in range(FLOOR_STEPS):
@@ -73,7 +81,7 @@
 ) -> dict[str, float]:
     left = sum(demand.per_s * demand.calls for demand in demands) * (share - floor)
     parts = {}
-    for demand in sorted(demands, key=_order):
+    for demand in demands:
         wanted = demand.per_s * demand.calls * (1 - floor)
         granted = min(wanted, max(left, 0))
         left -= granted
@@ -84,8 +92,31 @@
     return parts
 
 
-def _order(demand: TreeDemand) -> tuple[int, float]:
-    return (demand.priority, demand.calls)
+def order(demands: Sequence[TreeDemand]) -> list[TreeDemand]:
+    """Return the routes in the order in which they get what they need.
+
+    Cheaper trees go first, unless they are less important and not much cheaper, or other
+    requests of their service are more important.
+
+    Args:
+        demands: Routes of new requests.
+    """
+    priorities = sorted({one.priority for one in demands if one.calls >= MIN_CALLS})
+    keys: dict[str, tuple[float, int]] = {}
+    for demand in sorted(demands, key=_priority):
+        steps = bisect.bisect_left(priorities, demand.priority)
+        cost = demand.calls * PRIORITY_FACTOR**steps
+        before = [
+            keys[other.route][0]
+            for other in demands
+            if other.priority < demand.priority and other.services & demand.services
+        ]
+        keys[demand.route] = (max([cost, *before]), demand.priority)
+    return sorted(demands, key=lambda one: keys[one.route])
+
+
+def _priority(demand: TreeDemand) -> int:
+    return demand.priority
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,7 +124,7 @@
     """Usual rate of a route, and what it may admit."""
 
     priority: int
-    first_ms: float
+    services: frozenset[str]
     requests: float = 0
     weight_ms: float = 0
     updated_ms: float = 0
@@ -142,6 +173,7 @@
         self,
         route: str,
         priority: int,
+        services: frozenset[str],
         shares: Mapping[str, float],
         calls_to: Callable[[str], Mapping[str, float]],
         now_ms: float,
@@ -151,15 +183,17 @@
         Args:
             route: Its route.
             priority: Its priority, 0 is the most important.
+            services: Services that run it.
             shares: Part of its usual calls that each rejecting service completes.
             calls_to: Returns the calls of a tree to a service, by route.
             now_ms: Current time.
         """
         known = self._routes.get(route)
         if known is None:
-            known = _Route(priority, now_ms, updated_ms=now_ms, refilled_ms=now_ms)
+            known = _Route(priority, services, updated_ms=now_ms, refilled_ms=now_ms)
             self._routes[route] = known
         known.priority = priority
+        known.services = services
         if not shares or known.requests < MIN_REQUESTS:
             known.observe(now_ms)
         if not shares:
@@ -196,6 +230,12 @@
 
     def _demands(self, calls: Mapping[str, float]) -> list[TreeDemand]:
         return [
-            TreeDemand(name, route.priority, route.per_ms, calls.get(name, 0))
+            TreeDemand(
+                name,
+                route.priority,
+                route.per_ms,
+                calls.get(name, 0),
+                route.services,
+            )
             for name, route in self._routes.items()
         ]
--- a/tests/test_admission_share.py
+++ b/tests/test_admission_share.py
@@ -118,19 +118,19 @@
     tables = [ShareTable(), ShareTable()]
     for table in tables:
         table.add_downstream('route', {'leaf'})
-    tables[0].record_trees({'leaf': 100}, 0, is_inner=True)
+    tables[0].record_trees('route', {'leaf': 100}, 0, is_inner=True)
     for now_ms in range(0, 2000, 50):
         for sender, receiver in (tables, list(reversed(tables))):
-            receiver.record_trees(sender.forwarded_trees('route', now_ms), now_ms)
+            receiver.record_trees('route', sender.forwarded_trees(now_ms), now_ms)
     assert not any(table.tree_shares(2000) for table in tables)
 
 
 def test_report_of_rejections_expires():
     """Guards against refusals on a report that is older than a second."""
     table = ShareTable()
-    table.record_trees({'leaf': 100}, 0)
+    table.record_trees('route', {'leaf': 100}, 0)
     assert table.tree_shares(0) == {'leaf': 0.1}
     assert not table.tree_shares(1000)
-    table.record_trees({'leaf': 100}, 2000)
-    table.record_trees({'leaf': 1000}, 2400)
+    table.record_trees('route', {'leaf': 100}, 2000)
+    table.record_trees('route', {'leaf': 1000}, 2400)
     assert not table.tree_shares(2400)
--- a/tests/test_tree_budget.py
+++ b/tests/test_tree_budget.py
@@ -14,6 +14,7 @@
     TreeDemand('lookup', 1, 350, 4),
     TreeDemand('transfer', 1, 203, 8),
 )
+LEAF = frozenset(('leaf',))
 DEMANDS = st.lists(
     st.tuples(st.integers(0, 2), st.floats(0.1, 300), st.floats(0, 20)),
     min_size=1,
@@ -55,7 +56,7 @@
 def _refused(budget: TreeBudget, share: float, begin_ms: int, end_ms: int) -> int:
     shares = {'leaf': share} if share < 1 else {}
     return sum(
-        not budget.admits('route', 0, shares, lambda _: {'route': 4}, now_ms)
+        not budget.admits('route', 0, LEAF, shares, lambda _: {'route': 4}, now_ms)
         for now_ms in range(begin_ms, end_ms, 100)
     )
 
@@ -68,7 +69,7 @@
     assert 14 <= once <= 22
     shares = {'leaf': 0.2}
     admitted = sum(
-        budget.admits('route', 0, shares, lambda _: {'route': 4}, now_ms)
+        budget.admits('route', 0, LEAF, shares, lambda _: {'route': 4}, now_ms)
         for now_ms in range(30_000, 40_000, 33)
     )
     assert 14 <= admitted <= 22
@@ -86,7 +87,7 @@
     """Guards against refusing requests that do not need the service."""
     budget = TreeBudget(random.Random(1))
     assert all(
-        budget.admits('other', 3, {'leaf': 0.1}, lambda _: {'route': 4}, now_ms)
+        budget.admits('other', 3, LEAF, {'leaf': 0.1}, lambda _: {'route': 4}, now_ms)
         for now_ms in range(0, 10_000, 50)
     )
 
--- a/tests/tree_model.py
+++ b/tests/tree_model.py
@@ -38,6 +38,7 @@
 """Calls that run at an upstream, as its slots are free; of SLOTS."""
 
 SLOTS = 100
+NO_SERVICES: frozenset[str] = frozenset()
 
 
 class Policy(enum.Enum):
@@ -208,7 +209,12 @@
         if self._policy is Policy.fraction:
             return not kind.calls or self._rng.random() < shares.get(LEAF, 1)
         return self._budgets[tree.entry].admits(
-            kind.name, kind.priority, shares, lambda _: self._calls, self._now_ms
+            kind.name,
+            kind.priority,
+            NO_SERVICES,
+            shares,
+            lambda _: self._calls,
+            self._now_ms,
         )
 
     def _go_on(self, tree: Tree) -> None:
@@ -233,9 +239,9 @@
         earned_per_s = guard.budget.sustained_per_s(self._now_ms)
         if guard.gauge.is_rejecting(self._now_ms):
             share = int(guard.gauge.completable_share(earned_per_s) * SHARE_SCALE)
-            table.record_trees({LEAF: share}, self._now_ms)
+            table.record_trees(tree.kind.name, {LEAF: share}, self._now_ms)
         elif guard.gauge.has_ended_within(1000, self._now_ms):
-            table.record_trees({LEAF: SHARE_SCALE}, self._now_ms)
+            table.record_trees(tree.kind.name, {LEAF: SHARE_SCALE}, self._now_ms)
 
     def _fail(self, tree: Tree) -> None:
         tree.failed = True
