--- a/tests/call_fleet.py
+++ b/tests/call_fleet.py
@@ -268,7 +268,7 @@
 
 
 class _Link:
-    round_trip_ms = 2 * LINK_DELAY_S * 1000
+    latest_round_trip_ms = 2 * LINK_DELAY_S * 1000
 
     def __init__(self, guard: UpstreamGuard) -> None:
         self._guard = guard
--- a/tests/tree_fleet.py
+++ b/tests/tree_fleet.py
@@ -380,7 +380,7 @@
     def __init__(self, guard: UpstreamGuard, delay_s: float) -> None:
         self._guard = guard
         self._delay_s = delay_s
-        self.round_trip_ms = 2 * delay_s * MS_PER_S
+        self.latest_round_trip_ms = 2 * delay_s * MS_PER_S
 
     async def call(self, call: GuardCall) -> RelayReply:
         """Run a call on the remote node."""
