Rename QuotaDesk to QuotaLimiter

The class admits requests of one team while it holds tokens, which is a rate limiter; "desk" is not a term of the field. The module becomes quota_limiter, the context LimiterContext. No change of behaviour.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
@@ -8,7 +8,7 @@
 from gentianmill.teams import Team
 from gentianmill_mesh.dispatcher import Dispatcher, RequestProgress
 from gentianmill_mesh.http_message import HttpResponse
-from gentianmill_mesh.quota_desk import QuotaState
+from gentianmill_mesh.quota_limiter import QuotaState
 from gentianmill_mesh.time_limit import within
 from gentianmill_node.logs import component
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
@@ -20,9 +20,9 @@
 from gentianmill_mesh.mesh_settings import MeshSettings
 from gentianmill_mesh.dispatcher import Dispatcher
 from gentianmill_mesh.quota_dispatcher import QuotaAdmission, QuotaDispatcher
-from gentianmill_mesh.quota_desk import (
-    DeskContext,
-    QuotaDesk,
+from gentianmill_mesh.quota_limiter import (
+    LimiterContext,
+    QuotaLimiter,
     QuotaPort,
     QuotaState,
 )
@@ -82,7 +82,7 @@
             self._members, self._own, find_team, self._keys, self._started_ms
         )
         self._choice = OwnerChoice(self._members)
-        self._context = DeskContext(
+        self._context = LimiterContext(
             port=self,
             members=self._members,
             choice=self._choice,
@@ -91,7 +91,7 @@
             clock=clock,
             started_ms=self._started_ms,
         )
-        self._desks: dict[str, QuotaDesk] = {}
+        self._limiters: dict[str, QuotaLimiter] = {}
         self._asks: dict[int, asyncio.Future[QuotaGrant]] = {}
         self._senders: weakref.WeakValueDictionary[str, RelaySender] = (
             weakref.WeakValueDictionary()
@@ -113,15 +113,15 @@
         Args:
             team: Team of the request, which has a quota.
         """
-        return await self._desk(team).admit()
+        return await self._limiter(team).admit()
 
     def give_back(self, team: Team) -> None:
         """Return the token of a request that was not sent."""
-        self._desk(team).give_back()
+        self._limiter(team).give_back()
 
     def state(self, team: Team) -> QuotaState:
         """Return what is known of the quota of a team."""
-        return self._desk(team).state
+        return self._limiter(team).state
 
     def on_nodes_confirmed(self) -> None:
         """Record that the registry of the nodes was read."""
@@ -177,16 +177,16 @@
         """Stop the timers."""
         if self._timer is not None:
             self._timer.cancel()
-        for desk in self._desks.values():
-            desk.close()
-
-    def _desk(self, team: Team) -> QuotaDesk:
-        desk = self._desks.get(team.name)
-        if desk is None:
-            desk = QuotaDesk(team, self._context)
-            self._desks[team.name] = desk
-        desk.team = team
-        return desk
+        for limiter in self._limiters.values():
+            limiter.close()
+
+    def _limiter(self, team: Team) -> QuotaLimiter:
+        limiter = self._limiters.get(team.name)
+        if limiter is None:
+            limiter = QuotaLimiter(team, self._context)
+            self._limiters[team.name] = limiter
+        limiter.team = team
+        return limiter
 
     def _serving_nodes(self) -> dict[str, str]:
         region_of = {
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_desk.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_limiter.py
@@ -16,7 +16,7 @@
 from gentianmill_node.background import spawn
 from gentianmill_node.logs import component
 
-__all__ = ('DeskContext', 'QuotaDesk', 'QuotaPort', 'QuotaState')
+__all__ = ('LimiterContext', 'QuotaLimiter', 'QuotaPort', 'QuotaState')
 
 MAX_WAIT_MS = 400.0
 """Longest wait for a token that the owner announces. A wait of this length costs a caller
@@ -64,8 +64,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskContext:
-    """What the desks of an entry share."""
+class LimiterContext:
+    """What the limiters of an entry share."""
 
     port: QuotaPort
     members: QuotaMembers
@@ -82,15 +82,15 @@
     started_ms: float
 
 
-class QuotaDesk:
+class QuotaLimiter:
     """Let the requests of a team pass while there are tokens."""
 
-    def __init__(self, team: Team, context: DeskContext) -> None:
-        """Create a desk without tokens.
+    def __init__(self, team: Team, context: LimiterContext) -> None:
+        """Create a limiter without tokens.
 
         Args:
             team: The team.
-            context: What all desks share.
+            context: What all limiters share.
         """
         self.team = team
         """The team by the newest configuration."""
--- a/tests/test_quota_nodes.py
+++ b/tests/test_quota_nodes.py
@@ -89,7 +89,7 @@
     async def scenario(deployment: Deployment) -> tuple[set[int], bool]:
         statuses = {(await _send(deployment, OTHER_KEY))[0] for _ in range(40)}
         gates = [node._quotas for node in deployment.nodes.values()]
-        return statuses, any(gate._timer or gate._desks for gate in gates)
+        return statuses, any(gate._timer or gate._limiters for gate in gates)
 
     assert _run(scenario) == ({200}, False)
 
