Return the token of a request with a quota that was not sent

Cause: QuotaDispatcher read progress.rejections, which RequestProgress does not have. Each admitted request that got no upstream (reason no_node), or was rejected by all, ended with an AttributeError in place of its refusal. No test had such a request. Change: it asks progress.was_sent. tests/test_quota_dispatcher.py fails in two of three cases before, and passes after.

--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
@@ -79,7 +79,7 @@
         try:
             return await self._dispatcher.run(progress)
         finally:
-            if not (progress.runs or progress.rejections):
+            if not progress.was_sent:
                 self._admission.give_back(team)
 
     async def _admit(self, team: Team, progress: RequestProgress) -> float | None:
