--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -396,6 +396,7 @@
         self._suspension.check()
         self._guard.check()
         self._relay.check()
+        self._quotas.knows_nodes()
         self._withheld_ticks = (
             self._withheld_ticks + 1 if self._rules.is_withheld else 0
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_gate.py
@@ -125,7 +125,9 @@
 
     def on_nodes_confirmed(self) -> None:
         """Record that the registry of the nodes was read."""
-        self._has_read_registry = True
+        if not self._has_read_registry:
+            self._has_read_registry = True
+            self._digest = None
 
     def on_request(self, sender: RelaySender, request: QuotaRequest) -> None:
         """Answer another node, now or when there are tokens."""
@@ -165,10 +167,17 @@
             )
 
     def knows_nodes(self) -> bool:
-        """Update the members; return whether they are known well enough to be an owner."""
+        """Update the members; return whether they are known well enough to be an owner.
+
+        Call it regularly: members settle from when they are known, also without requests.
+        """
         if self._digest != self._table.digest:
             self._digest = self._table.digest
-            self._members.update(self._serving_nodes(), self._clock.now_ms())
+            self._members.update(
+                self._serving_nodes(),
+                self._clock.now_ms(),
+                is_confirmed=self._has_read_registry,
+            )
         if self._has_read_registry:
             return True
         return self._clock.now_ms() - self._started_ms >= TRUST_VIEW_MS
@@ -189,14 +198,15 @@
         return limiter
 
     def _serving_nodes(self) -> dict[str, str]:
-        region_of = {
+        """Return the region of each node, without this one until the registry has it.
+
+        The others do not know this node before, and issue its part of the rate.
+        """
+        return {
             record.name: record.region
             for record in self._table.records
             if record.state is NodeState.serving
         }
-        if self._table.find(self._members.own) is None:
-            region_of[self._members.own] = self._members.region
-        return region_of
 
     async def ask(self, name: str, request: QuotaRequest) -> QuotaGrant | None:
         """Return the answer of a node, or None if there is none in time."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_limiter.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_limiter.py
@@ -212,7 +212,7 @@
         """Use the local allowance, as no owner answers."""
         self._state = dataclasses.replace(self._state, is_owned=False)
         now_ms = self._clock.now_ms()
-        nodes = self._context.members.count
+        nodes = self._context.members.count(now_ms)
         while self._waiters:
             if self._allowance.take(self.team, nodes, now_ms):
                 self._count('local')
--- a/packages/gentianmill/src/gentianmill/quota_account.py
+++ b/packages/gentianmill/src/gentianmill/quota_account.py
@@ -79,6 +79,7 @@
         self._leases: deque[_Lease] = deque()
         self._last_keys: dict[str, int] = {}
         self._backlog_until_ms = float(0)
+        self._backlog_rate_per_s = float(0)
 
     def is_duplicate(self, process: str, key: int) -> bool:
         """Return whether a request was received before, and remember it."""
@@ -115,6 +116,10 @@
         """
         if rate_per_s <= 0:
             return MS_PER_S
-        begin_ms = max(self._backlog_until_ms, now_ms + self.bucket.wait_ms(1))
+        backlog_ms = max(self._backlog_until_ms - now_ms, 0)
+        # A higher rate serves those that were refused before sooner.
+        backlog_ms *= min(self._backlog_rate_per_s / rate_per_s, 1)
+        self._backlog_rate_per_s = rate_per_s
+        begin_ms = max(now_ms + backlog_ms, now_ms + self.bucket.wait_ms(1))
         self._backlog_until_ms = begin_ms + (wanted - 1) / rate_per_s * MS_PER_S
         return begin_ms - now_ms
--- a/packages/gentianmill/src/gentianmill/quota_members.py
+++ b/packages/gentianmill/src/gentianmill/quota_members.py
@@ -4,11 +4,13 @@
 domain agree on what they support although they may know different nodes.
 """
 
+import dataclasses
+import functools
 from collections.abc import Mapping
 
 from gentianmill.rendezvous import hash_text, score
 
-__all__ = ('DOMAINS', 'QuotaMembers', 'domain_of')
+__all__ = ('DOMAINS', 'MAX_VOTERS', 'QuotaMembers', 'domain_of')
 
 DOMAINS = 32
 """Domains of teams; at most this many nodes of a region renew their support, which bounds
@@ -19,18 +21,33 @@
 eleventh of the region's rate until they do."""
 
 RECENT_MS = 6000.0
-"""Time for which a node of the region counts as a voter after it was last known or asked for
-support: the time in which nodes learn of each other, and a window."""
+"""Time for which a node counts after it was last known or asked for support: the time in which
+nodes learn of each other, and a window."""
+
+SETTLE_MS = 4000.0
+"""Time after the registry was read and has this node in which it does not rely on its count
+of the nodes. Nodes learn of each other within 3 s, and support given before ends within 1 s."""
+
+MAX_TEAMS = 1024
+"""Teams whose domain is remembered, twice those at the design size; it is asked for with each
+request."""
 
 MAX_CANDIDATES = 3
 """Nodes of a region that may own a domain, the first and two successors."""
 
 
+@functools.lru_cache(maxsize=MAX_TEAMS)
 def domain_of(team: str) -> int:
     """Return the domain of a team."""
     return hash_text(team) % DOMAINS
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Recent:
+    region: str
+    at_ms: float
+
+
 class QuotaMembers:
     """The nodes that serve, as one node knows them."""
 
@@ -49,7 +66,8 @@
         self._region_of: dict[str, str] = {own: region}
         self._ranked: dict[tuple[int, str], tuple[str, ...]] = {}
         self._voters: tuple[str, ...] | None = None
-        self._recent: dict[str, float] = {}
+        self._recent: dict[str, _Recent] = {}
+        self._confirmed_ms: float | None = None
 
     @property
     def own(self) -> str:
@@ -61,11 +79,6 @@
         """Return the region of this node."""
         return self._region
 
-    @property
-    def count(self) -> int:
-        """Return the number of nodes in all regions."""
-        return max(len(self._region_of), 1)
-
     @property
     def region_count(self) -> int:
         """Return the number of regions, by which the rate of a team is divided."""
@@ -88,7 +101,12 @@
 
     def note(self, name: str, now_ms: float) -> None:
         """Count a node of the region that other nodes may know, although this one does not."""
-        self._recent[name] = now_ms
+        self._recent[name] = _Recent(self._region, now_ms)
+
+    def count(self, now_ms: float) -> int:
+        """Return the number of nodes in all regions, with those known a while ago."""
+        self._forget_old(now_ms)
+        return len({*self._region_of, *self._recent, self._own})
 
     def voter_count(self, now_ms: float) -> int:
         """Return by how many voters the region's rate is divided.
@@ -96,21 +114,39 @@
         Nodes that this one has ceased to know, or knows only by their requests, count for a
         while, as others may rely on their support.
         """
-        for name, at_ms in tuple(self._recent.items()):
-            if now_ms - at_ms >= RECENT_MS:
-                self._recent.pop(name)
-        return min(len({*self.voters, *self._recent}), MAX_VOTERS)
-
-    def update(self, region_of: Mapping[str, str], now_ms: float) -> None:
+        self._forget_old(now_ms)
+        recent = {
+            name for name, seen in self._recent.items() if seen.region == self._region
+        }
+        return min(len(recent.union(self.voters)), MAX_VOTERS)
+
+    def is_settled(self, now_ms: float) -> bool:
+        """Return whether this process and the others have had time to learn of each other."""
+        confirmed_ms = self._confirmed_ms
+        return confirmed_ms is not None and now_ms - confirmed_ms >= SETTLE_MS
+
+    def update(
+        self,
+        region_of: Mapping[str, str],
+        now_ms: float,
+        *,
+        is_confirmed: bool = True,
+    ) -> None:
         """Set the nodes that serve.
 
         Args:
             region_of: Their regions by name, with this node if it serves.
             now_ms: Current time.
+            is_confirmed: Whether this process has read the registry of the nodes.
         """
+        if self._own not in region_of:
+            # Others may cease to count this node, and learn of its return.
+            self._confirmed_ms = None
+        elif is_confirmed and self._confirmed_ms is None:
+            self._confirmed_ms = now_ms
         if region_of != self._region_of:
-            for name in self._names_in(self._region):
-                self.note(name, now_ms)
+            for name, region in self._region_of.items():
+                self._recent[name] = _Recent(region, now_ms)
             self._region_of = dict(region_of)
             self._ranked.clear()
             self._voters = None
@@ -133,6 +169,11 @@
         candidates = self.candidates(domain, self._region)
         return candidates.index(name) if name in candidates else MAX_CANDIDATES
 
+    def _forget_old(self, now_ms: float) -> None:
+        for name, seen in tuple(self._recent.items()):
+            if now_ms - seen.at_ms >= RECENT_MS:
+                self._recent.pop(name)
+
     def _names_in(self, region: str) -> list[str]:
         return [name for name, other in self._region_of.items() if other == region]
 
--- a/packages/gentianmill/src/gentianmill/quota_support.py
+++ b/packages/gentianmill/src/gentianmill/quota_support.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Iterable
 
-from gentianmill.quota_members import QuotaMembers
+from gentianmill.quota_members import MAX_VOTERS, QuotaMembers
 from gentianmill.relay_messages import QuotaGrant, QuotaRequest
 
 __all__ = ('SUPPORT_PREFIX', 'QuotaSupport', 'QuotaVoter', 'is_support')
@@ -106,7 +106,9 @@
     def _part(self, now_ms: float) -> int:
         if self._members.own not in self._members.voters:
             return 0
-        part = WHOLE / self._members.voter_count(now_ms)
+        part = WHOLE / MAX_VOTERS
+        if self._members.is_settled(now_ms):
+            part = WHOLE / self._members.voter_count(now_ms)
         return int(part * YOUNG_SHARE if self._is_young(now_ms) else part)
 
     def _unused_ms(self, domain: int, now_ms: float) -> float:
--- a/tests/test_quota_bound.py
+++ b/tests/test_quota_bound.py
@@ -235,6 +235,25 @@
         self._update(one)
         network.schedule(network.now_ms + 3000, lambda: self._learn(one, other))
 
+    @rule(seed=names)
+    def ignore_each_other(self, seed):
+        """Start pairs of nodes that neither know nor reach each other, again and again."""
+        rng = random.Random(seed)
+        for _ in range(STORM_STEPS):
+            pair = rng.choice(self.all), rng.choice(self.all)
+            for first, second in (pair, tuple(reversed(pair))):
+                if rng.random() < 0.7:
+                    self.forget_one(self.all.index(first), self.all.index(second))
+                if rng.random() < 0.5:
+                    self.network.cuts.add((first, second))
+            for name in pair:
+                if rng.random() < 0.5:
+                    self.network.start(name)
+            self.network.run(self.network.now_ms + rng.uniform(0, 3000))
+            self.arrivals_are_bounded()
+            if rng.random() < 0.3:
+                self.heal()
+
     def _learn(self, one, other):
         self.network.unknown.discard((one, other))
         self._update(one)
@@ -285,3 +304,19 @@
     suppress_health_check=list(HealthCheck),
 )
 TestQuotaBound = QuotaBound.TestCase
+
+
+class SmallRegionBound(QuotaBound):
+    """The smallest region in which nodes may not know each other, and a small burst.
+
+    A node that counts itself alone doubles the rate here, and the bound leaves least room.
+    """
+
+    @initialize(seed=names)
+    def begin(self, seed):
+        """Start two nodes that know each other."""
+        super().begin(seed=seed, regions=1, size=2, rate=400, burst=20)
+
+
+SmallRegionBound.TestCase.settings = QuotaBound.TestCase.settings
+TestSmallRegionBound = SmallRegionBound.TestCase
