--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -127,7 +127,9 @@
         _turns: PollTurns,
         on_confirmed: Callable[[float], None],
     ) -> None:
-        """Add a table."""
+        """Add a table, with the records that others have published."""
+        for known in self._tables:
+            table.merge(known.records)
         self._tables.append(table)
         on_confirmed(BootClock().now_ms())
 
@@ -135,6 +137,11 @@
         """Merge a record into all tables."""
         if self._port is not None:
             record = dataclasses.replace(record, relay_port=self._port)
+        known = [table.find(record.name) for table in self._tables]
+        newest = max((other.revision for other in known if other), default=0)
+        # A process that replaces another one begins to count anew.
+        revision = max(record.revision, newest + 1)
+        record = dataclasses.replace(record, revision=revision)
         for table in self._tables:
             table.merge([record])
         stored = asyncio.get_running_loop().create_future()
