--- a/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/quota_dispatcher.py
@@ -8,7 +8,7 @@
 from gentianmill.teams import Team
 from gentianmill_mesh.dispatcher import Dispatcher, RequestProgress
 from gentianmill_mesh.http_message import HttpResponse
-from gentianmill_mesh.quota_desk import QuotaState
+from gentianmill_mesh.quota_limiter import QuotaState
 from gentianmill_mesh.time_limit import within
 from gentianmill_node.logs import component
 
@@ -79,7 +79,7 @@
         try:
             return await self._dispatcher.run(progress)
         finally:
-            if not (progress.runs or progress.rejections):
+            if not progress.was_sent:
                 self._admission.give_back(team)
 
     async def _admit(self, team: Team, progress: RequestProgress) -> float | None:
