--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -124,22 +124,42 @@
         to_ms(text)
 
 
+BOOT = {
+    'node': 'n',
+    'ip': '10.0.0.1',
+    'zone': 'z',
+    'region': 'r',
+    'listenAddrs': {
+        'outbound': '10.0.0.1:1',
+        'ready': '10.0.0.1:2',
+        'controlPlane': '10.0.0.1:3',
+    },
+    'internalPortRange': [7620, 7635],
+    'appAddr': '10.0.0.1:4',
+    'service': 's',
+    'platform': {'address': '10.2.0.1:9'},
+}
+
+
+@pytest.mark.parametrize(
+    ('fields', 'previous_share'),
+    [
+        ({}, 0),
+        ({'contracts': ['base', 'retry']}, 0),
+        ({'contracts': ['base', 'tenants']}, 0.85),
+        ({'contracts': ['tenants'], 'bounds': ['retryBudgetPrevious=0']}, 0),
+    ],
+)
+def test_division_of_trees_needs_teams(fields: dict, previous_share: float):
+    """Guards against another retry budget for deployments that have no teams."""
+    settings = parse_boot_settings(json.dumps(BOOT | fields).encode())
+    assert settings.mesh.retry_budget.previous_share == previous_share
+
+
 def test_settings_are_read():
     """The platform may add unknown fields, which must be ignored."""
     boot = {
-        'node': 'n',
-        'ip': '10.0.0.1',
-        'zone': 'z',
-        'region': 'r',
-        'listenAddrs': {
-            'outbound': '10.0.0.1:1',
-            'ready': '10.0.0.1:2',
-            'controlPlane': '10.0.0.1:3',
-        },
-        'internalPortRange': [7620, 7635],
-        'appAddr': '10.0.0.1:4',
-        'service': 's',
-        'platform': {'address': '10.2.0.1:9'},
+        **BOOT,
         'bounds': [
             'contact=4000ms',
             'grace=6s',
