--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -6,11 +6,14 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from gentianmill import rendezvous
+from gentianmill.clock import NS_PER_MS, Clock
+from gentianmill.departure_doubt import LATEST_REPORT_MS
 from gentianmill.departures import Departure, DepartureTable
 from gentianmill.node_record_codec import to_departures
 from gentianmill.node_table import NodeRecord, NodeTable
@@ -58,6 +61,7 @@
         table: NodeTable,
         links: RelayLinks,
         peers: RandomPeers,
+        clock: Clock,
     ) -> None:
         """Create a recovery that has not begun.
 
@@ -67,7 +71,12 @@
             table: Records of all nodes.
             links: Links to the other nodes.
             peers: Chooses the nodes to which departures are passed on.
+            clock: Clock of the node.
         """
+        self._clock = clock
+        self._created_ms = clock.now_ms()
+        self._interval_ms = settings.report_interval_ms
+        self._witnesses: set[str] = set()
         self._own_name = settings.node
         self._is_first_start = settings.first_start
         self._guard = guard
@@ -78,6 +87,7 @@
         self._kept: set[Departure] = set()
         self._has_read_table = False
         self._on_ended: Callable[[], None] | None = None
+        self._publish: Callable[[], None] | None = None
 
     @property
     def has_read_table(self) -> bool:
@@ -96,7 +106,14 @@
             on_ended: Called once when the guard knows what it must not forget.
         """
         self._on_ended = on_ended
+        self._publish = on_ended
         self._guard.refuse_calls(STARTING)
+        if self._interval_ms and not self._is_first_start:
+            now_unix_ms = time.time_ns() // NS_PER_MS
+            self._guard.status.doubt.begin(
+                self._interval_ms, self._clock.now_ms(), now_unix_ms
+            )
+            log.info('Upstream is not used before its reports go on.')
 
     def abandon(self) -> None:
         """Stop learning, as the node stops."""
@@ -128,7 +145,13 @@
         if record is not None:
             known.update(record.departures)
         strikes = self._guard.crashes.latest(MAX_ENTRIES)
-        return KnownState(request.node, _entries(known), to_entries(strikes))
+        return KnownState(
+            request.node,
+            _entries(known),
+            to_entries(strikes),
+            self._own_name,
+            int(self._uptime_ms),
+        )
 
     def on_state(self, state: KnownState) -> None:
         """Learn what another node knows, for this node or to pass it on."""
@@ -138,6 +161,8 @@
             log.warning('Departures not readable.', error=str(error))
             return
         if state.node == self._own_name:
+            if state.uptime_ms >= self._uptime_ms + LATEST_REPORT_MS:
+                self._witnesses.add(state.teller)
             self._restore(departures, 'node')
             self._guard.crashes.merge(state.strikes)
             if not self._has_read_table:
@@ -198,13 +223,33 @@
 
     async def _ask_keepers(self) -> None:
         request = StateRequest(self._own_name)
-        asked = [self._links.to(record).post(request) for record in self._keepers()]
+        keepers = self._keepers()
+        asked = [self._links.to(record).post(request) for record in keepers]
         try:
             await within(asyncio.gather(*asked), ASK_TIMEOUT_S)
         except TimeoutError:
             log.info('Not all nodes told what they know.', asked=len(asked))
+        is_trusted = self._has_witnesses(keepers) and self._guard.status.doubt.end()
+        if is_trusted:
+            log.info('All departures are known.', witnesses=len(self._witnesses))
+        if is_trusted and self._on_ended is None and self._publish is not None:
+            # The guard takes calls already, as a node told it before the registry did.
+            self._publish()
         self._end()
 
+    def _has_witnesses(self, keepers: list[NodeRecord]) -> bool:
+        """Return whether one that told knows each departure that was acknowledged.
+
+        That is so if too few nodes are left for an acknowledgement. Only processes count
+        that ran while reports were sent which may still arrive.
+        """
+        others = len({record.name for record in keepers} - self._witnesses)
+        return others < min(ENOUGH_KEEPERS, len(keepers)) or not keepers
+
+    @property
+    def _uptime_ms(self) -> float:
+        return self._clock.now_ms() - self._created_ms
+
     def _keepers(self) -> list[NodeRecord]:
         """Return the nodes that keep departures for this one, the same at each start."""
         others = [
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -169,7 +169,7 @@
             settings.node, self._table, self._links, registry, self._clock
         )
         self._recovery = GuardRecovery(
-            settings, self._guard, self._table, self._links, peers
+            settings, self._guard, self._table, self._links, peers, clock
         )
         strikes = StrikeGossip(
             settings.service, self._guard.crashes, self._table, self._links, peers
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -79,6 +79,11 @@
     """Whether the whole deployment starts for the first time, so that no other node knows
     what an earlier process of this one has acknowledged."""
 
+    report_interval_ms: float = 0
+    """Time between two reports of an upstream. With one, a process that can't know what
+    an earlier one has acknowledged uses its upstream once its reports go on; with 0, from
+    the first report on."""
+
     config_apply_ms: float = 9000
     """Time after its acknowledgement in which a change of the rules must be in force."""
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -4,6 +4,7 @@
 from gentianmill.arrivals import Cause
 from gentianmill.call_tree import CallTree
 from gentianmill.clock import Clock
+from gentianmill.departures import Departure
 from gentianmill.outcome import Outcome
 from gentianmill.relay_messages import GuardLoad
 from gentianmill.retry_budget import RetryBudgetSettings
@@ -144,8 +145,12 @@
         """
         before = _published_state(self._status)
         known = self._status.report
+        start = Departure(report.upstream_id, report.start_unix_ms)
+        now_ms = self._clock.now_ms()
+        if self._status.doubt.observe(start, report.sequence, now_ms):
+            log.info('Upstream is used, its reports go on.', id=report.upstream_id)
         if not self._status.apply(report):
-            return False
+            return _published_state(self._status) != before
         if known is not None and known.start_unix_ms != report.start_unix_ms:
             self._crashes.record_crash()
         self._liveness.record_activity(self._clock.now_ms())
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -374,6 +374,24 @@
         ]
         | UnsetType
     ) = field(default_factory=list)
+    teller: (
+        Annotated[
+            str,
+            Meta(
+                description='Node that tells it, or empty if it passes on what another one told.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    uptime_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Time since the start of the process that tells it, or 0 if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
 
 
 class CrashNews(Frame):
--- a/packages/gentianmill/src/gentianmill/upstream_status.py
+++ b/packages/gentianmill/src/gentianmill/upstream_status.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from gentianmill.departure_doubt import DepartureDoubt
 from gentianmill.departures import Departure, Departures
 
 
@@ -47,6 +48,12 @@
         """Start without a report."""
         self._report: UpstreamReport | None = None
         self._departures = Departures()
+        self._doubt = DepartureDoubt()
+
+    @property
+    def doubt(self) -> DepartureDoubt:
+        """Return the doubt whether all departures are known."""
+        return self._doubt
 
     @property
     def report(self) -> UpstreamReport | None:
@@ -67,7 +74,7 @@
     def accepts_calls(self) -> bool:
         """Return whether the upstream is known, not draining and has not left."""
         report = self._report
-        if report is None or report.draining:
+        if report is None or report.draining or self._doubt.is_active:
             return False
         return not self._departures.covers(report.upstream_id, report.start_unix_ms)
 
--- a/tests/deployed_node.py
+++ b/tests/deployed_node.py
@@ -85,6 +85,9 @@
         self.name = name
         self.ip = ip
         self.limits = {'memoryMb': 300, 'maxFds': 4100}
+        self.settings: dict[str, object] = {}
+        """Settings that replace those of the same names at the next start."""
+
         self._tree = tree
         self._settings = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
@@ -193,6 +196,7 @@
             'service': self.service,
             'platform': {'address': f'127.0.0.1:{self._store_port}'},
             'bounds': ['grace=6s'],
+            **self.settings,
         }
 
 
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 import pytest
+from gentianmill.clock import ManualClock
+from gentianmill.departure_doubt import LATEST_REPORT_MS
 from gentianmill.departures import Departure
 from gentianmill.relay_messages import (
     DepartureEntry,
@@ -52,7 +54,7 @@
     def __init__(self, known: dict[str, KnownState], *, reachable: bool = True) -> None:
         self.posted: list[tuple[str, object]] = []
         self.recovery: GuardRecovery | None = None
-        self._known = known
+        self.known = known
         self._reachable = reachable
 
     def to(self, record) -> '_Link':
@@ -62,8 +64,8 @@
         self.posted.append((name, frame))
         if not self._reachable:
             return False
-        if isinstance(frame, StateRequest) and name in self._known:
-            self.recovery.on_state(self._known[name])
+        if isinstance(frame, StateRequest) and name in self.known:
+            self.recovery.on_state(self.known[name])
         return True
 
 
@@ -88,13 +90,20 @@
         *,
         reachable: bool = True,
         first_start: bool = False,
+        report_interval_ms: float = 0,
     ) -> None:
+        self.clock = ManualClock()
         self.guard = _Guard()
         self.table = NodeTable()
         self.links = _Links(known or {}, reachable=reachable)
         self.ended = 0
         self.recovery = GuardRecovery(
-            _settings(first_start), self.guard, self.table, self.links, _Peers()
+            _settings(first_start, report_interval_ms),
+            self.guard,
+            self.table,
+            self.links,
+            _Peers(),
+            self.clock,
         )
         self.links.recovery = self.recovery
         self.recovery.begin(self._end)
@@ -116,7 +125,7 @@
         return self.guard.status.accepts_calls and not self.guard.refusing
 
 
-def _settings(first_start: bool) -> MeshSettings:
+def _settings(first_start: bool, report_interval_ms: float) -> MeshSettings:
     address = Address('127.0.0.1', 1)
     return MeshSettings(
         node='own',
@@ -132,6 +141,7 @@
         names=NAMES,
         stop_within_ms=5000,
         first_start=first_start,
+        report_interval_ms=report_interval_ms,
     )
 
 
@@ -274,8 +284,8 @@
         return tuple(bench.recovery.state_of(StateRequest(name)) for name in 'xy')
 
     assert _run(scenario) == (
-        KnownState('x', [LEFT_ENTRY]),
-        KnownState('y', [LEFT_ENTRY]),
+        KnownState('x', [LEFT_ENTRY], [], 'own'),
+        KnownState('y', [LEFT_ENTRY], [], 'own'),
     )
 
 
@@ -303,3 +313,45 @@
         return bench.ended
 
     assert _run(scenario) == 0
+
+
+@pytest.mark.parametrize(
+    ('told', 'uptime_ms', 'doubts'),
+    [
+        (5, LATEST_REPORT_MS, False),
+        (4, LATEST_REPORT_MS, False),
+        (3, LATEST_REPORT_MS, True),
+        (5, LATEST_REPORT_MS - 1, True),
+        (0, 0, True),
+    ],
+)
+def test_departures_are_doubted_unless_enough_nodes_would_know(
+    told: int, uptime_ms: float, doubts: bool
+):
+    """Guards against a departure that was known to processes only, which have ended.
+
+    Two of five nodes are enough for an acknowledgement, so four must say that there is
+    none, and they must have been there.
+    """
+
+    async def scenario() -> tuple[bool, bool]:
+        bench = _Bench(report_interval_ms=1500)
+        before = bench.guard.status.doubt.is_active
+        bench.table.merge([node_record(name) for name in OTHERS])
+        for record in bench.recovery._keepers()[:told]:
+            state = KnownState('own', [], [], record.name, int(uptime_ms))
+            bench.links.known[record.name] = state
+        bench.read()
+        await _settle()
+        return before, bench.guard.status.doubt.is_active
+
+    assert _run(scenario) == (True, doubts)
+
+
+@pytest.mark.parametrize(('first_start', 'interval_ms'), [(True, 1500), (False, 0)])
+def test_departures_are_not_doubted_without_reason(
+    first_start: bool, interval_ms: float
+):
+    """Guards against a wait at the first start, or where the settings don't ask for it."""
+    bench = _Bench(first_start=first_start, report_interval_ms=interval_ms)
+    assert not bench.guard.status.doubt.is_active
--- a/tests/test_process_restarts.py
+++ b/tests/test_process_restarts.py
@@ -6,7 +6,13 @@
 from pathlib import Path
 
 from deployed_node import DeployedNode, closing_nodes, free_network, rules_document
-from deployed_upstream import CRASH_PREFIX, DeployedUpstream, KeptCallers, send_read
+from deployed_upstream import (
+    CRASH_PREFIX,
+    HEARTBEAT_S,
+    DeployedUpstream,
+    KeptCallers,
+    send_read,
+)
 from platform_store import FakeStore
 
 SERVICES = ('front', 'back', 'back')
@@ -14,6 +20,13 @@
 """Time after which nodes count as in touch."""
 
 DRAIN_S = 2.5
+STORE_DOWN_S = 4.5
+LATE_S = 4.0
+"""Time after a leave at which a heartbeat from before it arrives."""
+
+STAY_S = 10.0
+"""Time for which an upstream runs after its leave."""
+
 MAX_CRASHES = 3
 MAX_RETRIES = 3
 """Further retries that may reach upstreams after the third crash."""
@@ -25,11 +38,12 @@
 class _Bed:
     """An entry and two nodes with upstreams of one service."""
 
-    def __init__(self, tree: Path, folder: Path, store_port: int) -> None:
+    def __init__(self, tree: Path, folder: Path, store: FakeStore) -> None:
+        self.store = store
         network = free_network()
         self.nodes = [
             DeployedNode(
-                tree, folder, f'n{number}', f'{network}.{number}', store_port, service
+                tree, folder, f'n{number}', f'{network}.{number}', store.port, service
             )
             for number, service in enumerate(SERVICES, start=1)
         ]
@@ -57,6 +71,19 @@
         node.start()
         await node.until_ready()
 
+    async def kill_and_start_all(self) -> None:
+        """Kill all processes at once and start the next ones, which are not the first."""
+        for node in self.nodes:
+            node.process.send_signal(signal.SIGKILL)
+        for node in self.nodes:
+            await node.exit_status(node.process)
+            node.settings = {
+                'bootstrap': False,
+                'heartbeat': f'{HEARTBEAT_S:g}s',
+                'bounds': ['grace=6s', 'drain=2500ms'],
+            }
+            node.start()
+
     async def close(self) -> None:
         """Stop the upstreams."""
         for upstream in self.upstreams:
@@ -69,7 +96,7 @@
     async def run() -> None:
         async with FakeStore() as store:
             store.put('op', 'config', rules_document())
-            bed = _Bed(tree, folder, store.port)
+            bed = _Bed(tree, folder, store)
             with closing_nodes(*bed.nodes):
                 await bed.start()
                 await scenario(bed)
@@ -101,6 +128,36 @@
     _play(tree, tmp_path, scenario)
 
 
+def test_departure_is_not_forgotten_by_a_kill_of_all_nodes_without_a_store(
+    tree, tmp_path
+):
+    """Guards against a leave that only ended processes knew of (review/10)."""
+
+    async def scenario(bed: _Bed) -> None:
+        leaving, staying = bed.upstreams[1:]
+        callers = KeptCallers(seed=1)
+        callers.add(bed.entry, 4, work_ms=5)
+        bed.store.failing_status = 503
+        loop = asyncio.get_running_loop()
+        down_s = loop.time()
+        late = leaving.heartbeat()
+        leaving.stop_reports()
+        assert await leaving.report('leave', b'')
+        left_s = loop.time()
+        await bed.kill_and_start_all()
+        await asyncio.sleep(max(down_s + STORE_DOWN_S - loop.time(), 0))
+        bed.store.failing_status = None
+        await asyncio.sleep(max(left_s + LATE_S - loop.time(), 0))
+        await leaving.report('heartbeat', late)
+        await asyncio.sleep(max(left_s + STAY_S - loop.time(), 0))
+        await callers.stop()
+        late_runs = [at_s for at_s in leaving.run_times if at_s > left_s + DRAIN_S]
+        assert not late_runs
+        assert max(staying.run_times) > left_s + LATE_S
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_killed_nodes_know_which_request_crashes_upstreams(tree, tmp_path):
     """Guards against a restart after which a request crashes upstreams anew (review/5)."""
 
