--- a/packages/gentianmill/src/gentianmill/quota_owner.py
+++ b/packages/gentianmill/src/gentianmill/quota_owner.py
@@ -255,9 +255,13 @@
         for team, account in owned:
             unused_ms = supported.get(domain_of(team.name))
             if unused_ms is not None:
+                capacity = account.bucket.capacity
                 self._refill(team, account, now_ms)
                 rate_per_ms = team.rate_per_s / MS_PER_S / self._members.region_count
-                account.bucket.put(rate_per_ms * unused_ms)
+                # The other parts may have been used up, so that there is room for more
+                # than this part may hold.
+                gained = account.bucket.capacity - capacity
+                account.bucket.put(min(rate_per_ms * unused_ms, gained))
                 self._serve(team, account, now_ms)
 
     def _serve(self, team: Team, account: QuotaAccount, now_ms: float) -> None:
--- a/tests/test_quota_owner.py
+++ b/tests/test_quota_owner.py
@@ -7,7 +7,12 @@
     QuotaMembers,
     domain_of,
 )
-from gentianmill.quota_owner import NOT_OWNER, QuotaOwner, new_keys
+from gentianmill.quota_owner import (
+    EXTRA_TOKENS,
+    NOT_OWNER,
+    QuotaOwner,
+    new_keys,
+)
 from gentianmill.quota_support import SUPPORT_MS, WHOLE, QuotaSupport, QuotaVoter
 from gentianmill.relay_messages import QuotaGrant, QuotaRequest
 from gentianmill.teams import Team
@@ -288,3 +293,27 @@
     assert account.retry_after_ms(1, 10, OLD_MS) == 10_100
     account.bucket.update(100, 10, OLD_MS)
     assert account.retry_after_ms(1, 100, OLD_MS) == 1010
+
+
+def test_a_voter_that_was_unused_adds_its_part_of_the_burst_only():
+    """Guards against the burst of all voters from one that answers after the others.
+
+    With it, the state machine's seed 107 had 1,077 arrivals where 1,010 are allowed.
+    """
+    bench = _Bench(answers=False)
+    capacity = (TEAM.burst + EXTRA_TOKENS) / len(NAMES)
+    bench.owner.on_request(Asker(OTHER, 'e'), QuotaRequest(1, 't', 100, 0), OLD_MS)
+    requests = [
+        one
+        for one in bench.owner.drain()
+        if one.to.name in NAMES and isinstance(one.frame, QuotaRequest)
+    ]
+    for number, outgoing in enumerate(requests, start=2):
+        voter = bench.voters[outgoing.to.name]
+        answer = voter.answer(FIRST, outgoing.frame, OLD_MS)
+        for key in range(number * 100, number * 100 + 20):
+            wanted = QuotaRequest(key, 't', 100, 0)
+            bench.owner.on_request(Asker(OTHER, 'e'), wanted, OLD_MS)
+        bench.owner.on_grant(outgoing.to.name, answer, OLD_MS)
+    assert len(requests) == len(NAMES) - 1
+    assert bench.owner.counts['t'].issued <= capacity * len(NAMES)
