--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -34,7 +34,7 @@
         self.calls = 0
         self.failing_status: int | None = None
         self.fails: Callable[[web.Request], bool] = lambda _request: False
-        """Tells whether a call fails."""
+        """Tells whether a call fails; a poll is asked about at its end again."""
 
         self.unanswered_writes = 0
         """Number of further writes that are applied but get no response."""
@@ -166,6 +166,8 @@
             wait_s = int(request.query['waitMs']) / MS_PER_S
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_s)
+            if self.fails(request):
+                return web.Response(status=STATUS_UNAVAILABLE)
         if after > self.version:
             return web.Response(status=410)
         rows = self._after(request.query['table'], after)
--- a/tests/rules_deployment.py
+++ b/tests/rules_deployment.py
@@ -32,6 +32,7 @@
 APPLY_MS = 2500
 """Time in which a change must be in force, the strictest of the deployments."""
 FOLLOWERS = 2
+UNTIL_LIMIT_S = 60
 
 
 def config(version: int, prefixes: Sequence[str] = ('/read/',)) -> dict[str, object]:
@@ -279,9 +280,10 @@
 
 
 async def until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds."""
-    while not condition():
-        await asyncio.sleep(0.02)
+    """Wait until a condition holds; the limit only ends a test that hangs."""
+    async with asyncio.timeout(UNTIL_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
 
 
 async def _get(node: FollowingNode) -> str:
