--- a/packages/gentianmill/src/gentianmill/placement.py
+++ b/packages/gentianmill/src/gentianmill/placement.py
@@ -1,11 +1,13 @@
 """Choose the node whose upstream runs a request."""
 
-import dataclasses
+import functools
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from gentianmill.node_table import NodeRecord
+from gentianmill.node_views import MAX_PAUSE_MS, NodeView, NodeViews, FIRST_PAUSE_MS
+from gentianmill.service_times import UpstreamSpeed
 from gentianmill.zone_traffic import TrafficSettings, ZoneTraffic
 
 BYTES_PER_KIB = 1024
@@ -32,14 +34,6 @@
 MAX_LATENCY_RATIO = 8.0
 """Upper bound of the latency ratio of a node."""
 
-FIRST_PAUSE_MS = 250.0
-MAX_PAUSE_MS = 2000.0
-"""Pause of a node that cannot run calls: the first one and the longest; it doubles each
-time."""
-
-MAX_REPORT_AGE_MS = 1500.0
-"""Age at which a load report is ignored."""
-
 FAILURE_COST_MS = 2000.0
 """Cost of a call that is sure to fail; multiplied by the share of failures."""
 
@@ -50,49 +44,11 @@
 """Share of failures that costs 1 ms; a smaller one is lost in the random part of the
 cost."""
 
-FAILURE_DECAY_MS = 4000.0
-"""Time constant of the decay of the share of failures."""
-
 STAYED = 'stayed'
 NO_UPSTREAM = 'no_upstream_in_zone'
 FASTER = 'faster_elsewhere'
 
 
-@dataclasses.dataclass(slots=True)
-class _NodeView:
-    """What this node has learned about another one from its responses."""
-
-    own_calls: int = 0
-    """Calls from this node that have not ended."""
-
-    own_calls_at_report: int = 0
-    reported_calls: float = 0
-    """Calls that run or wait there according to its last load report."""
-
-    reported_ms: float = -math.inf
-    limit: int = 1
-    latency_ratio: float = 1
-    """Latency relative to that of other nodes of the service."""
-
-    failures: float = 0
-    failed_ms: float = -math.inf
-    paused_until_ms: float = -math.inf
-    pause_ms: float = FIRST_PAUSE_MS
-    round_trip_ms: float | None = None
-
-    def calls(self, now_ms: float) -> float:
-        """Return the estimated number of calls that run or wait there."""
-        others = self.reported_calls - self.own_calls_at_report
-        age_ms = now_ms - self.reported_ms
-        if others <= 0 or age_ms >= MAX_REPORT_AGE_MS:
-            return self.own_calls
-        return self.own_calls + others * (1 - age_ms / MAX_REPORT_AGE_MS)
-
-    def failure_share(self, now_ms: float) -> float:
-        """Return the share of failed calls, decayed since the last failure."""
-        return self.failures * math.exp((self.failed_ms - now_ms) / FAILURE_DECAY_MS)
-
-
 class Placement:
     """Choose the node with the lowest expected latency, plus a cost of distance."""
 
@@ -115,7 +71,7 @@
         self._zone = zone
         self._region = region
         self._rng = rng
-        self._views: dict[str, _NodeView] = {}
+        self._views = NodeViews(NodeView)
         self._latencies_ms: dict[str, float] = {}
         self._sizes_kib: dict[str, float] = {}
 
@@ -138,18 +94,20 @@
         near_ms = math.inf
         away: NodeRecord | None = None
         away_ms = math.inf
-        route_ms = self._latencies_ms.get(route, DEFAULT_LATENCY_MS)
+        load_cost_ms = self._load_cost(route, now_ms, is_first=not excluded)
         distance_ms = self._traffic.costs_ms(self._sizes_kib.get(route, 0))
         untried = (node for node in nodes if node.name not in excluded)
         for node in untried:
-            cost_ms = self._load_cost_ms(node, route_ms, now_ms)
+            cost_ms = load_cost_ms(node)
             if node.zone == self._zone:
                 if cost_ms < near_ms:
                     near, near_ms = node, cost_ms
                 continue
             cost_ms += distance_ms[node.region == self._region]
             if self._traffic.settings.is_adaptive:
-                cost_ms += self._extra_round_trip_ms(node)
+                cost_ms += self._traffic.extra_to_ms(
+                    node, self._views.of(node).round_trip_ms
+                )
             if cost_ms < away_ms:
                 away, away_ms = node, cost_ms
         pays = away_ms < near_ms and self._pays(near, away, route, now_ms)
@@ -200,7 +158,7 @@
         below ``QUEUEING_LOAD``: no caller waits there, and traffic between zones would
         follow each small difference in load.
         """
-        view = self._view(node)
+        view = self._views.of(node)
         size_kib = self._sizes_kib.get(route, 0)
         waiting = max(view.calls(now_ms) / view.limit - QUEUEING_LOAD, 0)
         relative = view.latency_ratio * (1 + waiting * QUEUEING_FACTOR)
@@ -211,12 +169,23 @@
             + self._distance_cost_ms(node, size_kib)
         )
 
-    def _load_cost_ms(self, node: NodeRecord, route_ms: float, now_ms: float) -> float:
-        """Return the cost without that of distance.
+    def _load_cost(
+        self, route: str, now_ms: float, *, is_first: bool
+    ) -> Callable[[NodeRecord], float]:
+        """Return the function that computes the cost of a node without its distance.
+
+        It is called for each node at each call, so its speed matters.
 
-        It is computed for each node at each call, so its speed matters.
+        Args:
+            route: Name of the route.
+            now_ms: Current time.
+            is_first: Whether no node was tried yet.
         """
-        view = self._view(node)
+        route_ms = self._latencies_ms.get(route, DEFAULT_LATENCY_MS)
+        return functools.partial(self._load_cost_ms, route_ms, now_ms)
+
+    def _load_cost_ms(self, route_ms: float, now_ms: float, node: NodeRecord) -> float:
+        view = self._views.of(node)
         if now_ms < view.paused_until_ms:
             return math.inf
         load = view.calls(now_ms) / view.limit
@@ -228,13 +197,13 @@
             cost_ms += view.failure_share(now_ms) * FAILURE_COST_MS
         return cost_ms
 
-    def record_start(self, name: str) -> None:
+    def record_start(self, name: str, now_ms: float = 0) -> None:
         """Record a call that is sent."""
-        self._views.setdefault(name, _NodeView()).own_calls += 1
+        self._views.find(name).own_calls += 1
 
     def record_end(self, name: str) -> None:
         """Record a call that ended."""
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         view.own_calls = max(view.own_calls - 1, 0)
 
     def record_response(
@@ -248,7 +217,7 @@
             latency_ms: Time from sending the call to the response.
             size_bytes: Length of its body.
         """
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         view.pause_ms = FIRST_PAUSE_MS
         view.failures *= 1 - FAILURE_WEIGHT
         route_ms = self._latencies_ms.setdefault(route, latency_ms)
@@ -267,7 +236,7 @@
             route: Name of the route.
             spent_ms: Time since the call was sent.
         """
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         ratio = spent_ms / max(self._latencies_ms.get(route, spent_ms), 1)
         if ratio > view.latency_ratio:
             view.latency_ratio += LATENCY_WEIGHT * (
@@ -276,12 +245,12 @@
 
     def load_share(self, node: NodeRecord, now_ms: float) -> float:
         """Return the calls that run or wait at a node relative to its limit."""
-        view = self._view(node)
+        view = self._views.of(node)
         return view.calls(now_ms) / view.limit
 
     def record_failure(self, name: str, now_ms: float) -> None:
         """Record a call that was lost or that the upstream failed."""
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         view.failures = view.failure_share(now_ms)
         view.failures += FAILURE_WEIGHT * (1 - view.failures)
         view.failed_ms = now_ms
@@ -295,15 +264,24 @@
             limit: Calls that may run there at once.
             now_ms: Current time.
         """
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         view.reported_calls = calls
         view.own_calls_at_report = view.own_calls
         view.reported_ms = now_ms
         view.limit = max(limit, 1)
 
+    def record_speed(self, name: str, speed: UpstreamSpeed, now_ms: float) -> None:
+        """Apply what a guard has measured about the speed of its upstream.
+
+        Args:
+            name: The node that reports.
+            speed: The report.
+            now_ms: Current time.
+        """
+
     def pause(self, name: str, now_ms: float) -> None:
         """Stop choosing a node that cannot run calls now, for a time that doubles."""
-        view = self._views.setdefault(name, _NodeView())
+        view = self._views.find(name)
         if now_ms < view.paused_until_ms:
             return
         view.paused_until_ms = now_ms + view.pause_ms
@@ -311,16 +289,7 @@
 
     def keep(self, names: Collection[str]) -> None:
         """Drop the state of all nodes except the given ones."""
-        self._views = {
-            name: view for name, view in self._views.items() if name in names
-        }
-
-    def _view(self, node: NodeRecord) -> _NodeView:
-        view = self._views.get(node.name)
-        if view is None:
-            view = _NodeView(limit=max(node.slots, 1))
-            self._views[node.name] = view
-        return view
+        self._views.keep(names)
 
     def record_round_trip(self, name: str, round_trip_ms: float) -> None:
         """Record the network round trip to a node.
@@ -329,16 +298,11 @@
             name: The node.
             round_trip_ms: Its estimate in ms.
         """
-        self._views.setdefault(name, _NodeView()).round_trip_ms = round_trip_ms
-
-    def _extra_round_trip_ms(self, node: NodeRecord) -> float:
-        distance = self._traffic.distance(node.zone, node.region)
-        return self._traffic.extra_ms(distance, self._view(node).round_trip_ms)
+        self._views.find(name).round_trip_ms = round_trip_ms
 
     def _distance_cost_ms(self, node: NodeRecord, size_kib: float) -> float:
         if node.zone == self._zone:
             return 0
         is_near = node.region == self._region
-        return self._traffic.costs_ms(size_kib)[is_near] + self._extra_round_trip_ms(
-            node
-        )
+        extra_ms = self._traffic.extra_to_ms(node, self._views.of(node).round_trip_ms)
+        return self._traffic.costs_ms(size_kib)[is_near] + extra_ms
--- a/packages/gentianmill/src/gentianmill/zone_traffic.py
+++ b/packages/gentianmill/src/gentianmill/zone_traffic.py
@@ -16,6 +16,8 @@
 from collections import Counter
 from types import MappingProxyType
 
+from gentianmill.node_table import NodeRecord
+
 __all__ = ('Distance', 'TrafficSettings', 'ZoneTraffic')
 
 RISE_PER_S = 2.0
@@ -165,6 +167,15 @@
             return 0
         return round_trip_ms - NOMINAL_ROUND_TRIP_MS[distance]
 
+    def extra_to_ms(self, node: NodeRecord, round_trip_ms: float | None) -> float:
+        """Return by how much the path to a node is longer than the costs assume, in ms.
+
+        Args:
+            node: The node.
+            round_trip_ms: Measured network round trip, or None if there is none.
+        """
+        return self.extra_ms(self.distance(node.zone, node.region), round_trip_ms)
+
     def may_leave(
         self, kind: str, distance: Distance, now_ms: float, *, pays: bool
     ) -> bool:
