--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatch_policy.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatch_policy.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from gentianmill.completion_placement import BalancingSettings, CompletionPlacement
 from gentianmill.node_table import NodeRecord
 from gentianmill.placement import Placement
 from gentianmill.retry_budget import RetryBudgetSettings
@@ -33,6 +34,7 @@
         own: NodeRecord,
         budget: RetryBudgetSettings,
         traffic: TrafficSettings | None = None,
+        balancing: BalancingSettings | None = None,
     ) -> 'DispatchPolicy':
         """Return the policy of a node that has measured nothing yet.
 
@@ -40,6 +42,9 @@
             own: Record of the node.
             budget: Retry budget of each service.
             traffic: Cost of traffic between availability zones; the defaults if None.
+            balancing: How it chooses between upstreams; the defaults if None.
         """
         rng = random.Random()  # noqa: S311
-        return cls(Placement(own.zone, own.region, rng, traffic), budget.ratio)
+        by_completion = balancing is not None and balancing.by_completion
+        placement = CompletionPlacement if by_completion else Placement
+        return cls(placement(own.zone, own.region, rng, traffic), budget.ratio)
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/dispatcher.py
@@ -15,6 +15,7 @@
 from gentianmill.relay_messages import GuardLoad
 from gentianmill_mesh.dispatch_policy import DispatchPolicy
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
+from gentianmill_mesh.guard_speed import reported_speed
 from gentianmill_mesh.hedge_race import HedgeRace
 from gentianmill_mesh.http_message import (
     FIRST_SERVER_ERROR,
@@ -112,7 +113,10 @@
             progress.reason = CRASH_SUSPECT
             return None
         while node := await self._next_node(progress):
-            reply = await self._call_hedged(progress, node)
+            call = self._call_hedged(progress, node)
+            reply = await self._guard.speed.timed(
+                progress.request_id, progress.origin, call
+            )
             if reply.response is not None:
                 if response is not None:
                     response.discard()
@@ -236,7 +240,7 @@
         is_throttled = cause.is_duplicate and not progress.is_rejection_retry
         progress.runs += 1
         started_ms = self._clock.now_ms()
-        self._placement.record_start(node.name)
+        self._placement.record_start(node.name, started_ms)
         try:
             relayed = await self._send(node, self._guard_call(progress, cause, node))
         except asyncio.CancelledError:
@@ -297,6 +301,7 @@
         now_ms = self._clock.now_ms()
         calls = load.running + load.queued
         self._placement.record_load(node.name, calls, load.limit, now_ms)
+        self._placement.record_speed(node.name, reported_speed(load), now_ms)
         self._shares.record(progress.rule.name, load.shares, now_ms)
         self._shares.record_trees(
             load.tree_shares, now_ms, is_inner=progress.origin.is_inner
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -204,7 +204,11 @@
                 self._quotas.on_request,
             ),
         )
-        policy = DispatchPolicy.of_node(own, settings.retry_budget, settings.traffic)
+        if settings.balancing.by_completion:
+            self._guard.speed.enable()
+        policy = DispatchPolicy.of_node(
+            own, settings.retry_budget, settings.traffic, settings.balancing
+        )
         self._traffic = policy.placement.traffic
         self._dispatcher = Dispatcher(
             self._table,
@@ -452,6 +456,16 @@
                 'Completable share of usual calls, in thousandths, while rejecting.',
                 load.tree_shares.get(self._guard.service, SHARE_SCALE),
             ),
+            (
+                'service_ms',
+                'Mean time of a request on the upstream in ms; 0 if not measured.',
+                load.service_ms,
+            ),
+            (
+                'capacity',
+                'Requests beyond which the upstream completes no more at once.',
+                load.capacity,
+            ),
             ('nodes', 'Nodes known.', len(self._table)),
             (
                 'repeats_refused',
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
+from gentianmill.completion_placement import BalancingSettings
 from gentianmill.node_record_codec import MAX_PORT
 from gentianmill.retry_budget import RetryBudgetSettings
 from gentianmill.zone_traffic import TrafficSettings
@@ -85,6 +86,7 @@
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     read_ahead: ReadAheadSettings = ReadAheadSettings()
     traffic: TrafficSettings = TrafficSettings()
+    balancing: BalancingSettings = BalancingSettings()
     zones: Mapping[str, str] = dataclasses.field(default_factory=dict)
     """Region of each availability zone, or nothing if they are not listed."""
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/slot_queue.py
@@ -30,6 +30,16 @@
         """Return whether requests are running or waiting."""
         return bool(self._queue.running or self._queue.queued)
 
+    @property
+    def running(self) -> int:
+        """Return the requests that run."""
+        return self._queue.running
+
+    @property
+    def limit(self) -> int:
+        """Return the requests that may run at once."""
+        return self._queue.limit
+
     @property
     def load(self) -> GuardLoad:
         """Return the load to report to other nodes."""
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/upstream_guard.py
@@ -15,6 +15,7 @@
 from gentianmill_mesh.crash_watch import CrashWatch
 from gentianmill_mesh.guard_call import GuardCall, GuardReply
 from gentianmill_mesh.guard_shares import GuardShares
+from gentianmill_mesh.guard_speed import GuardSpeed
 from gentianmill_mesh.http_message import FIRST_SERVER_ERROR, HttpResponse, header
 from gentianmill_mesh.silence_check import SilenceCheck
 from gentianmill_mesh.slot_queue import LATE_MARGIN_MS, SlotQueue
@@ -77,6 +78,7 @@
         self._clock = clock
         self._status = UpstreamStatus()
         self._tree = CallTree()
+        self._speed = GuardSpeed(self._tree, clock)
         self._slots = SlotQueue(clock)
         self._liveness = UpstreamLiveness()
         self._silence = SilenceCheck(pool)
@@ -92,6 +94,11 @@
         """Return the check of the retry budget."""
         return self._gate
 
+    @property
+    def speed(self) -> GuardSpeed:
+        """Return the measurement of the upstream's speed."""
+        return self._speed
+
     @property
     def service(self) -> str:
         """Return the service of the upstream."""
@@ -131,6 +138,7 @@
         now_ms = self._clock.now_ms()
         load = self._slots.load
         self._load_shares.report(load, route, now_ms)
+        self._speed.report(load)
         return load
 
     def apply_report(self, report: UpstreamReport) -> bool:
@@ -148,6 +156,8 @@
             return False
         if known is not None and known.start_unix_ms != report.start_unix_ms:
             self._crashes.record_crash()
+            self._speed.forget()
+        self._speed.set_cold(report.cold_ms)
         self._liveness.record_activity(self._clock.now_ms())
         self._apply()
         return _published_state(self._status) != before
@@ -265,6 +275,7 @@
         tree_id = (request_id or b'').decode(errors='replace')
         self._tree.start(tree_id, call.rank, call.route, call.cause, call.team)
         call.may_have_run = True
+        self._speed.on_start(tree_id, self._slots.running)
         try:
             response = await self._pool.run(
                 call.request,
@@ -272,11 +283,15 @@
                 extra_headers,
                 call.repeatable,
                 left_ms / MS_PER_S,
-                lambda: self._may_resend(call, tree_id),
+                lambda: _may_resend(self._gate, self._tree, call, tree_id),
             )
         except UpstreamLostError as error:
             return self._reply_to_loss(call, error)
         else:
+            if _shows_speed(response, self._names):
+                self._speed.on_end(
+                    tree_id, call.route, self._slots.running, self._slots.limit
+                )
             downstream_reason = (
                 FAILED_DOWNSTREAM if self._tree.has_failed_downstream(tree_id) else ''
             )
@@ -284,18 +299,12 @@
             self._tree.end(tree_id)
         finally:
             self._tree.abandon(tree_id, call.deadline_ms, self._clock.now_ms())
+            self._speed.abandon(tree_id)
         self._crashes.record_completion(call)
         reply = self._reply_to_response(response, downstream_reason)
         reply.calls = calls
         return reply
 
-    def _may_resend(self, call: GuardCall, tree_id: str) -> bool:
-        """Return whether to resend a call on a new connection; count the resend if so."""
-        if not self._gate.admit(Cause.resend, call.rank):
-            return False
-        self._tree.start(tree_id, call.rank, call.route, Cause.resend, call.team)
-        return True
-
     def _reply_to_response(
         self, response: HttpResponse, downstream_reason: str
     ) -> GuardReply:
@@ -346,6 +355,23 @@
     return (report.slots if report else 0, status.accepts_calls)
 
 
+def _may_resend(
+    gate: RetryBudgetGate, tree: CallTree, call: GuardCall, tree_id: str
+) -> bool:
+    """Return whether to resend a call on a new connection; count the resend if so."""
+    if not gate.admit(Cause.resend, call.rank):
+        return False
+    tree.start(tree_id, call.rank, call.route, Cause.resend, call.team)
+    return True
+
+
+def _shows_speed(response: HttpResponse, names: WireNames) -> bool:
+    """Return whether a request was run; failures and refusals often end early."""
+    if response.status >= FIRST_SERVER_ERROR:
+        return False
+    return not _upstream_refusal(response, names)
+
+
 def _upstream_refusal(response: HttpResponse, names: WireNames) -> str:
     """Return the reason if a response reports that the request did not run, or ''."""
     if response.status == MISDIRECTED:
--- a/packages/gentianmill/src/gentianmill/call_tree.py
+++ b/packages/gentianmill/src/gentianmill/call_tree.py
@@ -141,6 +141,12 @@
                 self._costs.add_call(parent_id, service, route)
                 return
 
+    def parent_id(self, call_id: str) -> str | None:
+        """Return the id of the running request that makes a call; None if unknown."""
+        return next(
+            (name for name in _parent_ids(call_id) if name in self._running), None
+        )
+
     def has_failed_downstream(self, request_id: str) -> bool:
         """Return whether a call made for a running request has failed."""
         return request_id in self._failed_downstream
--- a/packages/gentianmill/src/gentianmill/relay_messages.py
+++ b/packages/gentianmill/src/gentianmill/relay_messages.py
@@ -54,6 +54,33 @@
         ]
         | UnsetType
     ) = 0
+    capacity: (
+        Annotated[
+            int,
+            Meta(
+                description='Requests beyond which the upstream completes no more at once, or 0 if unknown.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    own_ms: (
+        Annotated[
+            dict[str, int],
+            Meta(
+                description='Per route, the mean time of a request without that of the calls that the upstream makes for it, in ms.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=dict)
+    cold_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Remaining time for which the upstream is slow after its start, in ms.'
+            ),
+        ]
+        | UnsetType
+    ) = 0
 
 
 class RelayCall(Frame):
