--- a/packages/gentianmill/src/gentianmill/zone_traffic.py
+++ b/packages/gentianmill/src/gentianmill/zone_traffic.py
@@ -225,6 +225,20 @@
             - NOMINAL_ROUND_TRIP_MS[self.distance(zone, region)]
         )
 
+    def cost_ms(self, zone: str, region: str, size_kib: float, now_ms: float) -> float:
+        """Return the cost of a call to a zone, as latency that it must save, in ms.
+
+        Args:
+            zone: The availability zone.
+            region: Its region.
+            size_kib: Mean size of the responses.
+            now_ms: Current time.
+        """
+        if zone == self._zone:
+            return 0
+        is_near = region == self._region
+        return self.costs_ms(size_kib)[is_near] + self.extra_ms(zone, region, now_ms)
+
     def may_leave(
         self, kind: str, distance: Distance, now_ms: float, *, pays: bool
     ) -> bool:
