--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy between two processes that injects network faults."""
 
 import asyncio
+import contextlib
 
 from gentianmill_mesh.connection_reset import reset_connection
 from silent_socket import silence
@@ -83,6 +84,10 @@
                 ),
             }
         )
+        # A delayed close is still due, and ``close`` must find the connection until then.
+        for open_writer in (writer, target_writer):
+            with contextlib.suppress(ConnectionError):
+                await open_writer.wait_closed()
         self._writers -= {writer, target_writer}
         self._muted -= {writer, target_writer}
 
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -203,6 +203,7 @@
         await self._session.close()
         for node in self.nodes.values():
             await node.close()
+        self.fault_proxy.close()
         await self._web.close()
 
     def report(self) -> None:
