--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -27,6 +27,10 @@
 EARNING = 20
 """First attempts from which a guard earns the budget of a few retries."""
 
+AT_ONCE = 6
+"""Calls under way at once, so that both upstreams of four slots get some. One after the
+other, all go to the upstream whose link opens faster, if it opens much faster."""
+
 
 def _response(status: str) -> bytes:
     return b'HTTP/1.1 %b X\r\n%bno' % (status.encode(), FIELDS)
@@ -143,7 +147,10 @@
         async with Deployment(respond) as deployment:
             await deployment.add_guard('other', 'u2')
             while min(_runs(deployment, 'u1'), _runs(deployment, 'u2')) < EARNING:
-                await deployment.call('/read/a', X_Attempt='1')
+                calls = (
+                    deployment.call('/read/a', X_Attempt='1') for _ in range(AT_ONCE)
+                )
+                await asyncio.gather(*calls)
             before = len(deployment.seen)
             bad.append(_response(status))
             got, _, _ = await deployment.call(path, method=method, X_Attempt='1')
