--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -19,7 +20,9 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.relay_messages import DepartureEntry, KnownState, StateRequest
 from gentianmill_mesh.mesh_settings import MeshSettings
+from gentianmill_mesh.ports import NodeRegistry
 from gentianmill_mesh.random_peers import RandomPeers
+from gentianmill_mesh.registry_presence import RegistryPresence
 from gentianmill_mesh.relay_links import RelayLinks
 from gentianmill_mesh.strike_gossip import MAX_ENTRIES, to_entries
 from gentianmill_mesh.time_limit import within
@@ -53,6 +56,11 @@
 4 ms and a round trip of 60 ms, on a VM that starts. It holds what earlier processes
 acknowledged, as departures are acknowledged without it only while it is away."""
 
+MAX_UNSEEN_MS = 3500.0
+"""Time before the start in which no node may have had an answer of a registry that was
+there all the while: two intervals of its renewal, 2 s until a process is started again,
+and the start of the program. Outages last 4 s and longer."""
+
 log = component('recovery')
 
 
@@ -66,6 +74,7 @@
         table: NodeTable,
         links: RelayLinks,
         peers: RandomPeers,
+        registry: NodeRegistry,
         clock: Clock,
     ) -> None:
         """Create a recovery that has not begun.
@@ -76,6 +85,7 @@
             table: Records of all nodes.
             links: Links to the other nodes.
             peers: Chooses the nodes to which departures are passed on.
+            registry: Tells for how long it was away before this start.
             clock: Clock of the node.
         """
         self._clock = clock
@@ -88,6 +98,9 @@
         self._table = table
         self._links = links
         self._peers = peers
+        self._registry = registry
+        self._presence = RegistryPresence(settings.node, table, links, registry)
+        self._unseen_ms = math.inf
         self._others = DepartureTable()
         self._kept: set[Departure] = set()
         self._has_read_table = False
@@ -132,14 +145,15 @@
         if own is not None:
             self._restore(own.departures, 'registry')
         self._has_read_table = True
-        is_prompt = self._uptime_ms < PROMPT_READ_MS
-        if is_prompt and self._guard.status.doubt.end():
-            log.info('All departures are known.', read_ms=round(self._uptime_ms))
         if self._is_first_start:
             self._end()
         else:
             spawn(self._ask_keepers(), 'ask what must be known')
 
+    async def renew_presence(self) -> None:
+        """Record that the registry answers, if it is this node's turn."""
+        await self._presence.renew()
+
     def wanted_state(self) -> StateRequest | None:
         """Return what to ask a node that connects, while the registry is silent."""
         if self._on_ended is None or self._has_read_table:
@@ -233,18 +247,36 @@
         request = StateRequest(self._own_name)
         keepers = self._keepers()
         asked = [self._links.to(record).post(request) for record in keepers]
+        if self._uptime_ms < PROMPT_READ_MS:
+            asked.append(self._check_outage())
         try:
             await within(asyncio.gather(*asked), ASK_TIMEOUT_S)
         except TimeoutError:
             log.info('Not all nodes told what they know.', asked=len(asked))
-        is_trusted = self._has_witnesses(keepers) and self._guard.status.doubt.end()
+        was_there = self._unseen_ms < MAX_UNSEEN_MS
+        knows_all = was_there or self._has_witnesses(keepers)
+        is_trusted = knows_all and self._guard.status.doubt.end()
         if is_trusted:
-            log.info('All departures are known.', witnesses=len(self._witnesses))
+            log.info(
+                'All departures are known.',
+                unseen_ms=self._unseen_ms,
+                witnesses=len(self._witnesses),
+            )
         if is_trusted and self._on_ended is None and self._publish is not None:
             # The guard takes calls already, as a node told it before the registry did.
             self._publish()
         self._end()
 
+    async def _check_outage(self) -> None:
+        """Find out whether the registry was there until shortly before the start.
+
+        Departures are acknowledged without it only while it is away.
+        """
+        unseen_ms = await self._registry.unseen_ms()
+        if unseen_ms is not None:
+            self._unseen_ms = max(unseen_ms - self._uptime_ms, 0)
+        log.info('Registry before the start.', unseen_ms=self._unseen_ms)
+
     def _has_witnesses(self, keepers: list[NodeRecord]) -> bool:
         """Return whether one that told knows each departure that was acknowledged.
 
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -65,6 +65,10 @@
 """Interval between two checks of the nodes that this one watches, a quarter of the time
 after which an unreachable node counts as dead."""
 
+PRESENCE_INTERVAL_S = 0.5
+"""Interval between two records that the registry answers: two of them and a restart are
+shorter than an outage."""
+
 ARRIVAL_LOG_TICKS = 4
 """Ticks between two log lines about duplicate attempts: 1 s, fine enough to see when a
 budget was used."""
@@ -170,7 +174,7 @@
             settings.node, self._table, self._links, registry, self._clock
         )
         self._recovery = GuardRecovery(
-            settings, self._guard, self._table, self._links, peers, clock
+            settings, self._guard, self._table, self._links, peers, registry, clock
         )
         strikes = StrikeGossip(
             settings.service, self._guard.crashes, self._table, self._links, peers
@@ -305,6 +309,7 @@
             repeat(self._tick, TICK_S, 'tick'),
             repeat(self._following.check, CHECK_S, 'follow'),
             repeat(self._reap, REAP_INTERVAL_S, 'reap'),
+            repeat(self._recovery.renew_presence, PRESENCE_INTERVAL_S, 'presence'),
         ]
         log.info(
             'Started.',
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -95,6 +95,14 @@
             records: The records, with the registry's revisions of them.
         """
 
+    @abc.abstractmethod
+    async def renew_presence(self) -> None:
+        """Record that the registry answers; one node of the deployment does so."""
+
+    @abc.abstractmethod
+    async def unseen_ms(self) -> float | None:
+        """Return the time since the last such record, in ms, or None if unknown."""
+
     @abc.abstractmethod
     def refresh(self) -> None:
         """Abandon the current wait for records and ask again, on a new connection."""
--- a/packages/gentianmill/src/gentianmill/followers.py
+++ b/packages/gentianmill/src/gentianmill/followers.py
@@ -95,6 +95,18 @@
         second = max(elsewhere or others, key=self._score, default=None)
         return [first] if second is None else [first, second]
 
+    def first(
+        self, records: Sequence[NodeRecord], reaches: Callable[[NodeRecord], bool]
+    ) -> NodeRecord | None:
+        """Return the node that acts for the whole deployment, None if there is none.
+
+        Args:
+            records: Records of all nodes.
+            reaches: Returns whether a node may be reachable.
+        """
+        candidates = (each for each in records if self._is_candidate(each, reaches))
+        return max(candidates, key=self._score, default=None)
+
     def _is_candidate(
         self, record: NodeRecord, reaches: Callable[[NodeRecord], bool]
     ) -> bool:
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -151,6 +151,13 @@
     def records_seen(self, records: Sequence[NodeRecord]) -> None:
         """Do nothing; the tables have no other writer."""
 
+    async def renew_presence(self) -> None:
+        """Do nothing; the tables are always there."""
+
+    async def unseen_ms(self) -> float:
+        """Return 0, as the tables are always there."""
+        return 0
+
     def refresh(self) -> None:
         """Do nothing."""
 
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -55,6 +55,9 @@
         self.era: int | None = None
         """Era that all responses tell, or None if they tell none."""
 
+        self.clock_ms = 0
+        """Time by the steady clock that all responses tell."""
+
         self.page_rows = 500
         self.before_page: Callable[[], None] | None = None
         """Called before each page of a read except the first."""
@@ -89,6 +92,10 @@
         """Return a client of this store."""
         return self._client
 
+    @property
+    def _now(self) -> str:
+        return f'{self.clock_ms}ms'
+
     def put(self, table: str, key: str, content: bytes) -> None:
         """Write a row as an operator does."""
         self._put(table, key, base64.b64encode(content).decode())
@@ -199,12 +206,12 @@
             self._put(row['table'], row['key'], row['value'])
         for row in entries['remove']:
             self.remove(row['table'], row['key'])
-        return web.json_response({'rowVersion': self.version, 'now': '0ms'})
+        return web.json_response({'rowVersion': self.version, 'now': self._now})
 
     def _conflict(self, current: list[_Row]) -> web.Response:
         told = current if self.tells_conflicts else []
         rows = [_described(row) for row in told]
-        described = {'rows': rows, 'rowVersion': self.version, 'now': '0ms'}
+        described = {'rows': rows, 'rowVersion': self.version, 'now': self._now}
         return web.json_response(described, status=412)
 
     def _after(self, table: str, version: int) -> list[_Row]:
@@ -222,7 +229,7 @@
                 'rows': [_described(row) for row in rows[:max_rows]],
                 'hasMore': len(rows) > max_rows,
                 'rowVersion': version,
-                'now': '0ms',
+                'now': self._now,
             }
         )
 
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -13,7 +13,11 @@
     StateRequest,
     StrikeEntry,
 )
-from gentianmill_mesh.guard_recovery import PROMPT_READ_MS, GuardRecovery
+from gentianmill_mesh.guard_recovery import (
+    MAX_UNSEEN_MS,
+    PROMPT_READ_MS,
+    GuardRecovery,
+)
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from mesh_upstream import NAMES
 from node_records import node_record
@@ -83,6 +87,14 @@
         return []
 
 
+class _Registry:
+    def __init__(self) -> None:
+        self.age_ms: float | None = None
+
+    async def unseen_ms(self) -> float | None:
+        return self.age_ms
+
+
 class _Bench:
     def __init__(
         self,
@@ -96,6 +108,7 @@
         self.guard = _Guard()
         self.table = NodeTable()
         self.links = _Links(known or {}, reachable=reachable)
+        self.registry = _Registry()
         self.ended = 0
         self.recovery = GuardRecovery(
             _settings(first_start, report_interval_ms),
@@ -103,6 +116,7 @@
             self.table,
             self.links,
             _Peers(),
+            self.registry,
             self.clock,
         )
         self.links.recovery = self.recovery
@@ -359,17 +373,31 @@
     assert not bench.guard.status.doubt.is_active
 
 
-def test_departures_are_not_doubted_if_the_registry_was_there():
-    """Guards against upstreams that are used late after a kill of all nodes.
+@pytest.mark.parametrize(
+    ('read_ms', 'unseen_ms', 'doubts'),
+    [
+        (PROMPT_READ_MS - 1, MAX_UNSEEN_MS - 1, False),
+        (PROMPT_READ_MS - 1, MAX_UNSEEN_MS, True),
+        (PROMPT_READ_MS - 1, None, True),
+        (PROMPT_READ_MS, 0, True),
+    ],
+)
+def test_departures_are_doubted_if_the_registry_was_away(
+    read_ms: float, unseen_ms: float | None, doubts: bool
+):
+    """Guards against a leave that is forgotten as the store is back before the start.
 
-    Departures are acknowledged without the registry only while it does not answer.
+    Departures are acknowledged without the registry only while it does not answer. If it
+    was there, no upstream is to be used late after a kill of all nodes.
     """
 
     async def scenario() -> bool:
         bench = _Bench(report_interval_ms=1500)
-        bench.clock.advance(PROMPT_READ_MS - 1)
+        bench.clock.advance(read_ms)
+        if unseen_ms is not None:
+            bench.registry.age_ms = unseen_ms + read_ms
         bench.read()
         await _settle()
         return bench.guard.status.doubt.is_active
 
-    assert not _run(scenario)
+    assert _run(scenario) == doubts
--- a/tests/test_process_restarts.py
+++ b/tests/test_process_restarts.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
 from deployed_node import DeployedNode, closing_nodes, free_network, rules_document
 from deployed_upstream import (
     CRASH_PREFIX,
@@ -21,6 +22,7 @@
 
 DRAIN_S = 2.5
 STORE_DOWN_S = 4.5
+KILL_AFTER_S = 0.3
 LATE_S = 4.0
 """Time after a leave at which a heartbeat from before it arrives."""
 
@@ -128,10 +130,14 @@
     _play(tree, tmp_path, scenario)
 
 
+@pytest.mark.parametrize('leave_after_s', [0, 3.9])
 def test_departure_is_not_forgotten_by_a_kill_of_all_nodes_without_a_store(
-    tree, tmp_path
+    tree, tmp_path, leave_after_s: float
 ):
-    """Guards against a leave that only ended processes knew of (review/10)."""
+    """Guards against a leave that only ended processes knew of (review/10).
+
+    After 3.9 s, the store is back before the next processes read it.
+    """
 
     async def scenario(bed: _Bed) -> None:
         leaving, staying = bed.upstreams[1:]
@@ -140,10 +146,12 @@
         bed.store.failing_status = 503
         loop = asyncio.get_running_loop()
         down_s = loop.time()
+        await asyncio.sleep(leave_after_s)
         late = leaving.heartbeat()
         leaving.stop_reports()
         assert await leaving.report('leave', b'')
         left_s = loop.time()
+        await asyncio.sleep(KILL_AFTER_S)
         await bed.kill_and_start_all()
         await asyncio.sleep(max(down_s + STORE_DOWN_S - loop.time(), 0))
         bed.store.failing_status = None
