--- a/packages/gentianmill/src/gentianmill/departure_doubt.py
+++ b/packages/gentianmill/src/gentianmill/departure_doubt.py
@@ -72,7 +72,15 @@
             return False
         # What was sent before this process started has arrived by then.
         is_recent = now_ms - self._begin_ms >= LATEST_REPORT_MS
-        is_new = start.start_unix_ms > self._begin_unix_ms
-        ends = is_current or is_recent or is_new
+        ends = is_current or is_recent or self._is_new(start, sequence, now_ms)
         self._is_active = not ends
         return ends
+
+    def _is_new(self, start: Departure, sequence: int, now_ms: float) -> bool:
+        """Return whether an upstream has started since, and can't have left before.
+
+        The clock alone does not tell, as it may have been set back.
+        """
+        since_ms = now_ms - self._begin_ms + self._interval_ms
+        most_reports = since_ms * REPORTS_PER_INTERVAL / self._interval_ms
+        return start.start_unix_ms > self._begin_unix_ms and sequence <= most_reports
--- a/tests/test_departure_doubt.py
+++ b/tests/test_departure_doubt.py
@@ -59,6 +59,11 @@
     assert not _doubt((100, 1), start_unix_ms=START_UNIX_MS + 1)
 
 
+def test_upstream_that_has_sent_more_than_since_the_start_is_not_new():
+    """Guards against a clock that was set back, by which an old upstream is a new one."""
+    assert _doubt((100, 7), start_unix_ms=START_UNIX_MS + 1)
+
+
 def test_doubt_is_ended_by_others_once():
     """Guards against a doubt that goes on though all departures are known."""
     doubt = DepartureDoubt()
