--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -56,11 +55,6 @@
 4 ms and a round trip of 60 ms, on a VM that starts. It holds what earlier processes
 acknowledged, as departures are acknowledged without it only while it is away."""
 
-MAX_UNSEEN_MS = 3500.0
-"""Time before the start in which no node may have had an answer of a registry that was
-there all the while: two intervals of its renewal, 2 s until a process is started again,
-and the start of the program. Outages last 4 s and longer."""
-
 log = component('recovery')
 
 
@@ -98,9 +92,8 @@
         self._table = table
         self._links = links
         self._peers = peers
-        self._registry = registry
         self._presence = RegistryPresence(settings.node, table, links, registry)
-        self._unseen_ms = math.inf
+        self._was_steady = False
         self._others = DepartureTable()
         self._kept: set[Departure] = set()
         self._has_read_table = False
@@ -253,13 +246,12 @@
             await within(asyncio.gather(*asked), ASK_TIMEOUT_S)
         except TimeoutError:
             log.info('Not all nodes told what they know.', asked=len(asked))
-        was_there = self._unseen_ms < MAX_UNSEEN_MS
-        knows_all = was_there or self._has_witnesses(keepers)
+        knows_all = self._was_steady or self._has_witnesses(keepers)
         is_trusted = knows_all and self._guard.status.doubt.end()
         if is_trusted:
             log.info(
                 'All departures are known.',
-                unseen_ms=self._unseen_ms,
+                by_registry=self._was_steady,
                 witnesses=len(self._witnesses),
             )
         if is_trusted and self._on_ended is None and self._publish is not None:
@@ -272,10 +264,7 @@
 
         Departures are acknowledged without it only while it is away.
         """
-        unseen_ms = await self._registry.unseen_ms()
-        if unseen_ms is not None:
-            self._unseen_ms = max(unseen_ms - self._uptime_ms, 0)
-        log.info('Registry before the start.', unseen_ms=self._unseen_ms)
+        self._was_steady = await self._presence.was_steady(self._uptime_ms)
 
     def _has_witnesses(self, keepers: list[NodeRecord]) -> bool:
         """Return whether one that told knows each departure that was acknowledged.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -2,12 +2,24 @@
 
 import abc
 import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
 
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PresenceAge:
+    """For how long the registry has answered."""
+
+    unseen_ms: float
+    """Time since its last known answer."""
+
+    steady_ms: float
+    """Time since its first answer after the last outage."""
+
+
 class PollTurns(abc.ABC):
     """Decides when a platform's store is polled, as nodes follow it together."""
 
@@ -96,12 +108,17 @@
         """
 
     @abc.abstractmethod
-    async def renew_presence(self) -> None:
-        """Record that the registry answers; one node of the deployment does so."""
+    async def renew_presence(self, longest_gap_ms: float) -> None:
+        """Record that the registry answers; one node of the deployment does so.
+
+        Args:
+            longest_gap_ms: Time from which on a gap between two records counts as an
+                outage.
+        """
 
     @abc.abstractmethod
-    async def unseen_ms(self) -> float | None:
-        """Return the time since the last such record, in ms, or None if unknown."""
+    async def presence_age(self) -> PresenceAge | None:
+        """Return what these records tell, or None if they can't be read."""
 
     @abc.abstractmethod
     def refresh(self) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
@@ -4,10 +4,22 @@
 from gentianmill.node_table import NodeTable
 from gentianmill_mesh.ports import NodeRegistry
 from gentianmill_mesh.relay_links import RelayLinks
+from gentianmill_node.logs import component
 
 __all__ = ('RegistryPresence',)
 
 
+LONGEST_GAP_MS = 3500.0
+"""Time without a record that a restart of all processes takes: two intervals of the
+records, 2 s until a process is started again, and the start of the program. Outages last
+4 s and longer."""
+
+SETTLE_MS = 1500.0
+"""Time after an outage in which processes store what they acknowledged in it."""
+
+log = component('recovery')
+
+
 class RegistryPresence:
     """Let one node of the deployment record that the registry answers.
 
@@ -36,4 +48,24 @@
         """Record that the registry answers, if it is this node's turn."""
         first = self._choice.first(self._table.records, self._links.reaches)
         if first is not None and first.name == self._own_name:
-            await self._registry.renew_presence()
+            await self._registry.renew_presence(LONGEST_GAP_MS)
+
+    async def was_steady(self, uptime_ms: float) -> bool:
+        """Return whether the registry was there until shortly before a start.
+
+        Other processes may have been started at the same time, and have recorded it since.
+
+        Args:
+            uptime_ms: Time since the start.
+        """
+        age = await self._registry.presence_age()
+        if age is None:
+            return False
+        unseen_ms = age.unseen_ms - uptime_ms
+        steady_ms = age.steady_ms - uptime_ms
+        log.info(
+            'Registry before the start.',
+            unseen_ms=round(unseen_ms),
+            steady_ms=round(steady_ms),
+        )
+        return unseen_ms < LONGEST_GAP_MS and steady_ms > LONGEST_GAP_MS + SETTLE_MS
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import aiohttp
@@ -16,7 +17,12 @@
 from gentianmill.upstream_status import UpstreamReport
 from gentianmill_mesh.mesh_node import MeshNode
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
-from gentianmill_mesh.ports import NodeRegistry, PollTurns, RulesSource
+from gentianmill_mesh.ports import (
+    NodeRegistry,
+    PollTurns,
+    PresenceAge,
+    RulesSource,
+)
 from gentianmill_mesh.rules_holder import RulesDecoder, RulesHolder
 from gentianmill_node.direct_server import direct_server
 from gentianmill_node.web_server import WebServer
@@ -151,12 +157,12 @@
     def records_seen(self, records: Sequence[NodeRecord]) -> None:
         """Do nothing; the tables have no other writer."""
 
-    async def renew_presence(self) -> None:
+    async def renew_presence(self, _longest_gap_ms: float) -> None:
         """Do nothing; the tables are always there."""
 
-    async def unseen_ms(self) -> float:
-        """Return 0, as the tables are always there."""
-        return 0
+    async def presence_age(self) -> PresenceAge:
+        """Tell that the tables were always there."""
+        return PresenceAge(0, math.inf)
 
     def refresh(self) -> None:
         """Do nothing."""
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -13,12 +13,10 @@
     StateRequest,
     StrikeEntry,
 )
-from gentianmill_mesh.guard_recovery import (
-    MAX_UNSEEN_MS,
-    PROMPT_READ_MS,
-    GuardRecovery,
-)
+from gentianmill_mesh.guard_recovery import PROMPT_READ_MS, GuardRecovery
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.ports import PresenceAge
+from gentianmill_mesh.registry_presence import LONGEST_GAP_MS, SETTLE_MS
 from mesh_upstream import NAMES
 from node_records import node_record
 from gentianmill.node_table import NodeTable
@@ -89,10 +87,10 @@
 
 class _Registry:
     def __init__(self) -> None:
-        self.age_ms: float | None = None
+        self.age: PresenceAge | None = None
 
-    async def unseen_ms(self) -> float | None:
-        return self.age_ms
+    async def presence_age(self) -> PresenceAge | None:
+        return self.age
 
 
 class _Bench:
@@ -373,29 +371,35 @@
     assert not bench.guard.status.doubt.is_active
 
 
+STEADY_MS = LONGEST_GAP_MS + SETTLE_MS + 1
+
+
 @pytest.mark.parametrize(
-    ('read_ms', 'unseen_ms', 'doubts'),
+    ('read_ms', 'before', 'doubts'),
     [
-        (PROMPT_READ_MS - 1, MAX_UNSEEN_MS - 1, False),
-        (PROMPT_READ_MS - 1, MAX_UNSEEN_MS, True),
+        (PROMPT_READ_MS - 1, (LONGEST_GAP_MS - 1, STEADY_MS), False),
+        (PROMPT_READ_MS - 1, (LONGEST_GAP_MS, STEADY_MS), True),
+        (PROMPT_READ_MS - 1, (0, STEADY_MS - 1), True),
+        (PROMPT_READ_MS - 1, (-100, -100), True),
         (PROMPT_READ_MS - 1, None, True),
-        (PROMPT_READ_MS, 0, True),
+        (PROMPT_READ_MS, (0, STEADY_MS), True),
     ],
 )
 def test_departures_are_doubted_if_the_registry_was_away(
-    read_ms: float, unseen_ms: float | None, doubts: bool
+    read_ms: float, before: tuple[float, float] | None, doubts: bool
 ):
     """Guards against a leave that is forgotten as the store is back before the start.
 
     Departures are acknowledged without the registry only while it does not answer. If it
-    was there, no upstream is to be used late after a kill of all nodes.
+    was there, no upstream is to be used late after a kill of all nodes. Negative times
+    are those of processes that were started together with this one.
     """
 
     async def scenario() -> bool:
         bench = _Bench(report_interval_ms=1500)
         bench.clock.advance(read_ms)
-        if unseen_ms is not None:
-            bench.registry.age_ms = unseen_ms + read_ms
+        if before is not None:
+            bench.registry.age = PresenceAge(*(time + read_ms for time in before))
         bench.read()
         await _settle()
         return bench.guard.status.doubt.is_active
