--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -47,6 +47,10 @@
 ACKNOWLEDGE_WITHIN_S = 0.9
 """Time in which a departure must be kept: upstreams wait 1 s for an acknowledgement."""
 
+KEEPERS_STORE_S = 0.1
+"""Time in which nodes that were told store a departure if they reach the registry: a read
+and a write of 4 ms, and a round trip of 60 ms."""
+
 NEXT_FANOUT = 3
 """Nodes to which a node passes on a departure that it did not know."""
 
@@ -92,6 +96,7 @@
         self._table = table
         self._links = links
         self._peers = peers
+        self._registry = registry
         self._presence = RegistryPresence(settings.node, table, links, registry)
         self._was_steady = False
         self._others = DepartureTable()
@@ -184,6 +189,11 @@
                 self._end()
         elif self._others.add(state.node, departures):
             log.info('Departures kept for a node.', node=state.node)
+            if any(
+                keeper.name == self._own_name for keeper in self._keepers(state.node)
+            ):
+                adding = self._registry.add_departures(state.node, departures)
+                spawn(adding, 'store departures')
             for record in self._peers.choose(NEXT_FANOUT):
                 spawn(self._links.to(record).post(state), 'pass on departures')
 
@@ -222,13 +232,15 @@
         state = KnownState(self._own_name, _entries(departures))
         told = [
             asyncio.ensure_future(self._links.to(record).post(state))
-            for record in self._keepers()
+            for record in self._keepers(self._own_name)
         ]
         delivered = 0
         try:
             for next_told in asyncio.as_completed(told):
                 delivered += await next_told
                 if delivered >= min(ENOUGH_KEEPERS, len(told)):
+                    # All processes may be killed right after the acknowledgement.
+                    await asyncio.sleep(KEEPERS_STORE_S)
                     return
             await asyncio.get_running_loop().create_future()
         finally:
@@ -238,7 +250,7 @@
 
     async def _ask_keepers(self) -> None:
         request = StateRequest(self._own_name)
-        keepers = self._keepers()
+        keepers = self._keepers(self._own_name)
         asked = [self._links.to(record).post(request) for record in keepers]
         if self._uptime_ms < PROMPT_READ_MS:
             asked.append(self._check_outage())
@@ -279,12 +291,10 @@
     def _uptime_ms(self) -> float:
         return self._clock.now_ms() - self._created_ms
 
-    def _keepers(self) -> list[NodeRecord]:
-        """Return the nodes that keep departures for this one, the same at each start."""
-        others = [
-            record for record in self._table.records if record.name != self._own_name
-        ]
-        others.sort(key=lambda other: rendezvous.score(self._own_name, other.name))
+    def _keepers(self, node: str) -> list[NodeRecord]:
+        """Return the nodes that keep departures for a node, the same at each start."""
+        others = [record for record in self._table.records if record.name != node]
+        others.sort(key=lambda other: rendezvous.score(node, other.name))
         return others[-KEEPERS:]
 
     def _restore(self, departures: Iterable[Departure], source: str) -> None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/ports.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from gentianmill.departures import Departure
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill_mesh.rules_holder import RulesHolder
 
@@ -107,6 +108,18 @@
             records: The records, with the registry's revisions of them.
         """
 
+    @abc.abstractmethod
+    async def add_departures(self, node: str, departures: Sequence[Departure]) -> bool:
+        """Add departures to the record of another node, which may not reach the registry.
+
+        Args:
+            node: Name of that node.
+            departures: What it has acknowledged.
+
+        Returns:
+            Whether the registry holds them.
+        """
+
     @abc.abstractmethod
     async def renew_presence(self, longest_gap_ms: float) -> None:
         """Record that the registry answers; one node of the deployment does so.
--- a/tests/deployed_node.py
+++ b/tests/deployed_node.py
@@ -91,7 +91,7 @@
         self._tree = tree
         self._settings = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
-        self._store_port = store_port
+        self.store_port = store_port
         self.service = service
         self._processes: list[subprocess.Popen[bytes]] = []
 
@@ -194,7 +194,7 @@
             'internalPortRange': [RELAY_PORT, RELAY_PORT + 15],
             'appAddr': f'{self.ip}:{UPSTREAM_PORT}',
             'service': self.service,
-            'platform': {'address': f'127.0.0.1:{self._store_port}'},
+            'platform': {'address': f'127.0.0.1:{self.store_port}'},
             'bounds': ['grace=6s'],
             **self.settings,
         }
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -157,6 +157,10 @@
     def records_seen(self, records: Sequence[NodeRecord]) -> None:
         """Do nothing; the tables have no other writer."""
 
+    async def add_departures(self, _node: str, _departures: Sequence[object]) -> bool:
+        """Do nothing, as each node stores its own at once."""
+        return True
+
     async def renew_presence(self, _longest_gap_ms: float) -> None:
         """Do nothing; the tables are always there."""
 
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -88,6 +88,13 @@
 class _Registry:
     def __init__(self) -> None:
         self.age: PresenceAge | None = None
+        self.added: list[tuple[str, tuple[Departure, ...]]] = []
+
+    async def add_departures(
+        self, node: str, departures: tuple[Departure, ...]
+    ) -> bool:
+        self.added.append((node, departures))
+        return True
 
     async def presence_age(self) -> PresenceAge | None:
         return self.age
@@ -286,6 +293,32 @@
     assert len(told) > 1
 
 
+def test_keepers_store_what_a_node_may_not_have_stored():
+    """Guards against a departure that is lost with all processes, though some had the store.
+
+    It reaches all nodes, of which five keep it.
+    """
+
+    async def scenario() -> tuple[set[str], set[str]]:
+        bench = _Bench()
+        bench.table.merge([node_record('own')])
+        bench.read()
+        for node in OTHERS:
+            bench.recovery.on_state(KnownState(node, [LEFT_ENTRY]))
+        await _settle()
+        kept = {
+            node
+            for node in OTHERS
+            if 'own' in {keeper.name for keeper in bench.recovery._keepers(node)}
+        }
+        assert kept != set(OTHERS)
+        return {node for node, added in bench.registry.added if added == (LEFT,)}, kept
+
+    stored, kept = _run(scenario)
+    assert stored == kept
+    assert kept
+
+
 def test_other_nodes_are_told_what_is_known_of_them():
     """Guards against a node that keeps a departure and does not tell it."""
 
@@ -308,7 +341,7 @@
     async def scenario() -> list[object]:
         state = KnownState('own', [], [strike])
         bench = _Bench({OTHERS[0]: state, OTHERS[3]: state})
-        bench.recovery._keepers = lambda: bench.table.records
+        bench.recovery._keepers = lambda _node: bench.table.records
         bench.read()
         await _settle()
         return bench.guard.crashes.merged
@@ -350,7 +383,7 @@
         bench = _Bench(report_interval_ms=1500)
         before = bench.guard.status.doubt.is_active
         bench.table.merge([node_record(name) for name in OTHERS])
-        for record in bench.recovery._keepers()[:told]:
+        for record in bench.recovery._keepers('own')[:told]:
             told_ms = int(uptime_ms and uptime_ms + PROMPT_READ_MS)
             state = KnownState('own', [], [], record.name, told_ms)
             bench.links.known[record.name] = state
--- a/tests/test_process_restarts.py
+++ b/tests/test_process_restarts.py
@@ -14,6 +14,7 @@
     KeptCallers,
     send_read,
 )
+from fault_proxy import FaultProxy
 from platform_store import FakeStore
 
 SERVICES = ('front', 'back', 'back')
@@ -50,6 +51,8 @@
             for number, service in enumerate(SERVICES, start=1)
         ]
         self.upstreams = [DeployedUpstream(node) for node in self.nodes]
+        self.paths = [FaultProxy(store.port) for _ in self.nodes]
+        """The way of each node to the store."""
 
     @property
     def entry(self) -> DeployedNode:
@@ -60,7 +63,9 @@
         """Start everything; return when the nodes count as in touch."""
         for upstream in self.upstreams:
             await upstream.start()
-        for node in self.nodes:
+        for node, path in zip(self.nodes, self.paths, strict=True):
+            await path.start()
+            node.store_port = path.port
             node.start()
         for node in self.nodes:
             await node.until_ready()
@@ -73,12 +78,16 @@
         node.start()
         await node.until_ready()
 
-    async def kill_and_start_all(self) -> None:
-        """Kill all processes at once and start the next ones, which are not the first."""
+    async def kill_all(self) -> None:
+        """Kill all processes at once."""
         for node in self.nodes:
             node.process.send_signal(signal.SIGKILL)
         for node in self.nodes:
             await node.exit_status(node.process)
+
+    def start_all(self) -> None:
+        """Start the next processes, which are not the first."""
+        for node in self.nodes:
             node.settings = {
                 'bootstrap': False,
                 'heartbeat': f'{HEARTBEAT_S:g}s',
@@ -90,6 +99,8 @@
         """Stop the upstreams."""
         for upstream in self.upstreams:
             await upstream.stop()
+        for path in self.paths:
+            path.close()
 
 
 def _play(
@@ -153,7 +164,8 @@
         assert await leaving.report('leave', b'')
         left_s = loop.time()
         await asyncio.sleep(KILL_AFTER_S)
-        await bed.kill_and_start_all()
+        await bed.kill_all()
+        bed.start_all()
         await asyncio.sleep(max(down_s + STORE_DOWN_S - loop.time(), 0))
         bed.store.failing_status = None
         await asyncio.sleep(max(left_s + LATE_S - loop.time(), 0))
@@ -169,6 +181,39 @@
     _play(tree, tmp_path, scenario)
 
 
+@pytest.mark.parametrize('number', [1, 2])
+def test_departure_is_not_forgotten_by_a_kill_of_all_nodes_of_which_one_was_cut_off(
+    tree, tmp_path, number: int
+):
+    """Guards against a leave that only processes knew, though others had the store."""
+
+    async def scenario(bed: _Bed) -> None:
+        path, leaving = bed.paths[number], bed.upstreams[number]
+        staying = bed.upstreams[3 - number]
+        callers = KeptCallers(seed=1)
+        callers.add(bed.entry, 4, work_ms=5)
+        # Processes that start trust a store that was there for 5 s.
+        await asyncio.sleep(STABLE_S)
+        path.refusing = True
+        path.reset()
+        late = leaving.heartbeat()
+        leaving.stop_reports()
+        assert await leaving.report('leave', b'')
+        left_s = asyncio.get_running_loop().time()
+        await bed.kill_all()
+        path.refusing = False
+        bed.start_all()
+        await asyncio.sleep(LATE_S)
+        await leaving.report('heartbeat', late)
+        await asyncio.sleep(STABLE_S)
+        await callers.stop()
+        late_runs = [at_s for at_s in leaving.run_times if at_s > left_s + DRAIN_S]
+        assert not late_runs
+        assert max(staying.run_times) > left_s + LATE_S
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_killed_nodes_know_which_request_crashes_upstreams(tree, tmp_path):
     """Guards against a restart after which a request crashes upstreams anew (review/5)."""
 
