--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
 
@@ -255,7 +255,7 @@
         if self._uptime_ms < PROMPT_READ_MS:
             asked.append(self._check_outage())
         try:
-            await within(asyncio.gather(*asked), ASK_TIMEOUT_S)
+            await within(_finish(asked), ASK_TIMEOUT_S)
         except TimeoutError:
             log.info('Not all nodes told what they know.', asked=len(asked))
         knows_all = self._was_steady or self._has_witnesses(keepers)
@@ -313,6 +313,11 @@
             on_ended()
 
 
+async def _finish(works: Iterable[Awaitable[object]]) -> None:
+    """Wait for all, as a task: a future of them that is cancelled is logged as a fault."""
+    await asyncio.gather(*works)
+
+
 def _entries(departures: Iterable[Departure]) -> list[DepartureEntry]:
     return [
         msgspec.convert(departure, DepartureEntry, from_attributes=True)
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import gc
 
 import pytest
 from gentianmill.clock import ManualClock
@@ -13,6 +14,7 @@
     StateRequest,
     StrikeEntry,
 )
+from gentianmill_mesh import guard_recovery
 from gentianmill_mesh.guard_recovery import PROMPT_READ_MS, GuardRecovery
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
 from gentianmill_mesh.ports import PresenceAge
@@ -169,7 +171,7 @@
 
 
 async def _settle() -> None:
-    for _ in range(6):
+    for _ in range(9):
         await asyncio.sleep(0)
 
 
@@ -404,6 +406,29 @@
     assert not bench.guard.status.doubt.is_active
 
 
+def test_nodes_that_do_not_answer_are_no_fault(monkeypatch):
+    """Guards against tracebacks of each start while other nodes are down."""
+    monkeypatch.setattr(guard_recovery, 'ASK_TIMEOUT_S', 0.05)
+    faults = []
+
+    async def scenario() -> int:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: faults.append(context))
+        bench = _Bench()
+        bench.links.deliver = _never_deliver
+        bench.read()
+        await asyncio.sleep(0.1)
+        gc.collect()
+        return bench.ended
+
+    assert _run(scenario) == 1
+    assert not faults
+
+
+async def _never_deliver(_name: str, _frame: object) -> bool:
+    return await asyncio.get_running_loop().create_future()
+
+
 STEADY_MS = LONGEST_GAP_MS + SETTLE_MS + 1
 
 
