--- a/tests/following_model.py
+++ b/tests/following_model.py
@@ -54,6 +54,9 @@
         self.poll_ends_ms: float | None = None
         self.is_follower = False
         self.was_follower = False
+        self.clock_offset_ms = float(0)
+        """Difference of the wall clock."""
+
         self.confirmed.confirm(0)
         self.heard.confirm(0)
 
@@ -94,6 +97,26 @@
         """Return the nodes that take themselves for followers."""
         return [node for node in self.nodes if node.is_follower]
 
+    @property
+    def oldest_ms(self) -> float:
+        """Return the largest age at nodes that would not learn of a change at once.
+
+        The open poll of a node that reaches the store ends with the change. Nodes that
+        are cut off the store have no bound.
+        """
+        ages_ms = (
+            node.confirmed.age_ms(self.now_ms)
+            for node in self.nodes
+            if node.poll_ends_ms is None
+            and node.record.name not in self.faults.cut_from_store
+        )
+        return max(ages_ms, default=0)
+
+    def cut_followers(self) -> None:
+        """Cut the present followers off the store, beside those that already are."""
+        cut = (node.record.name for node in self.followers)
+        self.faults.cut_from_store.update(cut)
+
     def run(self, duration_ms: float) -> None:
         """Let time pass."""
         for _ in range(int(duration_ms / STEP_MS)):
@@ -150,7 +173,8 @@
             wait_ms = STEP_MS
         elif node.is_follower:
             rank = node.chosen.index(node.record.name)
-            wait_ms = slot_wait_ms(self.now_ms, rank, len(node.chosen), POLL_WAIT_MS)
+            unix_ms = self.now_ms + node.clock_offset_ms
+            wait_ms = slot_wait_ms(unix_ms, rank, len(node.chosen), POLL_WAIT_MS)
         if node.record.name in self.faults.cut_from_store:
             wait_ms += POLL_MARGIN_MS
         node.poll_ends_ms = self.now_ms + wait_ms
--- a/tests/test_following_model.py
+++ b/tests/test_following_model.py
@@ -1,7 +1,13 @@
 """Tests of how many calls the store gets, and how old what the nodes know becomes."""
 
 import pytest
-from following_model import APPLY_MS, POLL_WAIT_MS, FollowingModel, quantile_ms
+from following_model import (
+    APPLY_MS,
+    POLL_WAIT_MS,
+    STEP_MS,
+    FollowingModel,
+    quantile_ms,
+)
 from seeds import seeds
 
 SIZES = (30, 100, 300)
@@ -85,3 +91,61 @@
     followers = {node.record.name for node in model.followers}
     assert len(followers - cut) == FOLLOWERS
     assert max(model.ages_ms) <= MAX_AGE_MS
+
+
+@pytest.mark.parametrize('seed', seeds(2))
+@pytest.mark.parametrize('calls_per_s', [0, 0.5, 10])
+@pytest.mark.parametrize('size', [24, 100])
+@pytest.mark.parametrize('pause_ms', [1000, 1500, 2500])
+def test_change_is_in_force_in_time_while_followers_are_cut_off_one_after_the_other(
+    size: int, calls_per_s: float, pause_ms: int, seed: int
+):
+    """Guards against nodes that wait for the successors of followers, cut off as well."""
+    model = _model(size, seed, calls_per_s)
+    for step in range(RUN_MS // 2 // STEP_MS):
+        if step * STEP_MS in {0, pause_ms, 2 * pause_ms}:
+            model.cut_followers()
+        model.run(STEP_MS)
+        assert model.oldest_ms <= MAX_AGE_MS - STEP_MS
+
+
+@pytest.mark.parametrize('seed', seeds(2))
+@pytest.mark.parametrize('share', [0.35, 0.6])
+@pytest.mark.parametrize('size', [24, 100])
+def test_change_is_in_force_in_time_while_the_store_turns_many_away(
+    size: int, share: float, seed: int
+):
+    """Guards against nodes that hear of no change as all that they ask are cut off."""
+    model = _model(size, seed, calls_per_s=0.5)
+    model.cut_followers()
+    names = [node.record.name for node in model.nodes]
+    cut = model.rng.sample(names, int(size * share))
+    model.faults.cut_from_store.update(cut)
+    for _ in range(RUN_MS // 2 // STEP_MS):
+        model.run(STEP_MS)
+        assert model.oldest_ms <= MAX_AGE_MS - STEP_MS
+
+
+@pytest.mark.parametrize('seed', seeds(2))
+@pytest.mark.parametrize('offset_ms', [100, 1250, 60_000])
+def test_change_is_in_force_in_time_with_clocks_that_differ(offset_ms: int, seed: int):
+    """Guards against followers whose polls end together, by wall clocks."""
+    model = _model(24, seed, calls_per_s=0.5)
+    for node in model.nodes:
+        node.clock_offset_ms = model.rng.uniform(0, offset_ms)
+    for _ in range(RUN_MS // STEP_MS):
+        model.run(STEP_MS)
+        assert model.oldest_ms <= MAX_AGE_MS - STEP_MS
+
+
+@pytest.mark.parametrize('seed', seeds(2))
+def test_change_is_in_force_in_time_with_one_follower_of_a_region_cut_off(seed: int):
+    """Guards against nodes that leave out both followers as one has no news."""
+    model = _model(24, seed, calls_per_s=0.5)
+    regions = {node.record.region for node in model.nodes}
+    for region in sorted(regions):
+        cut = next(each for each in model.followers if each.record.region == region)
+        model.faults.cut_from_store.add(cut.record.name)
+    for _ in range(RUN_MS // 2 // STEP_MS):
+        model.run(STEP_MS)
+        assert model.oldest_ms <= MAX_AGE_MS - STEP_MS
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -97,6 +97,26 @@
     _run(scenario)
 
 
+def test_late_first_write_after_a_removal_is_replaced():
+    """Guards against the row of an ended process that comes back where there is none."""
+
+    async def scenario(store: FakeStore) -> None:
+        store.held_writes = 1
+        ended = await _start(store)
+        ended.registry.publish(EARLIER)
+        await _until(lambda: not store.held_writes)
+        await ended.registry.close()
+        running = await _start(store, RequestedTurns())
+        await running.registry.publish(LATER)
+        store.remove('nodes', 'own')
+        assert store.do_held_writes() == [200]
+        await running.registry.poll_now()
+        await _until(lambda: _holds(store, LATER))
+        await running.registry.close()
+
+    _run(scenario)
+
+
 def test_row_that_an_earlier_process_replaced_is_written_again():
     """Guards against an unconditional late write, as an earlier release makes it."""
 
