--- a/tests/test_process_restarts.py
+++ b/tests/test_process_restarts.py
@@ -214,6 +214,34 @@
     _play(tree, tmp_path, scenario)
 
 
+def test_departure_is_not_forgotten_by_a_kill_of_all_nodes_in_a_short_outage(
+    tree, tmp_path
+):
+    """Guards against an outage that the next processes take for their restart."""
+
+    async def scenario(bed: _Bed) -> None:
+        leaving = bed.upstreams[1]
+        callers = KeptCallers(seed=1)
+        callers.add(bed.entry, 4, work_ms=5)
+        await asyncio.sleep(STABLE_S)
+        bed.store.failing_status = 503
+        late = leaving.heartbeat()
+        leaving.stop_reports()
+        assert await leaving.report('leave', b'')
+        left_s = asyncio.get_running_loop().time()
+        await bed.kill_all()
+        bed.store.failing_status = None
+        bed.start_all()
+        await asyncio.sleep(LATE_S)
+        await leaving.report('heartbeat', late)
+        await asyncio.sleep(STABLE_S)
+        await callers.stop()
+        late_runs = [at_s for at_s in leaving.run_times if at_s > left_s + DRAIN_S]
+        assert not late_runs
+
+    _play(tree, tmp_path, scenario)
+
+
 def test_killed_nodes_know_which_request_crashes_upstreams(tree, tmp_path):
     """Guards against a restart after which a request crashes upstreams anew (review/5)."""
 
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -6,6 +6,7 @@
 
 import pytest
 from gentianmill.clock import BootClock
+from gentianmill.departures import Departure
 from gentianmill.node_record_codec import encode_record
 from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill_mesh.ports import PollTurns
@@ -97,6 +98,22 @@
     _run(scenario)
 
 
+def test_departure_that_another_node_added_is_kept():
+    """Guards against a process that replaces a departure which it does not know."""
+    left = Departure('a', 9)
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('nodes', 'own', encode_record(EARLIER))
+        running = await _start(store)
+        added = dataclasses.replace(EARLIER, departures=(left,))
+        store.put('nodes', 'own', encode_record(added))
+        await running.registry.publish(LATER)
+        assert _holds(store, dataclasses.replace(LATER, departures=(left,)))
+        await running.registry.close()
+
+    _run(scenario)
+
+
 def test_late_first_write_after_a_removal_is_replaced():
     """Guards against the row of an ended process that comes back where there is none."""
 
