--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -98,7 +98,6 @@
         self._peers = peers
         self._registry = registry
         self._presence = RegistryPresence(settings.node, table, links, registry)
-        self._was_steady = False
         self._others = DepartureTable()
         self._kept: set[Departure] = set()
         self._has_read_table = False
@@ -145,8 +144,10 @@
         self._has_read_table = True
         if self._is_first_start:
             self._end()
-        else:
-            spawn(self._ask_keepers(), 'ask what must be known')
+            return
+        spawn(self._ask_keepers(), 'ask what must be known')
+        if self._guard.status.doubt.is_active and self._uptime_ms < PROMPT_READ_MS:
+            spawn(self._check_outage(), 'check outage')
 
     async def renew_presence(self) -> None:
         """Record that the registry answers, if it is this node's turn."""
@@ -252,31 +253,30 @@
         request = StateRequest(self._own_name)
         keepers = self._keepers(self._own_name)
         asked = [self._links.to(record).post(request) for record in keepers]
-        if self._uptime_ms < PROMPT_READ_MS:
-            asked.append(self._check_outage())
         try:
             await within(_finish(asked), ASK_TIMEOUT_S)
         except TimeoutError:
             log.info('Not all nodes told what they know.', asked=len(asked))
-        knows_all = self._was_steady or self._has_witnesses(keepers)
-        is_trusted = knows_all and self._guard.status.doubt.end()
-        if is_trusted:
-            log.info(
-                'All departures are known.',
-                by_registry=self._was_steady,
-                witnesses=len(self._witnesses),
-            )
-        if is_trusted and self._on_ended is None and self._publish is not None:
-            # The guard takes calls already, as a node told it before the registry did.
-            self._publish()
+        if self._has_witnesses(keepers):
+            self._trust(witnesses=len(self._witnesses))
         self._end()
 
     async def _check_outage(self) -> None:
-        """Find out whether the registry was there until shortly before the start.
+        """Trust the registry if it was there until shortly before the start.
 
         Departures are acknowledged without it only while it is away.
         """
-        self._was_steady = await self._presence.was_steady(self._uptime_ms)
+        if await self._presence.was_steady(self._uptime_ms):
+            self._trust(by_registry=True)
+
+    def _trust(self, **evidence: object) -> None:
+        """End the doubt, as no departure can be missing."""
+        if not self._guard.status.doubt.end():
+            return
+        log.info('All departures are known.', **evidence)
+        if self._on_ended is None and self._publish is not None:
+            # The guard takes calls already, as a node told it before the registry did.
+            self._publish()
 
     def _has_witnesses(self, keepers: list[NodeRecord]) -> bool:
         """Return whether one that told knows each departure that was acknowledged.
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
@@ -65,7 +65,7 @@
         steady_ms = age.steady_ms - uptime_ms
         log.info(
             'Registry before the start.',
-            unseen_ms=round(unseen_ms),
-            steady_ms=round(steady_ms),
+            unseen_ms=unseen_ms,
+            steady_ms=steady_ms,
         )
         return unseen_ms < LONGEST_GAP_MS and steady_ms > LONGEST_GAP_MS + SETTLE_MS
--- a/tests/mesh_deployment.py
+++ b/tests/mesh_deployment.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import json
-import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import aiohttp
@@ -32,6 +31,7 @@
 SLOTS = 4
 LIMITS = RequestLimits(16_384, 1_000_000, 3000, 15_000)
 RULE_HOST = 'till.example'
+STEADY_MS = 60_000
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -166,7 +166,7 @@
 
     async def presence_age(self) -> PresenceAge:
         """Tell that the tables were always there."""
-        return PresenceAge(0, math.inf)
+        return PresenceAge(0, STEADY_MS)
 
     def refresh(self) -> None:
         """Do nothing."""
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -28,6 +28,7 @@
 LEFT = Departure('a', 9)
 LEFT_ENTRY = DepartureEntry('a', 9)
 OTHERS = [f'n{number}' for number in range(8)]
+STEADY_MS = LONGEST_GAP_MS + SETTLE_MS + 1
 
 
 class _Guard:
@@ -90,6 +91,9 @@
 class _Registry:
     def __init__(self) -> None:
         self.age: PresenceAge | None = None
+        self.fails = False
+        self.answer = asyncio.Event()
+        self.answer.set()
         self.added: list[tuple[str, tuple[Departure, ...]]] = []
 
     async def add_departures(
@@ -99,6 +103,9 @@
         return True
 
     async def presence_age(self) -> PresenceAge | None:
+        if self.fails:
+            raise ValueError('not readable')
+        await self.answer.wait()
         return self.age
 
 
@@ -406,6 +413,40 @@
     assert not bench.guard.status.doubt.is_active
 
 
+@pytest.mark.parametrize('keepers_answer', [True, False])
+def test_upstream_is_used_as_soon_as_the_registry_is_trusted(keepers_answer: bool):
+    """Guards against a wait of 1 s for nodes that are down, after a kill of all nodes."""
+
+    async def scenario() -> list[tuple[bool, int]]:
+        bench = _Bench(report_interval_ms=1500)
+        bench.registry.age = PresenceAge(0, STEADY_MS)
+        bench.registry.answer.clear()
+        if not keepers_answer:
+            bench.links.deliver = _never_deliver
+        bench.read()
+        await _settle()
+        states = [(bench.guard.status.doubt.is_active, bench.ended)]
+        bench.registry.answer.set()
+        await _settle()
+        return [*states, (bench.guard.status.doubt.is_active, bench.ended)]
+
+    published = (1, 2) if keepers_answer else (0, 0)
+    assert _run(scenario) == [(True, published[0]), (False, published[1])]
+
+
+def test_registry_that_fails_to_tell_does_not_keep_a_guard_from_calls():
+    """Guards against a row of the presence that keeps a node from serving."""
+
+    async def scenario() -> tuple[int, bool]:
+        bench = _Bench(report_interval_ms=1500)
+        bench.registry.fails = True
+        bench.read()
+        await _settle()
+        return bench.ended, bench.guard.status.doubt.is_active
+
+    assert _run(scenario) == (1, True)
+
+
 def test_nodes_that_do_not_answer_are_no_fault(monkeypatch):
     """Guards against tracebacks of each start while other nodes are down."""
     monkeypatch.setattr(guard_recovery, 'ASK_TIMEOUT_S', 0.05)
@@ -429,9 +470,6 @@
     return await asyncio.get_running_loop().create_future()
 
 
-STEADY_MS = LONGEST_GAP_MS + SETTLE_MS + 1
-
-
 @pytest.mark.parametrize(
     ('read_ms', 'before', 'doubts'),
     [
