--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -168,7 +168,7 @@
         after = int(request.query['after'])
         if after < self.compacted_version or after > self.version:
             return web.Response(status=410)
-        loop = asyncio.get_running_loop()
+        loop, era = asyncio.get_running_loop(), self.era
         end_s = loop.time() + int(request.query['waitMs']) / MS_PER_S
         while not self._after(request.query['table'], after):
             changed = self._changed
@@ -177,7 +177,7 @@
             if self.fails(request):
                 return web.Response(status=STATUS_UNAVAILABLE)
             # Changes of other tables don't end the wait, a restored store does.
-            if loop.time() >= end_s or after > self.version:
+            if loop.time() >= end_s or self.era != era:
                 break
         if after > self.version:
             return web.Response(status=410)
