--- a/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/registry_presence.py
@@ -11,8 +11,8 @@
 
 LONGEST_GAP_MS = 3500.0
 """Time without a record that a restart of all processes takes: two intervals of the
-records, 2 s until a process is started again, and the start of the program. Outages last
-4 s and longer."""
+records, 2 s until a process is started again, and the start of the program. A shorter
+outage is not told from a restart."""
 
 SETTLE_MS = 1500.0
 """Time after an outage in which processes store what they acknowledged in it."""
