--- a/packages/gentianmill/src/gentianmill/route_table.py
+++ b/packages/gentianmill/src/gentianmill/route_table.py
@@ -8,6 +8,10 @@
 IDLE_REVIEW_MS = 2000
 MIN_CALLS_PER_REVIEW = 8
 SPILLOVER_REFRESH_MS = 20
+SPILLOVER_REFRESH_SHARE = 0.1
+"""Calls, relative to the capacity, after which the spillover is decided again at once. A
+burst would fill the queues of the nearest tier before `SPILLOVER_REFRESH_MS` is over."""
+
 SPILLOVER_START_LOAD = 0.8
 SPILLOVER_STOP_LOAD = 0.6
 SPILLOVER_START_LATENCY_RATIO = 1.5
@@ -35,6 +39,8 @@
         self._ended_calls = 0
         self._reviewed_ms = float('-inf')
         self._refreshed_ms = [float('-inf') for _ in range(TIERS)]
+        self._started_calls = 0
+        self._refresh_at_calls = [float('inf') for _ in range(TIERS)]
         self._tiers: list[list[RouteState]] = [[] for _ in range(TIERS)]
 
     @property
@@ -70,6 +76,10 @@
         """Return the median latency of members as far away as this one, in ms."""
         return self._ejector.median_ms(state)
 
+    def count_started(self) -> None:
+        """Count a call that was sent, which may overload the nearest tier."""
+        self._started_calls += 1
+
     def count_ended(self) -> None:
         """Count a call that ended, which may change which members are outliers."""
         self._ended_calls += 1
@@ -121,19 +131,26 @@
         )
 
     def _spills_over(self, tier: int, now_ms: float) -> bool:
-        age_ms = now_ms - self._refreshed_ms[tier]
-        if age_ms >= SPILLOVER_REFRESH_MS and tier < TIERS - 1:
+        is_due = (
+            now_ms - self._refreshed_ms[tier] >= SPILLOVER_REFRESH_MS
+            or self._started_calls >= self._refresh_at_calls[tier]
+        )
+        if is_due and tier < TIERS - 1:
+            usable = [
+                state
+                for states in self._tiers[: tier + 1]
+                for state in states
+                if state.admissible(now_ms)
+            ]
             self._refreshed_ms[tier] = now_ms
-            self._spilling_over[tier] = self._is_overloaded(tier, now_ms)
+            burst = max(_limit(usable) * SPILLOVER_REFRESH_SHARE, 1)
+            self._refresh_at_calls[tier] = self._started_calls + burst
+            self._spilling_over[tier] = self._is_overloaded(tier, usable, now_ms)
         return self._spilling_over[tier]
 
-    def _is_overloaded(self, tier: int, now_ms: float) -> bool:
-        usable = [
-            state
-            for states in self._tiers[: tier + 1]
-            for state in states
-            if state.admissible(now_ms)
-        ]
+    def _is_overloaded(
+        self, tier: int, usable: list[RouteState], now_ms: float
+    ) -> bool:
         load_bound = (
             SPILLOVER_STOP_LOAD if self._spilling_over[tier] else SPILLOVER_START_LOAD
         )
@@ -150,7 +167,11 @@
 
 
 def _load(usable: list[RouteState], now_ms: float) -> float:
-    limit = sum(state.load.limit for state in usable)
+    limit = _limit(usable)
     if not limit:
         return 0
     return sum(state.load.in_flight(now_ms) for state in usable) / limit
+
+
+def _limit(usable: list[RouteState]) -> int:
+    return sum(state.load.limit for state in usable)
--- a/packages/gentianmill/src/gentianmill/routing.py
+++ b/packages/gentianmill/src/gentianmill/routing.py
@@ -104,6 +104,7 @@
         state = self._states.get(node_id)
         if state is not None:
             state.record_start(now_ms)
+            self._tables[state.member.service].count_started()
 
     def on_done(self, node_id: str, now_ms: float, latency_ms: float, ok: bool) -> None:
         """Record a call that ended.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -67,6 +67,17 @@
     assert _chosen(router, now_ms=300) == {'node-0'}
 
 
+def test_burst_spills_over_before_the_next_moment():
+    """Guards against a burst that waits at a full zone while another one is idle."""
+    router = _router(_member(0), _member(1, zone='north-2'))
+    chosen = []
+    for _ in range(50):
+        chosen.append(router.choose(SERVICE, 0).node_id)
+        router.on_start(chosen[-1], 0)
+    assert chosen.count('node-0') <= 30
+    assert set(chosen[:20]) == {'node-0'}
+
+
 @given(
     st.lists(
         st.tuples(
