--- a/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/store_following.py
@@ -259,6 +259,14 @@
         return self._links.reaches(record) and not is_silent
 
 
+AGREE_MS = 3000.0
+"""Time after a change of the followers in which their polls may end together, as they
+learn of it one after the other and each poll under way goes on."""
+
+UNALIGNED_SHARE = 0.8
+"""Longest wait of a follower meanwhile, as a share of the age at which others ask."""
+
+
 class _Turns(PollTurns):
     """Wait until a poll is due."""
 
@@ -274,6 +282,8 @@
         self._own_name = own_name
         self._poll = OpenPoll(settings)
         self._was_follower = False
+        self._names: list[str] = []
+        self._changed_ms = -math.inf
         self._is_polling = False
         self._following = following
         self._freshness = freshness
@@ -291,17 +301,24 @@
         The first poll of a new follower does not wait, as others need a confirmation.
         """
         self._is_polling = True
+        names = [record.name for record in self._following.chosen_followers]
+        if names != self._names:
+            self._names = names
+            self._changed_ms = self._following.now_ms
         was_follower = self._was_follower
         self._was_follower = self._following.is_follower
         is_new = self._was_follower and not was_follower
         if is_new or self.is_urgent:
             return 0
-        names = [record.name for record in self._following.chosen_followers]
         if self._own_name not in names:
             return longest_ms
         rank = names.index(self._own_name)
         unix_ms = time.time_ns() / NS_PER_MS
-        return int(slot_wait_ms(unix_ms, rank, len(names), longest_ms))
+        wait_ms = slot_wait_ms(unix_ms, rank, len(names), longest_ms)
+        if self._following.now_ms - self._changed_ms < AGREE_MS:
+            # Another follower may still wait for the same slot.
+            wait_ms = min(wait_ms, self._turn.limit_ms * UNALIGNED_SHARE)
+        return int(wait_ms)
 
     async def until_due(self) -> None:
         """Wait until this node must poll."""
--- a/packages/gentianmill/src/gentianmill/poll_turn.py
+++ b/packages/gentianmill/src/gentianmill/poll_turn.py
@@ -40,8 +40,9 @@
 """Doublings of the time between two questions while a poll gets no answer, so that an
 outage of the whole store costs few messages."""
 
-SHORT_WAIT_SHARE = 0.1
-"""Part of the longest wait below which a poll would be a call for nothing."""
+SHORT_WAIT_SHARE = 0.02
+"""Part of the longest wait below which a poll would be a call for nothing. What it leaves
+out of its slot must not make the next confirmation so late that others ask."""
 
 
 class TurnAction(enum.Enum):
--- a/tests/test_poll_turn.py
+++ b/tests/test_poll_turn.py
@@ -2,7 +2,16 @@
 
 import random
 
-from gentianmill.poll_turn import Freshness, PollTurn, TurnAction, TurnSettings
+import pytest
+from gentianmill.poll_turn import (
+    EARLY_SHARE,
+    Freshness,
+    PollTurn,
+    TurnAction,
+    TurnSettings,
+    slot_wait_ms,
+    turns_within,
+)
 
 SETTINGS = TurnSettings(
     confirm_within_ms=3000,
@@ -139,3 +148,15 @@
     node.differs_since_ms = None
     node.run_until(20_000, heard_every_ms=500)
     assert not node.polls
+
+
+@pytest.mark.parametrize('rank', [0, 1])
+def test_polls_of_two_followers_end_before_others_ask(rank: int):
+    """Guards against a poll that leaves out its slot, so that followers count as silent."""
+    period_ms = 2500
+    ask_ms = turns_within(period_ms).confirm_within_ms * (1 - EARLY_SHARE)
+    slots_ms = period_ms / 2
+    for begin_ms in range(0, 2 * period_ms, 10):
+        end_ms = begin_ms + slot_wait_ms(begin_ms, rank, 2, period_ms)
+        early_ms = (slots_ms * rank - end_ms) % period_ms
+        assert slots_ms + early_ms < ask_ms
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -4,12 +4,14 @@
 import json
 
 import pytest
-from gentianmill.clock import ManualClock
+from gentianmill.clock import NS_PER_MS, ManualClock
 from gentianmill.node_table import NodeTable
+from gentianmill.poll_turn import slot_wait_ms
 from gentianmill.relay_messages import FreshnessStatus, RulesRequest
+from gentianmill_mesh import store_following
 from gentianmill_mesh.mesh_node import PRESENCE_INTERVAL_S
 from gentianmill_mesh.rules_holder import RulesHolder
-from gentianmill_mesh.store_following import StoreFollowing
+from gentianmill_mesh.store_following import AGREE_MS, StoreFollowing
 from mesh_deployment import JsonRules, rules_document
 from node_records import node_record
 from rules_deployment import APPLY_MS, RulesDeployment, rules_deployment
@@ -192,6 +194,33 @@
     _run(scenario, 5)
 
 
+@pytest.mark.parametrize(
+    ('since_ms', 'longest_ms'), [(AGREE_MS - 1, 1240), (AGREE_MS, 2000)]
+)
+def test_followers_poll_more_often_until_they_agree_on_their_slots(
+    monkeypatch, since_ms: float, longest_ms: int
+):
+    """Guards against two followers that wait for one slot and are taken for silent."""
+    # A slot ends 2 s later, whatever the rank.
+    monkeypatch.setattr(store_following.time, 'time_ns', lambda: 500 * NS_PER_MS)
+    monkeypatch.setattr(
+        store_following,
+        'slot_wait_ms',
+        lambda unix_ms, _rank, _count, longest: slot_wait_ms(unix_ms, 0, 1, longest),
+    )
+    clock, table = ManualClock(100_000), NodeTable()
+    own = node_record('own')
+    table.merge([own, node_record('other')])
+    holder = RulesHolder(JsonRules())
+    following = StoreFollowing(own, table, _Links(), holder, clock, 2500)
+    following.rules_confirmed(clock.now_ms())
+    turns = following.rules_turns
+    assert turns.wait_ms(2500) == 0
+    clock.advance(since_ms)
+    following.rules_confirmed(clock.now_ms())
+    assert turns.wait_ms(2500) == longest_ms
+
+
 def test_followers_without_news_are_replaced():
     """Guards against nodes that ask the store one by one while followers hear nothing."""
 
