--- a/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/guard_recovery.py
@@ -140,7 +140,7 @@
             return
         own = self._table.find(self._own_name)
         if own is not None:
-            self._restore(own.departures, 'registry')
+            self.restore(own.departures, 'registry')
         self._has_read_table = True
         if self._is_first_start:
             self._end()
@@ -184,7 +184,7 @@
         if state.node == self._own_name:
             if state.uptime_ms >= self._uptime_ms + LATEST_REPORT_MS:
                 self._witnesses.add(state.teller)
-            self._restore(departures, 'node')
+            self.restore(departures, 'node')
             self._guard.crashes.merge(state.strikes)
             if not self._has_read_table:
                 self._end()
@@ -198,6 +198,19 @@
             for record in self._peers.choose(NEXT_FANOUT):
                 spawn(self._links.to(record).post(state), 'pass on departures')
 
+    def restore(self, departures: Iterable[Departure], source: str) -> None:
+        """Learn what others know that this node must not forget.
+
+        Args:
+            departures: Departures of upstreams on this VM.
+            source: Who told them, for the log.
+        """
+        known = set(departures) - set(self._guard.status.departures)
+        if known:
+            log.info('Departures restored.', source=source, count=len(known))
+            self._kept |= known
+            self._guard.status.restore(known)
+
     async def keep(self, stored: 'asyncio.Future[None] | None') -> bool:
         """Wait until the departures outlive this process, and return whether they do.
 
@@ -297,13 +310,6 @@
         others.sort(key=lambda other: rendezvous.score(node, other.name))
         return others[-KEEPERS:]
 
-    def _restore(self, departures: Iterable[Departure], source: str) -> None:
-        known = set(departures) - set(self._guard.status.departures)
-        if known:
-            log.info('Departures restored.', source=source, count=len(known))
-            self._kept |= known
-            self._guard.status.restore(known)
-
     def _end(self) -> None:
         on_ended = self._on_ended
         if on_ended is not None:
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/mesh_node.py
@@ -179,7 +179,9 @@
         strikes = StrikeGossip(
             settings.service, self._guard.crashes, self._table, self._links, peers
         )
-        self._own = OwnState(own, self._guard, self._recovery, registry)
+        self._own = OwnState(
+            own, self._guard, self._recovery, registry, self._gossip.announce
+        )
         self._quotas = QuotaGate(
             settings,
             self._identity,
@@ -301,7 +303,7 @@
         )
         await self._registry.start(
             self._table,
-            self._gossip.announce,
+            self._own.accepted,
             following.nodes_turns,
             self._on_nodes_confirmed,
         )
--- a/packages/gentianmill-mesh/src/gentianmill_mesh/own_state.py
+++ b/packages/gentianmill-mesh/src/gentianmill_mesh/own_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from gentianmill.node_table import NodeRecord, NodeState
 from gentianmill_mesh.guard_recovery import GuardRecovery
@@ -25,6 +26,7 @@
         guard: UpstreamGuard,
         recovery: GuardRecovery,
         registry: NodeRegistry,
+        announce: Callable[[NodeRecord], None],
     ) -> None:
         """Create a state that is not published.
 
@@ -33,11 +35,13 @@
             guard: Guard of the upstream.
             recovery: Knows when the record of an earlier process may be overwritten.
             registry: Stores the record.
+            announce: Tells other nodes the record.
         """
         self._record = record
         self._guard = guard
         self._recovery = recovery
         self._registry = registry
+        self._announce = announce
         self._stored: asyncio.Future[None] | None = None
 
     def publish(self) -> None:
@@ -69,6 +73,14 @@
         if self._record.departures != self._guard.status.departures:
             self.publish()
 
+    def accepted(self, record: NodeRecord) -> None:
+        """Learn the record as the registry has it, with what other nodes have added."""
+        accepted_calls = self._guard.accepts_calls
+        self._recovery.restore(record.departures, 'registry')
+        if self._guard.accepts_calls != accepted_calls:
+            self.publish()
+        self._announce(record)
+
     async def departures_kept(self) -> bool:
         """Return whether what upstreams said of their leaving outlives this process.
 
--- a/tests/test_guard_recovery.py
+++ b/tests/test_guard_recovery.py
@@ -17,11 +17,12 @@
 from gentianmill_mesh import guard_recovery
 from gentianmill_mesh.guard_recovery import PROMPT_READ_MS, GuardRecovery
 from gentianmill_mesh.mesh_settings import Address, MeshSettings
+from gentianmill_mesh.own_state import OwnState
 from gentianmill_mesh.ports import PresenceAge
 from gentianmill_mesh.registry_presence import LONGEST_GAP_MS, SETTLE_MS
 from mesh_upstream import NAMES
 from node_records import node_record
-from gentianmill.node_table import NodeTable
+from gentianmill.node_table import NodeRecord, NodeState, NodeTable
 from gentianmill.upstream_status import UpstreamStatus
 from test_upstream_status import _report
 
@@ -37,6 +38,10 @@
         self.refusing = ''
         self.crashes = _Crashes()
 
+    @property
+    def accepts_calls(self) -> bool:
+        return self.status.accepts_calls and not self.refusing
+
     def refuse_calls(self, reason: str) -> None:
         self.refusing = reason
 
@@ -95,6 +100,11 @@
         self.answer = asyncio.Event()
         self.answer.set()
         self.added: list[tuple[str, tuple[Departure, ...]]] = []
+        self.published: list[NodeRecord] = []
+
+    def publish(self, record: NodeRecord) -> asyncio.Future[None]:
+        self.published.append(record)
+        return asyncio.get_running_loop().create_future()
 
     async def add_departures(
         self, node: str, departures: tuple[Departure, ...]
@@ -150,7 +160,7 @@
     def uses(self) -> bool:
         """Return whether a report from before the leave makes the upstream used."""
         self.guard.status.apply(_report(start_unix_ms=9))
-        return self.guard.status.accepts_calls and not self.guard.refusing
+        return self.guard.accepts_calls
 
 
 def _settings(first_start: bool, report_interval_ms: float) -> MeshSettings:
@@ -210,6 +220,34 @@
     assert _run(scenario) == (False, 1)
 
 
+def test_departure_that_is_found_in_the_own_row_ends_the_use_of_the_upstream():
+    """Guards against a departure that is kept in the registry and not heeded."""
+
+    async def scenario() -> tuple[bool, bool, NodeRecord, list[NodeRecord]]:
+        bench = _Bench()
+        bench.read()
+        await _settle()
+        announced: list[NodeRecord] = []
+        own = node_record('own')
+        state = OwnState(
+            own, bench.guard, bench.recovery, bench.registry, announced.append
+        )
+        before = bench.uses
+        stored = dataclasses.replace(own, departures=(LEFT,))
+        state.accepted(stored)
+        state.accepted(stored)
+        published = bench.registry.published
+        assert announced == [stored, stored]
+        return before, bench.uses, published[-1], published
+
+    before, after, record, published = _run(scenario)
+    assert before
+    assert not after
+    assert record.state is NodeState.leaving
+    assert record.departures == (LEFT,)
+    assert len(published) == 1
+
+
 def test_node_that_connects_tells_while_the_registry_is_silent():
     """Guards against an upstream that takes no calls as long as the registry is away."""
 
--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -114,6 +114,28 @@
     _run(scenario)
 
 
+def test_departure_that_another_node_adds_meanwhile_is_kept():
+    """Guards against a process that replaces it with its next record, or without end."""
+    left = Departure('a', 9)
+
+    async def scenario(store: FakeStore) -> None:
+        running = await _start(store)
+        await running.registry.publish(LATER)
+        added = dataclasses.replace(LATER, departures=(left,))
+        store.put('nodes', 'own', encode_record(added))
+        await running.registry.poll_now()
+        draining = dataclasses.replace(LATER, state=NodeState.leaving, revision=9)
+        await running.registry.publish(draining)
+        assert _holds(store, dataclasses.replace(draining, departures=(left,)))
+        await _until(lambda: running.table.find('own').departures == (left,))
+        calls = store.write_calls
+        await asyncio.sleep(1)
+        assert store.write_calls == calls
+        await running.registry.close()
+
+    _run(scenario)
+
+
 def test_late_first_write_after_a_removal_is_replaced():
     """Guards against the row of an ended process that comes back where there is none."""
 
