--- a/tests/test_store_fencing.py
+++ b/tests/test_store_fencing.py
@@ -98,6 +98,27 @@
     _run(scenario)
 
 
+def test_process_whose_clock_was_set_back_does_not_give_way_to_itself():
+    """Guards against a later record that counts as older than the first one."""
+    first = node_record('own', incarnation=500, slots=3)
+    later = dataclasses.replace(first, slots=4)
+
+    async def scenario(store: FakeStore) -> None:
+        store.put('nodes', 'own', encode_record(EARLIER))
+        running = await _start(store)
+        await running.registry.publish(first)
+        stored = store.content('nodes', 'own')
+        await running.registry.publish(later)
+        # A write of its own that is done late, as an earlier release makes it.
+        store.put('nodes', 'own', stored)
+        await running.registry.poll_now()
+        expected = dataclasses.replace(later, incarnation=EARLIER.incarnation + 1)
+        await _until(lambda: _holds(store, expected))
+        await running.registry.close()
+
+    _run(scenario)
+
+
 def test_departure_that_another_node_added_is_kept():
     """Guards against a process that replaces a departure which it does not know."""
     left = Departure('a', 9)
