--- a/tests/row_model.py
+++ b/tests/row_model.py
@@ -10,6 +10,7 @@
 from gentianmill.node_table import NodeRecord, NodeTable
 from gentianmill.revisions import era_of, to_revision, version_of
 from gentianmill_platform.answer_time import AnswerTime
+from gentianmill_platform.own_row import NODE_TABLE
 from gentianmill_platform.store import RowConflictError, Snapshot, StoredRow
 from gentianmill_platform.store_adapters import StoreNodes
 from gentianmill_platform.store_era import StoreEra
@@ -36,51 +37,54 @@
 
 
 class RowModel:
-    """The rows of one table, with their versions."""
+    """The rows of all tables, with their versions."""
 
     def __init__(self) -> None:
         """Create a store without rows, in its first era."""
         self.era = 1
         self.version = 0
-        self.rows: dict[str, StoredRow] = {}
+        self.rows: dict[tuple[str, str], StoredRow] = {}
         self.held: list[Callable[[], int]] = []
         self.on_change: Callable[[], None] | None = None
 
-    def find(self, key: str) -> StoredRow | None:
+    def find(self, key: str, table: str = NODE_TABLE) -> StoredRow | None:
         """Return a row that was not removed."""
-        row = self.rows.get(key)
+        row = self.rows.get((table, key))
         return None if row is None or row.deleted else row
 
-    def put(self, key: str, content: bytes, expected: int, *, deleted: bool) -> int:
+    def put(
+        self, place: tuple[str, str], content: bytes, expected: int, *, deleted: bool
+    ) -> int:
         """Write or remove a row if it has a version, and return the new revision."""
-        row = self.find(key)
+        table, key = place
+        row = self.find(key, table)
         version = version_of(row.version) if row else 0
         if version != expected:
             raise conflict(row)
         self.version += 1
         revision = to_revision(self.era, self.version)
-        self.rows[key] = StoredRow(key, content, deleted, revision)
+        self.rows[place] = StoredRow(key, content, deleted, revision)
         if self.on_change is not None:
             self.on_change()
         return revision
 
-    def restore(self, copy: tuple[dict[str, StoredRow], int]) -> None:
+    def restore(self, copy: tuple[dict[tuple[str, str], StoredRow], int]) -> None:
         """Go back to a copy, in a new era; writes that are held get lost."""
         self.held.clear()
         self.era += 1
         rows, version = copy
         self.version = version
         self.rows = {
-            key: StoredRow(
-                key,
+            place: StoredRow(
+                row.key,
                 row.content,
                 row.deleted,
                 to_revision(self.era, version_of(row.version)),
             )
-            for key, row in rows.items()
+            for place, row in rows.items()
         }
 
-    def copy(self) -> tuple[dict[str, StoredRow], int]:
+    def copy(self) -> tuple[dict[tuple[str, str], StoredRow], int]:
         """Return what the store holds."""
         return dict(self.rows), self.version
 
@@ -107,32 +111,36 @@
     def renew(self) -> None:
         """Do nothing, as there are no connections."""
 
-    async def read(self, _table: str) -> Snapshot:
+    async def read(self, table: str) -> Snapshot:
         """Return all rows."""
         await self._begin()
-        rows = [row for row in self.model.rows.values() if not row.deleted]
+        rows = [row for row in self._rows(table) if not row.deleted]
         return Snapshot(rows, self._revision(), is_complete=True)
 
-    async def changes(self, _table: str, after: int, _wait_ms: int) -> Snapshot:
+    async def changes(self, table: str, after: int, _wait_ms: int) -> Snapshot:
         """Return the rows that have changed."""
         await self._begin()
         if era_of(after) != self.model.era:
-            return await self.read(_table)
-        rows = [row for row in self.model.rows.values() if row.version > after]
+            return await self.read(table)
+        rows = [row for row in self._rows(table) if row.version > after]
         return Snapshot(rows, self._revision(), is_complete=False)
 
-    async def find(self, _table: str, key: str) -> StoredRow | None:
+    async def find(self, table: str, key: str) -> StoredRow | None:
         """Return a row, or None."""
         await self._begin()
-        return self.model.find(key)
+        return self.model.find(key, table)
 
-    async def write(self, _table: str, key: str, content: bytes, version: int) -> int:
+    async def write(self, table: str, key: str, content: bytes, version: int) -> int:
         """Write a row."""
-        return await self._put(key, content, version, deleted=False)
+        return await self._put((table, key), content, version, deleted=False)
 
-    async def remove(self, _table: str, key: str, version: int) -> int:
+    async def remove(self, table: str, key: str, version: int) -> int:
         """Remove a row."""
-        return await self._put(key, b'', version, deleted=True)
+        return await self._put((table, key), b'', version, deleted=True)
+
+    def _rows(self, table: str) -> list[StoredRow]:
+        rows = self.model.rows.items()
+        return [row for (in_table, _), row in rows if in_table == table]
 
     def _revision(self) -> int:
         return to_revision(self.model.era, self.model.version)
@@ -143,9 +151,11 @@
             raise no_answer()
         await asyncio.sleep(CALL_S)
         self.era.of_response(str(self.model.era))
+        # The steady clock of the store never tells 0.
+        self.last_answer = AnswerTime(0, LoopClock().now_ms() + 1)
 
     async def _put(
-        self, key: str, content: bytes, revision: int, *, deleted: bool
+        self, place: tuple[str, str], content: bytes, revision: int, *, deleted: bool
     ) -> int:
         if revision and era_of(revision) != self.era.current:
             raise conflict(None)
@@ -153,7 +163,7 @@
 
         def put() -> int:
             expected = version_of(revision)
-            return self.model.put(key, content, expected, deleted=deleted)
+            return self.model.put(place, content, expected, deleted=deleted)
 
         if self.mode is Mode.held:
             self.model.held.append(put)
