--- a/review/11/check.py
+++ b/review/11/check.py
@@ -1,4 +1,4 @@
-"""A departure that is acknowledged in a short outage of the store, then a herd kill."""
+"""A departure that is acknowledged while answers of the store are lost, then a herd kill."""
 
 import asyncio
 import json
@@ -15,16 +15,15 @@
 STEADY_S = 8
 """Time for which the deployment runs in calm before."""
 
-LEAVE_AFTER_S = 0.3
-"""Time from the begin of the outage until the endpoint leaves."""
+LOST_WRITES_LATE_S = 5
+"""Delay of a write whose answer is lost; the pages name 1 to 6 s."""
 
-KILL_AFTER_S = 0.3
-
-OUTAGE_S = 1.5
-
-DOWN_S = 1.0
-"""Time from the kill until the processes are started again, if the store is back."""
+LOST_FOR_S = 4.5
+LEAVE_AFTER_S = 2.5
+"""Time from which answers are lost until the endpoint leaves."""
 
+KILL_AFTER_S = 1.0
+DOWN_S = 0.5
 LATE_BEAT_S = 3
 """Age of the last heartbeat when it arrives."""
 
@@ -66,6 +65,38 @@
         await asyncio.sleep(SEND_PAUSE_S)
 
 
+class Losses:
+    """Loses the answers of some writes; these are done late, if they still may be."""
+
+    def __init__(self, deployment):
+        """Lose nothing yet."""
+        self._deployment = deployment
+        self.is_on = False
+        self.lost = 0
+        self.answered = 0
+        self._silent = []
+
+    async def fate(self, entries):
+        """Return what becomes of a write; those of the table of nodes are lost."""
+        tables = {row['table'] for row in entries['writes']}
+        if not (self.is_on and 'nodes' in tables):
+            self.answered += self.is_on
+            return ''
+        self.lost += 1
+        keys = [row['key'] for row in entries['writes']]
+        self._deployment.record.write(f'store: answer of a write of {keys} is lost')
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOST_WRITES_LATE_S, self._do, entries)
+        # Nothing more is delivered on the connection.
+        self._silent.append(loop.create_future())
+        return await self._silent[-1]
+
+    def _do(self, entries):
+        answer = self._deployment.store.apply(entries)
+        status = answer.split()[1].decode()
+        self._deployment.record.write(f'store: late write done, status {status}')
+
+
 async def run(deployment):
     """Play the case and return the exit status."""
     record = deployment.record
@@ -75,14 +106,14 @@
     deployment.store.configure(
         7, [rule('pay', 'billing', 'unsafe', '2s')], ['billing', 'dispatch']
     )
+    losses = Losses(deployment)
+    deployment.store.on_write = losses.fate
     await deployment.start()
     sending = asyncio.ensure_future(send_regularly(deployment, deployment.nodes[2]))
     await asyncio.sleep(STEADY_S)
     if has_trouble():
-        record.write(f'the store is down for {OUTAGE_S} s')
-        deployment.store.is_down = True
-        loop = asyncio.get_running_loop()
-        loop.call_later(OUTAGE_S, deployment.store.recover)
+        record.write('store: answers of some writes are lost from now on')
+        losses.is_on = True
     await asyncio.sleep(LEAVE_AFTER_S)
     leaving.stop_reports()
     # This one is under way for some seconds.
@@ -101,7 +132,11 @@
         await asyncio.sleep(DOWN_S)
         for node in deployment.nodes:
             node.start()
-        record.write('all nodes are started')
+        losses.is_on = False
+        record.write(
+            f'nodes are started; {losses.lost} writes had no answer, '
+            f'{losses.answered} had one'
+        )
     disrupted_s = time.monotonic()
     await asyncio.sleep(max(beat_s + LATE_BEAT_S - time.monotonic(), 0))
     leaving._address = ''
